Lay down the shape: decisions, ports and numbered results

Cause: a fleet that many people will read needs its frame before its features. Weighed: decisions inside the connection handlers (fewer hops, but no way to test them without sockets) against a domain that takes time and random numbers as arguments. The second was chosen. Change: the domain (document, routes, keys, records, pools, admission, ledger, membership, addresses), the Protocol types, and the result codes in three classes: not run, unknown, answered.

--- /dev/null
+++ b/src/dotterelpath/__init__.py
@@ -0,0 +1,1 @@
+"""A proxy fleet for backend servers with gray failures."""
--- /dev/null
+++ b/src/dotterelpath/domain/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions, free of sockets, clocks and encodings."""
--- /dev/null
+++ b/src/dotterelpath/domain/addresses.py
@@ -0,0 +1,99 @@
+"""Which daemons the callers of a service and workspace should use."""
+
+from __future__ import annotations
+
+import math
+import typing
+
+from dotterelpath.domain import hashing
+
+ADDRESS_TTL_S = 30
+MAX_ADDRESSES = 6
+MIN_SUBSET = 6
+INSTANCE_CONNECTIONS = 400
+CONNECTIONS_PER_PAIR = 4
+
+
+class Place:
+    """A daemon and the data centre where it stands."""
+
+    __slots__ = ("daemon_id", "data_centre")
+
+    def __init__(self, daemon_id: str, data_centre: str) -> None:
+        """Creates a place.
+
+        Args:
+            daemon_id: The daemon's id.
+            data_centre: Its data centre.
+        """
+        self.daemon_id = daemon_id
+        self.data_centre = data_centre
+
+
+def subset_size(daemons: int) -> int:
+    """Sizes the part of the fleet that serves one service.
+
+    An instance has a limited number of connections, and each pair of daemon
+    and instance must see enough traffic to judge by.
+
+    Args:
+        daemons: How many daemons are live.
+
+    Returns:
+        How many of them callers of one service are sent to.
+    """
+    most = INSTANCE_CONNECTIONS // CONNECTIONS_PER_PAIR
+    return min(daemons, max(MIN_SUBSET, most))
+
+
+def subset(service: str, places: typing.Sequence[Place]) -> list[Place]:
+    """Chooses the daemons that serve one service.
+
+    Args:
+        service: The service.
+        places: The live daemons.
+
+    Returns:
+        An even share of each data centre, by rendezvous hashing.
+    """
+    by_data_centre: dict[str, dict[str, Place]] = {}
+    for place in places:
+        in_centre = by_data_centre.setdefault(place.data_centre, {})
+        in_centre[place.daemon_id] = place
+    if not by_data_centre:
+        return []
+    each = math.ceil(subset_size(len(places)) / len(by_data_centre))
+    chosen = []
+    for in_centre in by_data_centre.values():
+        for daemon_id in hashing.ranked(service, in_centre)[:each]:
+            chosen.append(in_centre[daemon_id])
+    return chosen
+
+
+def ordered(
+    chosen: typing.Iterable[Place], workspace: str, data_centre: str
+) -> list[Place]:
+    """Orders a service's daemons for one workspace.
+
+    Args:
+        chosen: The daemons that serve the service.
+        workspace: The caller's workspace.
+        data_centre: The data centre nearest to the caller.
+
+    Returns:
+        At most MAX_ADDRESSES places: the nearest data centre first, inside
+        a data centre by rendezvous hashing of the workspace.
+    """
+
+    def rank(place: Place) -> tuple[bool, int, str]:
+        return (
+            place.data_centre != data_centre,
+            -hashing.score(workspace, place.daemon_id),
+            place.daemon_id,
+        )
+
+    near_first = sorted(chosen, key=rank)
+    half = MAX_ADDRESSES // 2
+    near = [p for p in near_first if p.data_centre == data_centre][:half]
+    far = [p for p in near_first if p.data_centre != data_centre]
+    return near + far[: MAX_ADDRESSES - len(near)]
--- /dev/null
+++ b/src/dotterelpath/domain/admission.py
@@ -0,0 +1,292 @@
+"""Admits requests to a service within limits, by class and deadline."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+from dotterelpath import errors
+from dotterelpath.domain import document
+
+LATENCY_WEIGHT = 0.05
+INITIAL_LATENCY_S = 0.02
+MAX_QUEUE = 512
+DEADLINE_MARGIN_S = 0.002
+MIN_LIMIT = 1.0
+BACKOFF = 0.9
+LATENCY_TOLERANCE = 2.0
+BASELINE_DRIFT = 0.001
+
+_ORDER = (
+    document.TrafficClass.CRITICAL,
+    document.TrafficClass.NORMAL,
+    document.TrafficClass.SHEDDABLE,
+)
+_QUEUE_SHARE = {
+    document.TrafficClass.CRITICAL: 1.0,
+    document.TrafficClass.NORMAL: 0.5,
+    document.TrafficClass.SHEDDABLE: 0.1,
+}
+
+T = typing.TypeVar("T")
+
+
+class Waiter(typing.Generic[T]):
+    """A request that waits for an instance."""
+
+    __slots__ = ("deadline_s", "item", "since_s", "traffic_class")
+
+    def __init__(
+        self,
+        item: T,
+        traffic_class: document.TrafficClass,
+        since_s: float,
+        deadline_s: float,
+    ) -> None:
+        """Creates a waiter.
+
+        Args:
+            item: What waits.
+            traffic_class: How early it is refused.
+            since_s: When it arrived, on a monotonic clock, in seconds.
+            deadline_s: When its answer is due, on the same clock.
+        """
+        self.item = item
+        self.traffic_class = traffic_class
+        self.since_s = since_s
+        self.deadline_s = deadline_s
+
+
+class ConcurrencyLimit:
+    """A limit of requests in flight that adapts to latency (AIMD).
+
+    The limit rises by one for each round of answers at the usual latency and
+    falls by a tenth when answers take twice as long or are refused. The usual
+    latency is the lowest moving average, which drifts up slowly so that a
+    lasting change is taken over.
+    """
+
+    __slots__ = ("_baseline_s", "_cooldown", "_limit", "_recent_s")
+
+    def __init__(self, limit: float) -> None:
+        """Creates a limit.
+
+        Args:
+            limit: Requests in flight allowed at first.
+        """
+        self._limit = limit
+        self._baseline_s: float | None = None
+        self._recent_s = INITIAL_LATENCY_S
+        self._cooldown = 0
+
+    @property
+    def limit(self) -> int:
+        """Requests in flight allowed now."""
+        return max(1, int(self._limit))
+
+    @property
+    def latency_s(self) -> float:
+        """The moving average of answers' latency, in seconds."""
+        return self._recent_s
+
+    def observe(
+        self, latency_s: float, refused: bool, in_flight: int, ceiling: int
+    ) -> None:
+        """Takes in the end of a request.
+
+        Args:
+            latency_s: How long the instance took, in seconds.
+            refused: Whether the instance refused for load.
+            in_flight: Requests in flight when it ended.
+            ceiling: The most that the instances' caps allow together.
+        """
+        if not refused:
+            self._track(latency_s)
+        self._cooldown -= 1
+        slow = (
+            self._baseline_s is not None
+            and self._recent_s > LATENCY_TOLERANCE * self._baseline_s
+        )
+        if (refused or slow) and self._cooldown <= 0:
+            self._limit = max(MIN_LIMIT, self._limit * BACKOFF)
+            self._cooldown = self.limit
+        elif not refused and in_flight >= self.limit - 1:
+            self._limit += 1.0 / max(1.0, self._limit)
+        self._limit = min(self._limit, float(max(1, ceiling)))
+
+    def _track(self, latency_s: float) -> None:
+        if self._baseline_s is None:
+            self._baseline_s = self._recent_s = latency_s
+            return
+        self._recent_s += LATENCY_WEIGHT * (latency_s - self._recent_s)
+        drifted = self._baseline_s * (1.0 + BASELINE_DRIFT)
+        self._baseline_s = min(drifted, self._recent_s)
+
+
+class Admission(typing.Generic[T]):
+    """The queue of one service in one daemon.
+
+    Work that cannot make its deadline is refused at once, and sheddable work
+    is refused while critical work still finds room.
+    """
+
+    __slots__ = ("_in_flight", "_limit", "_queues")
+
+    def __init__(self, ceiling: int) -> None:
+        """Creates an empty queue.
+
+        Args:
+            ceiling: The most that the instances' caps allow together.
+        """
+        self._limit = ConcurrencyLimit(float(max(1, ceiling)))
+        self._in_flight = 0
+        self._queues: dict[
+            document.TrafficClass, collections.deque[Waiter[T]]
+        ] = {c: collections.deque() for c in _ORDER}
+
+    @property
+    def in_flight(self) -> int:
+        """Requests at instances now."""
+        return self._in_flight
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait now."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    @property
+    def limit(self) -> ConcurrencyLimit:
+        """The adaptive limit."""
+        return self._limit
+
+    def has_room(self) -> bool:
+        """Tells whether a request may go to an instance now."""
+        return self._in_flight < self._limit.limit
+
+    def started(self) -> None:
+        """Counts a request that goes to an instance."""
+        self._in_flight += 1
+
+    def ended(self, latency_s: float, refused: bool, ceiling: int) -> None:
+        """Counts a request that left an instance.
+
+        Args:
+            latency_s: How long the instance took, in seconds.
+            refused: Whether the instance refused for load.
+            ceiling: The most that the instances' caps allow together.
+        """
+        self._limit.observe(latency_s, refused, self._in_flight, ceiling)
+        self._in_flight = max(0, self._in_flight - 1)
+
+    def enqueue(self, waiter: Waiter[T], now_s: float) -> None:
+        """Lets a request wait.
+
+        Args:
+            waiter: The request.
+            now_s: A monotonic clock, in seconds.
+
+        Raises:
+            DotterelpathError: The queue is full for its class, or it would
+                wait past its deadline.
+        """
+        queue = self._queues[waiter.traffic_class]
+        ahead = self._ahead_of(waiter.traffic_class)
+        if ahead >= MAX_QUEUE * _QUEUE_SHARE[waiter.traffic_class]:
+            raise errors.DotterelpathError(errors.ResultCode.OVERLOADED)
+        expected_s = self.expected_wait_s(ahead) + self._limit.latency_s
+        if now_s + expected_s + DEADLINE_MARGIN_S > waiter.deadline_s:
+            raise errors.DotterelpathError(
+                errors.ResultCode.DEADLINE_TOO_SHORT,
+                f"the expected time is {expected_s:.3f} s",
+            )
+        queue.append(waiter)
+
+    def expected_wait_s(self, ahead: int) -> float:
+        """Estimates a wait.
+
+        Args:
+            ahead: Requests that are served before.
+
+        Returns:
+            The expected wait in seconds.
+        """
+        return (ahead + 1) * self._limit.latency_s / self._limit.limit
+
+    def next_waiter(self) -> Waiter[T] | None:
+        """Takes out the next request: by class, then by arrival."""
+        for traffic_class in _ORDER:
+            if self._queues[traffic_class]:
+                return self._queues[traffic_class].popleft()
+        return None
+
+    def put_back(self, waiter: Waiter[T]) -> None:
+        """Returns a request to the front of its queue.
+
+        Args:
+            waiter: A request that next_waiter gave.
+        """
+        self._queues[waiter.traffic_class].appendleft(waiter)
+
+    def drop(self, item: T) -> bool:
+        """Removes a request that waits no longer.
+
+        Args:
+            item: What waited.
+
+        Returns:
+            Whether it was waiting.
+        """
+        for queue in self._queues.values():
+            for waiter in queue:
+                if waiter.item is item:
+                    queue.remove(waiter)
+                    return True
+        return False
+
+    def _ahead_of(self, traffic_class: document.TrafficClass) -> int:
+        ahead = 0
+        for other in _ORDER:
+            ahead += len(self._queues[other])
+            if other is traffic_class:
+                return ahead
+        return ahead
+
+
+class WorkspaceLimits:
+    """Counts requests in flight for each workspace."""
+
+    __slots__ = ("_in_flight",)
+
+    def __init__(self) -> None:
+        """Creates empty counts."""
+        self._in_flight: dict[str, int] = {}
+
+    def enter(self, workspace: str, limit: int) -> None:
+        """Counts a request in.
+
+        Args:
+            workspace: The workspace.
+            limit: Its requests in flight allowed here.
+
+        Raises:
+            DotterelpathError: The workspace is at its limit.
+        """
+        count = self._in_flight.get(workspace, 0)
+        if count >= limit:
+            raise errors.DotterelpathError(
+                errors.ResultCode.WORKSPACE_LIMIT,
+                f"workspace {workspace or '-'} has {count} requests in flight",
+            )
+        self._in_flight[workspace] = count + 1
+
+    def leave(self, workspace: str) -> None:
+        """Counts a request out.
+
+        Args:
+            workspace: The workspace.
+        """
+        count = self._in_flight.get(workspace, 0) - 1
+        if count > 0:
+            self._in_flight[workspace] = count
+        else:
+            self._in_flight.pop(workspace, None)
--- /dev/null
+++ b/src/dotterelpath/domain/edits.py
@@ -0,0 +1,165 @@
+"""Edits of the document's sections, and the rules across sections."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+
+from dotterelpath import errors
+from dotterelpath.domain import document
+
+KEPT_EDIT_IDS = 128
+RESERVED_PREFIX = "/-"
+
+
+class Edit:
+    """One operator's change of one section."""
+
+    __slots__ = ("base_digest", "digest", "edit_id", "section")
+
+    def __init__(
+        self,
+        section: str,
+        base_digest: str | None,
+        digest: str | None,
+        edit_id: str,
+    ) -> None:
+        """Creates an edit.
+
+        Args:
+            section: The section's name.
+            base_digest: The digest of the text that was edited; None for a
+                new section.
+            digest: The digest of the new text; None removes the section.
+            edit_id: Names the edit, so that its outcome can be looked up.
+        """
+        self.section = section
+        self.base_digest = base_digest
+        self.digest = digest
+        self.edit_id = edit_id
+
+
+def digest(text: str) -> str:
+    """Names a section's text by its content.
+
+    Args:
+        text: The text.
+
+    Returns:
+        Its SHA-256 in hexadecimal.
+    """
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def apply(head: document.Head, edit: Edit) -> document.Head:
+    """Builds the head after an edit.
+
+    Args:
+        head: The head in the store.
+        edit: The edit.
+
+    Returns:
+        The next head; the same one if it already has the edit.
+
+    Raises:
+        DotterelpathError: The section changed since the edit's base.
+    """
+    if edit.edit_id in head.recent_edits:
+        return head
+    current = head.blobs.get(edit.section)
+    if current != edit.base_digest:
+        raise errors.DotterelpathError(
+            errors.ResultCode.EDIT_CONFLICT,
+            f"section {edit.section} is now at {current or 'no text'}",
+        )
+    blobs = dict(head.blobs)
+    if edit.digest is None:
+        blobs.pop(edit.section, None)
+    else:
+        blobs[edit.section] = edit.digest
+    recent = (*head.recent_edits, edit.edit_id)[-KEPT_EDIT_IDS:]
+    return document.Head(head.version + 1, blobs, recent)
+
+
+def check_owner(section: document.Section, token: str) -> None:
+    """Checks that a token may edit a section.
+
+    Args:
+        section: The section as it is now.
+        token: The operator's token.
+
+    Raises:
+        DotterelpathError: The token is not an owner's.
+    """
+    given = digest(token)
+    allowed = [hmac.compare_digest(given, owner) for owner in section.owners]
+    if not any(allowed):
+        raise errors.DotterelpathError(
+            errors.ResultCode.EDIT_FORBIDDEN,
+            f"the token is not an owner's of section {section.name}",
+        )
+
+
+def check_rules(sections: list[document.Section]) -> None:
+    """Checks the rules inside and across sections.
+
+    Args:
+        sections: All sections of a document.
+
+    Raises:
+        DotterelpathError: A rule is broken; the text names the sections.
+    """
+    services: dict[str, str] = {}
+    workspaces: dict[str, str] = {}
+    for section in sections:
+        for service in section.services:
+            _claim(services, service.name, section.name, "service")
+        for limit in section.workspaces:
+            _claim(workspaces, limit.name, section.name, "workspace")
+    routes: dict[tuple[str, str], str] = {}
+    for section in sections:
+        for route in section.routes:
+            _check_route(route, section, routes)
+
+
+def _claim(taken: dict[str, str], name: str, section: str, kind: str) -> None:
+    if name in taken:
+        raise _broken(
+            section, f"{kind} {name} is already in section {taken[name]}"
+        )
+    taken[name] = section
+
+
+def _check_route(
+    route: document.Route,
+    section: document.Section,
+    routes: dict[tuple[str, str], str],
+) -> None:
+    if route.service not in {service.name for service in section.services}:
+        raise _broken(
+            section.name,
+            f"route {route.prefix} names service {route.service}, which the"
+            " section does not declare",
+        )
+    prefix = route.prefix.rstrip("/")
+    if prefix == RESERVED_PREFIX or prefix.startswith(RESERVED_PREFIX + "/"):
+        raise _broken(section.name, f"prefix {route.prefix} is reserved")
+    for method in route.methods or {"*"}:
+        for taken in {(prefix, method), (prefix, "*")}:
+            if taken in routes:
+                raise _broken(
+                    section.name,
+                    f"route {method} {route.prefix} is already in section"
+                    f" {routes[taken]}",
+                )
+        if method == "*" and any(p == prefix for p, _ in routes):
+            raise _broken(
+                section.name, f"prefix {route.prefix} has other routes"
+            )
+        routes[(prefix, method)] = section.name
+
+
+def _broken(section: str, rule: str) -> errors.DotterelpathError:
+    return errors.DotterelpathError(
+        errors.ResultCode.SECTION_RULE, f"section {section}: {rule}"
+    )
--- /dev/null
+++ b/src/dotterelpath/domain/estate.py
@@ -0,0 +1,190 @@
+"""All that a daemon knows of the services it routes to."""
+
+from __future__ import annotations
+
+import typing
+
+from dotterelpath import errors
+from dotterelpath.domain import addresses
+from dotterelpath.domain import admission
+from dotterelpath.domain import budget
+from dotterelpath.domain import document
+from dotterelpath.domain import exchange
+from dotterelpath.domain import ledger
+from dotterelpath.domain import pool
+from dotterelpath.domain import routing
+from dotterelpath.domain import vms
+
+T = typing.TypeVar("T")
+
+
+class ServiceState(typing.Generic[T]):
+    """One service's instances, queue and retry budget."""
+
+    __slots__ = ("admission", "pool", "retries")
+
+    def __init__(self, service: document.Service) -> None:
+        """Creates the state of a new service.
+
+        Args:
+            service: The service as its owners declare it.
+        """
+        self.pool = pool.Pool(service)
+        self.admission: admission.Admission[T] = admission.Admission(
+            service.slots
+        )
+        self.retries = budget.RetryBudget()
+
+    @property
+    def ceiling(self) -> int:
+        """The most requests in flight that the instances' caps allow."""
+        return max(1, self.pool.cap * len(self.pool.rotation))
+
+
+class Estate(typing.Generic[T]):
+    """The services of the document in force, with their instances."""
+
+    __slots__ = (
+        "_document",
+        "_ledgers",
+        "_listed",
+        "_places",
+        "_routes",
+        "_services",
+        "workspaces",
+    )
+
+    def __init__(self) -> None:
+        """Creates an estate without a document."""
+        self._document: document.Document | None = None
+        self._routes = routing.RouteTable(())
+        self._services: dict[str, ServiceState[T]] = {}
+        self._listed: dict[str, list[vms.Vm]] = {}
+        self._ledgers: dict[str, ledger.Ledger] = {}
+        self._places: list[addresses.Place] = []
+        self.workspaces = admission.WorkspaceLimits()
+
+    @property
+    def document(self) -> document.Document | None:
+        """The document in force."""
+        return self._document
+
+    @property
+    def services(self) -> dict[str, ServiceState[T]]:
+        """The services by name."""
+        return self._services
+
+    def set_document(self, newer: document.Document, now_s: float) -> bool:
+        """Puts a document into force, never an older one.
+
+        Args:
+            newer: The document.
+            now_s: A monotonic clock, in seconds.
+
+        Returns:
+            Whether it was newer than the one in force.
+        """
+        if self._document and newer.version <= self._document.version:
+            return False
+        self._document = newer
+        self._routes = routing.RouteTable(
+            route for section in newer.sections for route in section.routes
+        )
+        for name in [n for n in self._services if n not in newer.services]:
+            del self._services[name]
+        for name, service in newer.services.items():
+            state = self._services.get(name)
+            if state is None:
+                self._services[name] = self._new_state(service, now_s)
+            else:
+                state.pool.set_service(service)
+        return True
+
+    def set_vms(self, listed: typing.Iterable[vms.Vm], now_s: float) -> None:
+        """Takes in the platform's list.
+
+        Args:
+            listed: All VMs.
+            now_s: A monotonic clock, in seconds.
+        """
+        by_service: dict[str, list[vms.Vm]] = {}
+        for vm in listed:
+            if vm.role is vms.VmRole.BACKEND:
+                by_service.setdefault(vm.service, []).append(vm)
+        self._listed = by_service
+        for name, state in self._services.items():
+            state.pool.set_vms(by_service.get(name, ()), now_s)
+
+    def set_ledger(self, newer: ledger.Ledger) -> bool:
+        """Takes in a service's ejections, never an older ledger.
+
+        Args:
+            newer: The ledger.
+
+        Returns:
+            Whether it was newer than the known one.
+        """
+        known = self._ledgers.get(newer.service)
+        if known is not None and newer.revision <= known.revision:
+            return False
+        self._ledgers[newer.service] = newer
+        state = self._services.get(newer.service)
+        if state is not None:
+            state.pool.set_ledger(newer.ejected, frozenset(newer.trial))
+        return True
+
+    def set_places(self, places: list[addresses.Place]) -> None:
+        """Takes in the live daemons.
+
+        Args:
+            places: The daemons with their data centres.
+        """
+        self._places = places
+        for name, state in self._services.items():
+            state.pool.set_sharing(self._sharing(name))
+
+    def find(
+        self, request: exchange.Request
+    ) -> tuple[document.Route, ServiceState[T]]:
+        """Finds where a request goes.
+
+        Args:
+            request: The request.
+
+        Returns:
+            The route and the state of its service.
+
+        Raises:
+            DotterelpathError: There is no document or no route.
+        """
+        if self._document is None:
+            raise errors.DotterelpathError(errors.ResultCode.NO_DOCUMENT)
+        route = self._routes.find(request.method, request.path)
+        return route, self._services[route.service]
+
+    def workspace_concurrency(self, workspace: str) -> int:
+        """Finds the limit of a workspace.
+
+        Args:
+            workspace: The workspace.
+
+        Returns:
+            Requests in flight allowed through this daemon.
+        """
+        if self._document is None:
+            return document.DEFAULT_WORKSPACE_CONCURRENCY
+        return self._document.workspace_concurrency(workspace)
+
+    def _new_state(
+        self, service: document.Service, now_s: float
+    ) -> ServiceState[T]:
+        state: ServiceState[T] = ServiceState(service)
+        state.pool.set_vms(self._listed.get(service.name, ()), now_s)
+        state.pool.set_sharing(self._sharing(service.name))
+        known = self._ledgers.get(service.name)
+        if known is not None:
+            state.pool.set_ledger(known.ejected, frozenset(known.trial))
+        return state
+
+    def _sharing(self, service: str) -> int:
+        return len(addresses.subset(service, self._places))
--- /dev/null
+++ b/src/dotterelpath/domain/records.py
@@ -0,0 +1,343 @@
+"""Keeps what became of each idempotency key, so that it runs at most once.
+
+A book belongs to one home. It is bounded in count, bytes and age. Dropping a
+record raises the book's floor epoch, below which no key may start, so that a
+dropped key can never run again.
+"""
+
+from __future__ import annotations
+
+import collections
+import enum
+
+from dotterelpath import errors
+from dotterelpath.domain import exchange
+from dotterelpath.domain import keys
+
+KEPT_WINDOW_EPOCHS = 60
+MAX_RECORDS = 100_000
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+OPAQUE_EPOCH = -1
+
+
+class RecordState(enum.Enum):
+    """How far a key's request has come."""
+
+    RUNNING = "running"
+    ENDED = "ended"
+
+
+class Decision(enum.Enum):
+    """What to do with an arriving attempt."""
+
+    RUN = "run"
+    JOIN = "join"
+    REPLAY = "replay"
+
+
+class Record:
+    """What became of one key."""
+
+    __slots__ = ("attempt", "epoch", "fingerprint", "outcome", "state")
+
+    def __init__(self, epoch: int, fingerprint: str, attempt: int) -> None:
+        """Creates a running record.
+
+        Args:
+            epoch: The key's epoch.
+            fingerprint: A digest of method, target and body.
+            attempt: The highest attempt that ran or runs.
+        """
+        self.epoch = epoch
+        self.fingerprint = fingerprint
+        self.attempt = attempt
+        self.state = RecordState.RUNNING
+        self.outcome: exchange.Outcome | None = None
+
+
+class Verdict:
+    """The decision on an arriving attempt."""
+
+    __slots__ = ("decision", "outcome")
+
+    def __init__(
+        self, decision: Decision, outcome: exchange.Outcome | None = None
+    ) -> None:
+        """Creates a verdict.
+
+        Args:
+            decision: What to do.
+            outcome: The kept outcome, with REPLAY.
+        """
+        self.decision = decision
+        self.outcome = outcome
+
+
+class Book:
+    """The records of one home."""
+
+    __slots__ = (
+        "_answer_bytes",
+        "_by_epoch",
+        "_closed",
+        "_floor_epoch",
+        "_frozen",
+        "_max_answer_bytes",
+        "_max_records",
+        "_records",
+        "adopted_at_s",
+        "home",
+        "started_at_s",
+    )
+
+    def __init__(
+        self,
+        home: keys.Home,
+        started_at_s: float,
+        max_records: int = MAX_RECORDS,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
+    ) -> None:
+        """Creates an empty book.
+
+        Args:
+            home: The home whose keys are kept.
+            started_at_s: When the home started, on the keeper's monotonic
+                clock, in seconds.
+            max_records: The most records to keep.
+            max_answer_bytes: The most bytes of kept answers.
+        """
+        self.home = home
+        self.started_at_s = started_at_s
+        self.adopted_at_s = started_at_s
+        self._max_records = max_records
+        self._max_answer_bytes = max_answer_bytes
+        self._answer_bytes = 0
+        self._floor_epoch = 0
+        self._frozen = False
+        self._closed = False
+        self._records: dict[str, Record] = {}
+        self._by_epoch: dict[int, collections.deque[str]] = {}
+
+    @property
+    def floor_epoch(self) -> int:
+        """The oldest epoch whose keys may still start."""
+        return self._floor_epoch
+
+    @property
+    def records(self) -> dict[str, Record]:
+        """All kept records by scoped key."""
+        return self._records
+
+    @property
+    def is_frozen(self) -> bool:
+        """Whether no key may start here any more."""
+        return self._frozen
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether only kept outcomes may be given, here and at successors."""
+        return self._closed
+
+    def freeze(self) -> None:
+        """Lets no further key start here; a successor may go on."""
+        self._frozen = True
+
+    def close(self) -> None:
+        """Lets no further key start, here or at any successor."""
+        self._frozen = True
+        self._closed = True
+
+    def admit(
+        self,
+        scoped_key: str,
+        epoch: int,
+        fingerprint: str,
+        attempt: int,
+        now_s: float,
+        may_start: bool = True,
+    ) -> Verdict:
+        """Decides on an arriving attempt and records it if it may run.
+
+        Args:
+            scoped_key: The key with its workspace.
+            epoch: The key's epoch; OPAQUE_EPOCH for a key that the store
+                has just assigned to this home.
+            fingerprint: A digest of method, target and body.
+            attempt: The caller's attempt number.
+            now_s: The keeper's monotonic clock, in seconds.
+            may_start: Whether a key without a record may run.
+
+        Returns:
+            Whether to run, join the running attempt, or replay an outcome.
+
+        Raises:
+            DotterelpathError: The key is too old, belongs to another
+                request, cannot be kept, or the book is frozen.
+        """
+        record = self._records.get(scoped_key)
+        if record is not None:
+            return self._admit_known(record, fingerprint, attempt)
+        if not may_start:
+            raise errors.DotterelpathError(errors.ResultCode.KEY_EXPIRED)
+        self._check_may_start(epoch, now_s)
+        self._make_room(now_s)
+        if epoch == OPAQUE_EPOCH:
+            epoch = keys.epoch(now_s - self.started_at_s)
+        record = Record(epoch, fingerprint, attempt)
+        self._insert(scoped_key, record)
+        return Verdict(Decision.RUN)
+
+    def finish(self, scoped_key: str, outcome: exchange.Outcome) -> None:
+        """Keeps the outcome of a running key.
+
+        Args:
+            scoped_key: The key with its workspace.
+            outcome: How the request ended.
+        """
+        record = self._records.get(scoped_key)
+        if record is None or record.state is RecordState.ENDED:
+            return
+        record.state = RecordState.ENDED
+        record.outcome = outcome
+        if outcome.stream_id is not None:
+            _drop_answer(record)
+        elif outcome.answer is not None:
+            self._answer_bytes += len(outcome.answer.body)
+            self._shed_answers()
+
+    def retract(self, scoped_key: str) -> None:
+        """Drops a running record that turned out to belong elsewhere.
+
+        Args:
+            scoped_key: The key with its workspace.
+        """
+        record = self._records.pop(scoped_key, None)
+        if record is not None:
+            self._by_epoch[record.epoch].remove(scoped_key)
+
+    def known(self, scoped_key: str) -> bool:
+        """Tells whether a key has a record.
+
+        Args:
+            scoped_key: The key with its workspace.
+        """
+        return scoped_key in self._records
+
+    def adopt(self, scoped_key: str, record: Record) -> None:
+        """Takes over a record from the home that stopped.
+
+        Args:
+            scoped_key: The key with its workspace.
+            record: The record as the home kept it.
+        """
+        if scoped_key not in self._records:
+            self._insert(scoped_key, record)
+
+    def raise_floor(self, epoch: int) -> None:
+        """Lets no key older than an epoch start.
+
+        Args:
+            epoch: The new oldest epoch; a lower one changes nothing.
+        """
+        self._floor_epoch = max(self._floor_epoch, epoch)
+
+    def expire(self, now_s: float) -> None:
+        """Drops records that are older than the kept window.
+
+        Args:
+            now_s: The keeper's monotonic clock, in seconds.
+        """
+        current = keys.epoch(now_s - self.started_at_s)
+        self.raise_floor(current - KEPT_WINDOW_EPOCHS)
+        for epoch in [e for e in self._by_epoch if e < self._floor_epoch]:
+            self._drop_epoch(epoch)
+
+    def _admit_known(
+        self, record: Record, fingerprint: str, attempt: int
+    ) -> Verdict:
+        if record.fingerprint != fingerprint:
+            raise errors.DotterelpathError(errors.ResultCode.KEY_REUSED)
+        if record.state is RecordState.RUNNING:
+            return Verdict(Decision.JOIN)
+        outcome = record.outcome
+        assert outcome is not None
+        if not outcome.is_not_run or attempt <= record.attempt or self._frozen:
+            return Verdict(Decision.REPLAY, outcome)
+        record.attempt = attempt
+        record.state = RecordState.RUNNING
+        record.outcome = None
+        return Verdict(Decision.RUN)
+
+    def _check_may_start(self, epoch: int, now_s: float) -> None:
+        if self._frozen:
+            raise errors.DotterelpathError(errors.ResultCode.HOME_REPLACED)
+        if epoch == OPAQUE_EPOCH:
+            return
+        current = keys.epoch(now_s - self.started_at_s)
+        oldest = max(self._floor_epoch, current - KEPT_WINDOW_EPOCHS)
+        if not oldest <= epoch <= current:
+            raise errors.DotterelpathError(errors.ResultCode.KEY_EXPIRED)
+
+    def _insert(self, scoped_key: str, record: Record) -> None:
+        self._records[scoped_key] = record
+        order = self._by_epoch.setdefault(record.epoch, collections.deque())
+        order.append(scoped_key)
+        if record.outcome is not None and record.outcome.answer is not None:
+            self._answer_bytes += len(record.outcome.answer.body)
+
+    def _make_room(self, now_s: float) -> None:
+        if len(self._records) < self._max_records:
+            return
+        self.expire(now_s)
+        current = keys.epoch(now_s - self.started_at_s)
+        while len(self._records) >= self._max_records:
+            older = [e for e in self._by_epoch if e < current]
+            oldest = min(older, default=None)
+            if oldest is None:
+                raise errors.DotterelpathError(errors.ResultCode.RECORDS_FULL)
+            self.raise_floor(oldest + 1)
+            self._drop_epoch(oldest)
+
+    def _drop_epoch(self, epoch: int) -> None:
+        kept: collections.deque[str] = collections.deque()
+        for scoped_key in self._by_epoch.pop(epoch):
+            record = self._records[scoped_key]
+            if record.state is RecordState.RUNNING:
+                kept.append(scoped_key)
+                continue
+            self._answer_bytes -= _answer_size(record)
+            del self._records[scoped_key]
+        if kept:
+            # A running record stays, filed under the next epoch, so that
+            # its joined attempts get the outcome.
+            self._by_epoch.setdefault(
+                epoch + 1, collections.deque()
+            ).extendleft(kept)
+
+    def _shed_answers(self) -> None:
+        """Drops the oldest answers, but not their records, to save memory."""
+        if self._answer_bytes <= self._max_answer_bytes:
+            return
+        for epoch in sorted(self._by_epoch):
+            for scoped_key in self._by_epoch[epoch]:
+                record = self._records[scoped_key]
+                self._answer_bytes -= _answer_size(record)
+                if record.outcome is not None:
+                    _drop_answer(record)
+                if self._answer_bytes <= self._max_answer_bytes // 2:
+                    return
+
+
+def _answer_size(record: Record) -> int:
+    if record.outcome is None or record.outcome.answer is None:
+        return 0
+    return len(record.outcome.answer.body)
+
+
+def _drop_answer(record: Record) -> None:
+    outcome = record.outcome
+    if outcome is None or outcome.answer is None:
+        return
+    record.outcome = exchange.Outcome(
+        errors.ResultCode.ANSWER_NOT_KEPT, instance=outcome.instance
+    )
--- /dev/null
+++ b/src/dotterelpath/domain/tries.py
@@ -0,0 +1,117 @@
+"""Decides whether a request that failed at one instance may go to another."""
+
+from __future__ import annotations
+
+import enum
+
+from dotterelpath import errors
+from dotterelpath.domain import budget
+from dotterelpath.domain import exchange
+
+MAX_TRIES = 3
+HEDGE_LATENCY_FACTOR = 3.0
+MIN_HEDGE_DELAY_S = 0.02
+
+
+class TryEnd(enum.Enum):
+    """How one try of a request at one instance ended."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    UNREACHABLE = "unreachable"
+    BROKEN = "broken"
+    PROTOCOL = "protocol"
+    TIMED_OUT = "timed out"
+
+    @property
+    def is_not_run(self) -> bool:
+        """Whether the instance certainly did not run the request."""
+        return self in (TryEnd.REFUSED, TryEnd.UNREACHABLE)
+
+
+_CODES = {
+    TryEnd.REFUSED: errors.ResultCode.BACKEND_REFUSED,
+    TryEnd.UNREACHABLE: errors.ResultCode.BACKEND_UNREACHABLE,
+    TryEnd.BROKEN: errors.ResultCode.BACKEND_BROKEN,
+    TryEnd.PROTOCOL: errors.ResultCode.BACKEND_PROTOCOL,
+    TryEnd.TIMED_OUT: errors.ResultCode.BACKEND_TIMEOUT,
+}
+
+
+class Tries:
+    """The tries of one request."""
+
+    __slots__ = ("_idempotent", "_unknown", "last_detail", "open", "tried")
+
+    def __init__(self, idempotent: bool) -> None:
+        """Creates the tries of a new request.
+
+        Args:
+            idempotent: Whether the request may run more than once.
+        """
+        self._idempotent = idempotent
+        self._unknown: TryEnd | None = None
+        self.tried: list[str] = []
+        self.open = 0
+        self.last_detail = ""
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether the request may run more than once."""
+        return self._idempotent
+
+    def start(self, instance_id: str) -> None:
+        """Counts a try that begins.
+
+        Args:
+            instance_id: The instance that gets the request.
+        """
+        self.tried.append(instance_id)
+        self.open += 1
+
+    def may_retry(self, end: TryEnd, retries: budget.RetryBudget) -> bool:
+        """Takes in a failed try and decides on another one.
+
+        Args:
+            end: How the try failed.
+            retries: The daemon's retry budget, spent by a yes.
+
+        Returns:
+            Whether to try another instance.
+        """
+        self.open -= 1
+        if not end.is_not_run:
+            self._unknown = end
+        if self.open > 0 or len(self.tried) >= MAX_TRIES:
+            return False
+        if self._unknown is not None and not self._idempotent:
+            return False
+        return retries.spend()
+
+    def may_hedge(self, retries: budget.RetryBudget) -> bool:
+        """Decides whether to send a late request to a second instance.
+
+        Args:
+            retries: The daemon's retry budget, spent by a yes.
+
+        Returns:
+            Whether to hedge.
+        """
+        if not self._idempotent or self.open != 1 or len(self.tried) > 1:
+            return False
+        return retries.spend()
+
+    def failure(self, end: TryEnd) -> exchange.Outcome:
+        """Builds the outcome when no try is left.
+
+        Args:
+            end: How the last try failed.
+
+        Returns:
+            An unknown outcome if any try may have run, else a not-run one.
+        """
+        decisive = self._unknown or end
+        instance = self.tried[-1] if self.tried else None
+        return exchange.Outcome(
+            _CODES[decisive], self.last_detail, instance=instance
+        )
--- /dev/null
+++ b/src/dotterelpath/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol types between the decisions and the outside."""
--- /dev/null
+++ b/src/dotterelpath/ports/clock.py
@@ -0,0 +1,15 @@
+"""The port for time."""
+
+from __future__ import annotations
+
+import typing
+
+
+class Clock(typing.Protocol):
+    """Tells the time."""
+
+    def now_s(self) -> float:
+        """Reads a monotonic clock, in seconds."""
+
+    def wall_s(self) -> float:
+        """Reads the wall clock, in seconds since 1970."""
