--- /dev/null
+++ b/src/dotterelpath/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports over real protocols."""
--- /dev/null
+++ b/src/dotterelpath/adapters/api.py
@@ -0,0 +1,183 @@
+"""Serves JSON calls of operators and peers."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import orjson
+import structlog
+
+from dotterelpath import errors
+from dotterelpath.domain import exchange
+from dotterelpath.ports import frontend
+
+MAX_OPEN_CALLS = 2048
+
+Handler = typing.Callable[[exchange.Request], typing.Awaitable[exchange.Answer]]
+
+_log = structlog.get_logger()
+
+
+class Api:
+    """Owns a listening socket and answers each call with a handler.
+
+    A handler is found by method and path; a path that ends in a slash also
+    serves what is below it.
+    """
+
+    __slots__ = (
+        "_binder",
+        "_calls",
+        "_handlers",
+        "_host",
+        "_open",
+        "_port",
+        "_server",
+    )
+
+    def __init__(
+        self,
+        binder: frontend.Binder,
+        host: str,
+        port: int,
+        handlers: dict[tuple[str, str], Handler],
+    ) -> None:
+        """Creates an API.
+
+        Args:
+            binder: Opens the listening socket.
+            host: The IP address.
+            port: The port.
+            handlers: The handler of each method and path.
+        """
+        self._binder = binder
+        self._host = host
+        self._port = port
+        self._handlers = handlers
+        self._server: frontend.Server | None = None
+        self._open: set[frontend.Connection] = set()
+        self._calls: set[asyncio.Task[None]] = set()
+
+    async def listen(self) -> None:
+        """Opens the listening socket.
+
+        Raises:
+            DotterelpathError: The address is in use.
+        """
+        self._server = await self._binder.listen(self._host, self._port, self)
+
+    def close(self) -> None:
+        """Closes the socket and all connections."""
+        if self._server is not None:
+            self._server.close()
+        for task in self._calls:
+            task.cancel()
+        for connection in list(self._open):
+            connection.abort()
+
+    def on_opened(self, connection: frontend.Connection) -> None:
+        """A client connected; see frontend.Listener."""
+        self._open.add(connection)
+
+    def on_gone(self, connection: frontend.Connection) -> None:
+        """A client closed; see frontend.Listener."""
+        self._open.discard(connection)
+
+    def on_request(
+        self, connection: frontend.Connection, request: exchange.Request
+    ) -> None:
+        """A call came in; see frontend.Listener."""
+        if len(self._calls) >= MAX_OPEN_CALLS:
+            connection.answer(exchange.Outcome(errors.ResultCode.OVERLOADED))
+            return
+        task = asyncio.get_running_loop().create_task(
+            self._serve(connection, request)
+        )
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    def on_rejected(
+        self, connection: frontend.Connection, error: errors.DotterelpathError
+    ) -> None:
+        """A call was refused by its form; see frontend.Listener."""
+        _log.info("call rejected", code=int(error.code), text=error.detail)
+
+    def on_paused(self, connection: frontend.Connection) -> None:
+        """A client reads slowly; its answers are whole, so nothing waits."""
+
+    def on_resumed(self, connection: frontend.Connection) -> None:
+        """A slow client has caught up; see on_paused."""
+
+    async def _serve(
+        self, connection: frontend.Connection, request: exchange.Request
+    ) -> None:
+        try:
+            answer = await self._handler(request)(request)
+            outcome = exchange.Outcome(
+                errors.ResultCode.ANSWERED, answer=answer
+            )
+        except errors.DotterelpathError as error:
+            outcome = exchange.Outcome(error.code, error.detail)
+        except ValueError as error:
+            outcome = exchange.Outcome(
+                errors.ResultCode.BAD_REQUEST, str(error)
+            )
+        connection.answer(outcome)
+
+    def _handler(self, request: exchange.Request) -> Handler:
+        path = request.path
+        found = self._handlers.get((request.method, path))
+        if found is None:
+            parent = path.rpartition("/")[0] + "/"
+            found = self._handlers.get((request.method, parent))
+        if found is None:
+            raise errors.DotterelpathError(
+                errors.ResultCode.NOT_FOUND,
+                f"no resource {request.method} {path}",
+            )
+        return found
+
+
+def json_answer(
+    data: typing.Any, headers: exchange.Headers | None = None
+) -> exchange.Answer:
+    """Builds an answer that carries JSON.
+
+    Args:
+        data: What to encode.
+        headers: Further headers.
+
+    Returns:
+        The answer.
+    """
+    fields = [(b"content-type", b"application/json"), *(headers or [])]
+    return exchange.Answer(200, fields, orjson.dumps(data))
+
+
+def header(request: exchange.Request, name: bytes) -> str | None:
+    """Finds a header of a call.
+
+    Args:
+        request: The call.
+        name: The name in lower case.
+
+    Returns:
+        Its first value, or None.
+    """
+    for key, value in request.headers:
+        if key == name:
+            return value.decode("latin-1")
+    return None
+
+
+def last_segment(request: exchange.Request) -> str:
+    """Reads the name at the end of a call's path.
+
+    Args:
+        request: The call.
+
+    Returns:
+        What follows the last slash.
+    """
+    return request.path.rpartition("/")[2]
--- /dev/null
+++ b/src/dotterelpath/adapters/control_api.py
@@ -0,0 +1,267 @@
+"""Serves the operators' calls."""
+
+from __future__ import annotations
+
+import typing
+import uuid
+
+from dotterelpath import errors
+from dotterelpath.adapters import api
+from dotterelpath.adapters import metrics as metrics_adapter
+from dotterelpath.domain import edits
+from dotterelpath.domain import exchange
+from dotterelpath.domain import members
+from dotterelpath.tasks import dispatcher as dispatcher_task
+from dotterelpath.tasks import document_keeper
+from dotterelpath.tasks import editor as editor_task
+from dotterelpath.tasks import gossip as gossip_task
+from dotterelpath.tasks import steward as steward_task
+
+NEW_SECTION = '""'
+_BEARER = "Bearer "
+
+
+class ControlApi:
+    """Shows the daemon's state and takes edits of the document."""
+
+    __slots__ = (
+        "_dispatcher",
+        "_editor",
+        "_gossip",
+        "_keeper",
+        "_metrics",
+        "_steward",
+    )
+
+    def __init__(
+        self,
+        editor: editor_task.Editor,
+        keeper: document_keeper.DocumentKeeper,
+        dispatcher: dispatcher_task.Dispatcher,
+        gossip: gossip_task.Gossip,
+        steward: steward_task.Steward,
+        metrics: metrics_adapter.Metrics,
+    ) -> None:
+        """Creates the calls' handlers.
+
+        Args:
+            editor: Saves edits.
+            keeper: Has the document in force.
+            dispatcher: Has the state of the services.
+            gossip: Has the view of the fleet.
+            steward: Has the ledgers.
+            metrics: Has what was measured.
+        """
+        self._editor = editor
+        self._keeper = keeper
+        self._dispatcher = dispatcher
+        self._gossip = gossip
+        self._steward = steward
+        self._metrics = metrics
+
+    @property
+    def handlers(self) -> dict[tuple[str, str], api.Handler]:
+        """The handler of each method and path."""
+        return {
+            ("GET", "/health"): self.health,
+            ("GET", "/status"): self.status,
+            ("GET", "/outcomes"): self.outcomes,
+            ("GET", "/metrics"): self.render_metrics,
+            ("GET", "/document"): self.document,
+            ("GET", "/document/sections/"): self.section,
+            ("PUT", "/document/sections/"): self.put_section,
+            ("DELETE", "/document/sections/"): self.delete_section,
+        }
+
+    async def health(self, request: exchange.Request) -> exchange.Answer:
+        """Tells whether this daemon takes new work.
+
+        Args:
+            request: The call.
+        """
+        state = self._gossip.membership.own_state
+        is_ready = (
+            self._dispatcher.is_fresh
+            and self._keeper.head is not None
+            and state is members.MemberState.ALIVE
+        )
+        answer = api.json_answer({"ready": is_ready, "state": state.value})
+        answer.status = 200 if is_ready else 503
+        return answer
+
+    async def status(self, request: exchange.Request) -> exchange.Answer:
+        """Shows the daemon's state.
+
+        Args:
+            request: The call.
+        """
+        membership = self._gossip.membership
+        head = self._keeper.head
+        own = self._dispatcher.books.own
+        return api.json_answer(
+            {
+                "daemon": repr(membership.own),
+                "state": membership.own_state.value,
+                "document_version": head.version if head else None,
+                "is_fresh": self._dispatcher.is_fresh,
+                "in_flight": self._dispatcher.in_flight,
+                "records": len(own.records),
+                "answers_for": [
+                    repr(home) for home in self._dispatcher.books.adopted
+                ],
+                "members": {
+                    member_id: {
+                        "state": member.state.value,
+                        "data_centre": member.vm.data_centre,
+                        "document_version": member.document_version,
+                    }
+                    for member_id, member in membership.members.items()
+                },
+                "services": self._services(),
+            }
+        )
+
+    async def outcomes(self, request: exchange.Request) -> exchange.Answer:
+        """Shows what was measured since the daemon started.
+
+        Args:
+            request: The call.
+        """
+        return api.json_answer(
+            {
+                "outcomes": self._metrics.outcomes(),
+                "services": self._services(),
+            }
+        )
+
+    async def render_metrics(
+        self, request: exchange.Request
+    ) -> exchange.Answer:
+        """Renders the metrics for a scraper.
+
+        Args:
+            request: The call.
+        """
+        fields, body = await self._metrics.render()
+        return exchange.Answer(200, fields, body)
+
+    async def document(self, request: exchange.Request) -> exchange.Answer:
+        """Shows the version in force and the digest of each section.
+
+        Args:
+            request: The call.
+        """
+        head = self._keeper.head
+        if head is None:
+            raise errors.DotterelpathError(errors.ResultCode.NO_DOCUMENT)
+        return api.json_answer(
+            {
+                "version": head.version,
+                "sections": head.blobs,
+                "recent_edits": head.recent_edits,
+            }
+        )
+
+    async def section(self, request: exchange.Request) -> exchange.Answer:
+        """Shows the text of a section.
+
+        Args:
+            request: The call.
+        """
+        name = api.last_segment(request)
+        head = self._keeper.head
+        digest = head.blobs.get(name) if head else None
+        if digest is None:
+            raise errors.DotterelpathError(
+                errors.ResultCode.NO_SECTION, f"there is no section {name}"
+            )
+        fields = [
+            (b"content-type", b"application/toml"),
+            (b"etag", f'"{digest}"'.encode()),
+        ]
+        text = self._keeper.texts[digest]
+        return exchange.Answer(200, fields, text.encode())
+
+    async def put_section(self, request: exchange.Request) -> exchange.Answer:
+        """Saves a section.
+
+        Args:
+            request: The call.
+        """
+        try:
+            text = request.body.decode()
+        except UnicodeDecodeError as error:
+            raise errors.DotterelpathError(
+                errors.ResultCode.SECTION_SYNTAX, "the text is not UTF-8"
+            ) from error
+        return await self._save(request, text)
+
+    async def delete_section(
+        self, request: exchange.Request
+    ) -> exchange.Answer:
+        """Removes a section.
+
+        Args:
+            request: The call.
+        """
+        return await self._save(request, None)
+
+    async def _save(
+        self, request: exchange.Request, text: str | None
+    ) -> exchange.Answer:
+        edit = editor_task.EditRequest(
+            api.last_segment(request),
+            text,
+            _base_digest(request),
+            api.header(request, b"edit-id") or uuid.uuid4().hex,
+            _token(request),
+        )
+        head = await self._editor.save(edit)
+        return api.json_answer(
+            {
+                "version": head.version,
+                "edit_id": edit.edit_id,
+                "digest": None if text is None else edits.digest(text),
+            }
+        )
+
+    def _services(self) -> dict[str, typing.Any]:
+        shown = {}
+        for name, state in self._dispatcher.estate.services.items():
+            pool = state.pool
+            in_use = [i for i in pool.instances.values() if pool.is_in_use(i)]
+            healthy = len(set(pool.rotation) - set(pool.avoided))
+            shown[name] = {
+                "instances": len(pool.instances),
+                "in_use": len(in_use),
+                "rotation": pool.rotation,
+                "avoided": pool.avoided,
+                "ejected": pool.ejected,
+                "floor": pool.service.floor,
+                "floor_margin": healthy - pool.service.floor,
+                "weigh": pool.service.weigh.value,
+                "in_flight": state.admission.in_flight,
+                "queued": state.admission.queued,
+                "limit": state.admission.limit.limit,
+            }
+        return shown
+
+
+def _base_digest(request: exchange.Request) -> str | None:
+    given = api.header(request, b"if-match")
+    if given is None:
+        raise errors.DotterelpathError(
+            errors.ResultCode.BAD_REQUEST,
+            'the call needs If-Match: the ETag that was read, or "" for a'
+            " new section",
+        )
+    return None if given == NEW_SECTION else given.strip('"')
+
+
+def _token(request: exchange.Request) -> str:
+    given = api.header(request, b"authorization") or ""
+    if not given.startswith(_BEARER):
+        raise errors.DotterelpathError(
+            errors.ResultCode.EDIT_FORBIDDEN, "the call needs a bearer token"
+        )
+    return given[len(_BEARER) :]
--- /dev/null
+++ b/src/dotterelpath/adapters/h11_backend.py
@@ -0,0 +1,268 @@
+"""Connections to backend servers over HTTP/1.1, by h11."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import typing
+
+import h11
+
+from dotterelpath.adapters import headers as header_names
+from dotterelpath.domain import exchange
+from dotterelpath.ports import backend
+from dotterelpath.ports import clock as clock_port
+
+MAX_HEAD_BYTES = 64 * 1024
+_BODILESS_STATUSES = frozenset({204, 304})
+
+
+class H11Connection(asyncio.Protocol):
+    """One connection to a backend server."""
+
+    __slots__ = (
+        "_answer",
+        "_body",
+        "_buffer_limit",
+        "_clock",
+        "_conn",
+        "_exchange_id",
+        "_host",
+        "_is_streaming",
+        "_listener",
+        "_method",
+        "_proven_s",
+        "_size",
+        "_transport",
+    )
+
+    def __init__(
+        self,
+        host: str,
+        listener: backend.Listener,
+        clock: clock_port.Clock,
+    ) -> None:
+        """Creates a connection that is not yet open.
+
+        Args:
+            host: The value of the Host header.
+            listener: Hears what happens.
+            clock: Tells when bytes came in.
+        """
+        self._host = host.encode()
+        self._listener = listener
+        self._clock = clock
+        self._conn = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._transport: asyncio.Transport | None = None
+        self._exchange_id: int | None = None
+        self._answer: exchange.Answer | None = None
+        self._body: list[bytes] = []
+        self._size = 0
+        self._buffer_limit = 0
+        self._is_streaming = False
+        self._method = ""
+        self._proven_s = clock.now_s()
+
+    @property
+    def proven_s(self) -> float:
+        """When bytes last came in; see backend.Connection."""
+        return self._proven_s
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether a request may be written; see backend.Connection."""
+        if self._transport is None or self._exchange_id is not None:
+            return False
+        if self._transport.is_closing():
+            return False
+        # Bytes or an end of stream that the loop has not read yet would be
+        # taken for the answer to the next request.
+        poller = select.poll()
+        poller.register(self._transport.get_extra_info("socket"), select.POLLIN)
+        return not poller.poll(0)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Notes that the connection is open."""
+        self._transport = typing.cast(asyncio.Transport, transport)
+        self._proven_s = self._clock.now_s()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tells the listener that the connection ended."""
+        self._transport = None
+        if self._exchange_id is None:
+            self._listener.on_closed(self)
+            return
+        self._break(f"connection lost: {exc or 'closed by the server'}", False)
+
+    def data_received(self, data: bytes) -> None:
+        """Parses what the server sent."""
+        self._proven_s = self._clock.now_s()
+        if self._exchange_id is None:
+            self.close()
+            return
+        try:
+            self._conn.receive_data(data)
+            self._read_events()
+        except h11.RemoteProtocolError as error:
+            self._break(str(error), True)
+
+    def eof_received(self) -> bool:
+        """Ends the connection; an answer must not end by its close."""
+        return False
+
+    def send(
+        self,
+        exchange_id: int,
+        request: exchange.Request,
+        timeout_s: float,
+        buffer_limit: int,
+    ) -> None:
+        """Writes a request; see backend.Connection."""
+        assert self._transport is not None
+        self._exchange_id = exchange_id
+        self._buffer_limit = buffer_limit
+        self._method = request.method
+        self._answer = None
+        self._body = []
+        self._size = 0
+        timeout_ms = max(1, int(timeout_s * 1000.0))
+        fields = [item for item in request.headers if item[0] not in (b"host",)]
+        fields.append((b"host", self._host))
+        fields.append((header_names.TIMEOUT_MS, str(timeout_ms).encode()))
+        fields.append((header_names.REQUEST_ID, request.request_id.encode()))
+        if request.body or request.method in ("POST", "PUT", "PATCH"):
+            length = str(len(request.body)).encode()
+            fields.append((b"content-length", length))
+        head = h11.Request(
+            method=request.method, target=request.target, headers=fields
+        )
+        parts = [self._conn.send(head) or b""]
+        if request.body:
+            parts.append(self._conn.send(h11.Data(data=request.body)) or b"")
+        parts.append(self._conn.send(h11.EndOfMessage()) or b"")
+        self._transport.write(b"".join(parts))
+
+    def pause(self) -> None:
+        """Stops reading; see backend.Connection."""
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        """Reads on; see backend.Connection."""
+        if self._transport is not None:
+            self._transport.resume_reading()
+
+    def close(self) -> None:
+        """Closes at once; see backend.Connection."""
+        self._exchange_id = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _read_events(self) -> None:
+        while self._exchange_id is not None:
+            event = self._conn.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Response):
+                if not self._on_head(event):
+                    return
+            elif isinstance(event, h11.Data):
+                self._on_data(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._on_complete()
+            elif isinstance(event, h11.ConnectionClosed):
+                return
+
+    def _on_head(self, head: h11.Response) -> bool:
+        self._answer = exchange.Answer(
+            head.status_code, list(head.headers), b""
+        )
+        if self._has_bounded_body(head):
+            return True
+        self._break("the answer has neither a length nor chunks", True)
+        return False
+
+    def _has_bounded_body(self, head: h11.Response) -> bool:
+        if self._method == "HEAD" or head.status_code in _BODILESS_STATUSES:
+            return True
+        return any(
+            name in (b"content-length", b"transfer-encoding")
+            for name, _ in head.headers
+        )
+
+    def _on_data(self, data: bytes) -> None:
+        exchange_id = self._exchange_id
+        assert exchange_id is not None
+        if self._is_streaming:
+            self._listener.on_part(exchange_id, data)
+            return
+        self._body.append(data)
+        self._size += len(data)
+        if self._size > self._buffer_limit:
+            self._is_streaming = True
+            self._listener.on_answer(self, exchange_id, self._whole(), False)
+
+    def _on_complete(self) -> None:
+        exchange_id = self._exchange_id
+        assert exchange_id is not None
+        was_streaming = self._is_streaming
+        answer = None if was_streaming else self._whole()
+        self._exchange_id = None
+        self._is_streaming = False
+        self._renew()
+        if answer is None:
+            self._listener.on_end(self, exchange_id)
+        else:
+            self._listener.on_answer(self, exchange_id, answer, True)
+
+    def _renew(self) -> None:
+        """Makes the connection ready for another request, or closes it."""
+        extra, _ = self._conn.trailing_data
+        is_done = (
+            self._conn.our_state is h11.DONE
+            and self._conn.their_state is h11.DONE
+        )
+        if extra or not is_done:
+            self.close()
+            return
+        self._conn.start_next_cycle()
+
+    def _whole(self) -> exchange.Answer:
+        assert self._answer is not None
+        self._answer.body = b"".join(self._body)
+        self._body = []
+        return self._answer
+
+    def _break(self, detail: str, is_protocol: bool) -> None:
+        exchange_id = self._exchange_id
+        self.close()
+        if exchange_id is not None:
+            self._listener.on_broken(self, exchange_id, detail, is_protocol)
+
+
+class H11Connector:
+    """Opens connections to backend servers over HTTP/1.1."""
+
+    __slots__ = ("_clock",)
+
+    def __init__(self, clock: clock_port.Clock) -> None:
+        """Creates a connector.
+
+        Args:
+            clock: Tells when bytes came in.
+        """
+        self._clock = clock
+
+    async def connect(
+        self, host: str, port: int, listener: backend.Listener
+    ) -> H11Connection:
+        """Opens a connection; see backend.Connector."""
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(
+            lambda: H11Connection(f"{host}:{port}", listener, self._clock),
+            host,
+            port,
+        )
+        return connection
--- /dev/null
+++ b/src/dotterelpath/adapters/headers.py
@@ -0,0 +1,133 @@
+"""Headers of this fleet, and those that end at each hop."""
+
+from __future__ import annotations
+
+from dotterelpath import errors
+from dotterelpath.domain import exchange
+
+IDEMPOTENCY_KEY = b"idempotency-key"
+TIMEOUT_MS = b"dotterelpath-timeout-ms"
+WORKSPACE = b"dotterelpath-workspace"
+ATTEMPT = b"dotterelpath-attempt"
+RESULT = b"dotterelpath-result"
+REQUEST_ID = b"dotterelpath-request-id"
+LOAD = b"dotterelpath-load"
+DRAINING = b"dotterelpath-draining"
+
+MAX_TIMEOUT_MS = 3_600_000
+MAX_ATTEMPT = 1_000_000
+MAX_WORKSPACE_LENGTH = 100
+
+_HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+_CONSUMED = _HOP_BY_HOP | {
+    b"content-length",
+    b"expect",
+    TIMEOUT_MS,
+    ATTEMPT,
+    REQUEST_ID,
+}
+
+
+class CallerHead:
+    """What the headers of a request ask of this fleet."""
+
+    __slots__ = ("attempt", "forwarded", "key", "timeout_s", "workspace")
+
+    def __init__(self) -> None:
+        """Creates the defaults of a request without our headers."""
+        self.attempt = 1
+        self.forwarded: exchange.Headers = []
+        self.key: str | None = None
+        self.timeout_s: float | None = None
+        self.workspace = ""
+
+
+def read_caller_head(headers: exchange.Headers) -> CallerHead:
+    """Reads the headers of a caller's request.
+
+    Args:
+        headers: All headers, with names in lower case.
+
+    Returns:
+        Our own settings, and the headers that go on to the backend server.
+
+    Raises:
+        DotterelpathError: One of our headers is invalid or stands twice.
+    """
+    head = CallerHead()
+    dropped = _CONSUMED | _named_by_connection(headers)
+    seen: set[bytes] = set()
+    for name, value in headers:
+        if name not in dropped:
+            head.forwarded.append((name, value))
+        if name == IDEMPOTENCY_KEY or name.startswith(b"dotterelpath-"):
+            if name in seen:
+                raise _bad(name, "stands twice")
+            seen.add(name)
+            _read_own(head, name, value)
+    return head
+
+
+def end_to_end(headers: exchange.Headers) -> exchange.Headers:
+    """Drops the headers of an answer that end at this hop.
+
+    Args:
+        headers: The headers of a backend server's answer.
+
+    Returns:
+        Those that go on to the caller.
+    """
+    dropped = _HOP_BY_HOP | _named_by_connection(headers)
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in dropped
+        and name != b"content-length"
+        and name != RESULT
+        and name != REQUEST_ID
+    ]
+
+
+def _named_by_connection(headers: exchange.Headers) -> frozenset[bytes]:
+    named = [value for name, value in headers if name == b"connection"]
+    if not named:
+        return frozenset()
+    tokens = b",".join(named).lower().split(b",")
+    return frozenset(token.strip() for token in tokens)
+
+
+def _read_own(head: CallerHead, name: bytes, value: bytes) -> None:
+    if name == IDEMPOTENCY_KEY:
+        head.key = value.decode("latin-1")
+    elif name == TIMEOUT_MS:
+        head.timeout_s = _whole(name, value, MAX_TIMEOUT_MS) / 1000.0
+    elif name == ATTEMPT:
+        head.attempt = _whole(name, value, MAX_ATTEMPT)
+    elif name == WORKSPACE:
+        if len(value) > MAX_WORKSPACE_LENGTH or not value.isascii():
+            raise _bad(name, f"has 1 to {MAX_WORKSPACE_LENGTH} characters")
+        head.workspace = value.decode("ascii")
+
+
+def _whole(name: bytes, value: bytes, largest: int) -> int:
+    if value.isdigit() and len(value) < 12 and 1 <= int(value) <= largest:
+        return int(value)
+    raise _bad(name, f"is a whole number from 1 to {largest}")
+
+
+def _bad(name: bytes, rule: str) -> errors.DotterelpathError:
+    return errors.DotterelpathError(
+        errors.ResultCode.BAD_HEADER, f"{name.decode('ascii')} {rule}"
+    )
--- /dev/null
+++ b/src/dotterelpath/adapters/http_client.py
@@ -0,0 +1,188 @@
+"""A small HTTP client for the platform, the peers and the tools."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+from dotterelpath.adapters import h11_backend
+from dotterelpath.domain import exchange
+from dotterelpath.ports import backend
+from dotterelpath.ports import clock as clock_port
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_IDLE_PER_SERVER = 4
+IDLE_S = 5.0
+CONNECT_TIMEOUT_S = 1.0
+
+
+class NotSentError(Exception):
+    """No byte of the request was written."""
+
+
+class NoAnswerError(Exception):
+    """The request was written and no whole answer came."""
+
+
+class HttpClient:
+    """Makes calls over kept connections; one answer at a time on each."""
+
+    __slots__ = ("_clock", "_connector", "_idle", "_ids", "_waiting")
+
+    def __init__(self, clock: clock_port.Clock) -> None:
+        """Creates a client without connections.
+
+        Args:
+            clock: Tells how old a kept connection is.
+        """
+        self._clock = clock
+        self._connector = h11_backend.H11Connector(clock)
+        self._idle: dict[tuple[str, int], list[backend.Connection]] = {}
+        self._waiting: dict[int, asyncio.Future[exchange.Answer]] = {}
+        self._ids = itertools.count(1)
+
+    async def call(
+        self,
+        host: str,
+        port: int,
+        request: exchange.Request,
+        timeout_s: float,
+    ) -> exchange.Answer:
+        """Makes a call.
+
+        Args:
+            host: The server's IP address.
+            port: Its port.
+            request: The request.
+            timeout_s: How long to wait for the whole answer, in seconds.
+
+        Returns:
+            The answer.
+
+        Raises:
+            NotSentError: The server could not be reached.
+            NoAnswerError: No whole answer came in time.
+        """
+        connection = await self._connection(host, port)
+        call_id = next(self._ids)
+        future: asyncio.Future[exchange.Answer] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiting[call_id] = future
+        connection.send(call_id, request, timeout_s, MAX_ANSWER_BYTES)
+        try:
+            async with asyncio.timeout(timeout_s):
+                answer = await future
+        except TimeoutError:
+            raise NoAnswerError(f"no answer within {timeout_s} s") from None
+        finally:
+            del self._waiting[call_id]
+            if not future.done() or future.cancelled() or future.exception():
+                connection.close()
+        if connection.is_reusable:
+            self._keep(host, port, connection)
+        return answer
+
+    def close(self) -> None:
+        """Closes the kept connections."""
+        for kept in self._idle.values():
+            for connection in list(kept):
+                connection.close()
+        self._idle.clear()
+
+    def on_answer(
+        self,
+        connection: backend.Connection,
+        exchange_id: int,
+        answer: exchange.Answer,
+        is_whole: bool,
+    ) -> None:
+        """An answer came in; see backend.Listener."""
+        future = self._waiting.get(exchange_id)
+        if future is None or future.done():
+            return
+        if is_whole:
+            future.set_result(answer)
+        else:
+            future.set_exception(NoAnswerError("the answer is too long"))
+
+    def on_part(self, exchange_id: int, data: bytes) -> None:
+        """Drops the rest of an answer that is too long."""
+
+    def on_end(self, connection: backend.Connection, exchange_id: int) -> None:
+        """Drops the end of an answer that is too long."""
+
+    def on_broken(
+        self,
+        connection: backend.Connection,
+        exchange_id: int,
+        detail: str,
+        is_protocol: bool,
+    ) -> None:
+        """A connection ended with a call on it; see backend.Listener."""
+        future = self._waiting.get(exchange_id)
+        if future is not None and not future.done():
+            future.set_exception(NoAnswerError(detail))
+
+    def on_closed(self, connection: backend.Connection) -> None:
+        """An idle connection ended; see backend.Listener."""
+        for kept in self._idle.values():
+            if connection in kept:
+                kept.remove(connection)
+
+    async def _connection(self, host: str, port: int) -> backend.Connection:
+        kept = self._idle.get((host, port), [])
+        while kept:
+            connection = kept.pop()
+            is_old = self._clock.now_s() - connection.proven_s > IDLE_S
+            if connection.is_reusable and not is_old:
+                return connection
+            connection.close()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                return await self._connector.connect(host, port, self)
+        except TimeoutError:
+            raise NotSentError("no connection in time") from None
+        except OSError as error:
+            raise NotSentError(str(error)) from error
+
+    def _keep(
+        self, host: str, port: int, connection: backend.Connection
+    ) -> None:
+        kept = self._idle.setdefault((host, port), [])
+        if len(kept) < MAX_IDLE_PER_SERVER:
+            kept.append(connection)
+        else:
+            connection.close()
+
+
+def post(
+    target: str, body: bytes, headers: exchange.Headers | None = None
+) -> exchange.Request:
+    """Builds a call that carries JSON.
+
+    Args:
+        target: The path with the query.
+        body: The JSON text.
+        headers: Further headers.
+
+    Returns:
+        The request.
+    """
+    fields = [(b"content-type", b"application/json"), *(headers or [])]
+    return exchange.Request("POST", target, fields, body)
+
+
+def get(
+    target: str, headers: exchange.Headers | None = None
+) -> exchange.Request:
+    """Builds a call that reads.
+
+    Args:
+        target: The path with the query.
+        headers: Further headers.
+
+    Returns:
+        The request.
+    """
+    return exchange.Request("GET", target, headers or [])
--- /dev/null
+++ b/src/dotterelpath/adapters/peer_api.py
@@ -0,0 +1,205 @@
+"""Serves the calls of other daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import typing
+
+import orjson
+
+from dotterelpath import errors
+from dotterelpath.adapters import api
+from dotterelpath.adapters import peer_codec
+from dotterelpath.domain import exchange
+from dotterelpath.domain import records
+from dotterelpath.ports import clock as clock_port
+from dotterelpath.ports import codec as codec_port
+from dotterelpath.tasks import document_keeper
+from dotterelpath.tasks import mailbox
+from dotterelpath.tasks import messages
+from dotterelpath.tasks import steward as steward_task
+
+
+class PeerApi:
+    """Turns peers' calls into messages to the daemon's tasks."""
+
+    __slots__ = (
+        "_clock",
+        "_codec",
+        "_dispatcher",
+        "_gossip",
+        "_keeper",
+        "_replies",
+        "_steward",
+        "_steward_inbox",
+        "_tokens",
+        "_waiting",
+    )
+
+    def __init__(
+        self,
+        clock: clock_port.Clock,
+        codec: codec_port.Codec,
+        keeper: document_keeper.DocumentKeeper,
+        steward: steward_task.Steward,
+        replies: mailbox.Mailbox[typing.Any],
+        dispatcher: mailbox.Mailbox[typing.Any],
+        gossip: mailbox.Mailbox[typing.Any],
+        steward_inbox: mailbox.Mailbox[typing.Any],
+    ) -> None:
+        """Creates the calls' handlers.
+
+        Args:
+            clock: Tells the time.
+            codec: Writes heads and ledgers.
+            keeper: Has the document in force.
+            steward: Has the ledgers.
+            replies: Gets the outcomes of forwarded requests.
+            dispatcher: Gets forwarded requests and handed-off records.
+            gossip: Gets heartbeats.
+            steward_inbox: Gets reports.
+        """
+        self._clock = clock
+        self._codec = codec
+        self._keeper = keeper
+        self._steward = steward
+        self._replies = replies
+        self._dispatcher = dispatcher
+        self._gossip = gossip
+        self._steward_inbox = steward_inbox
+        self._tokens = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future[exchange.Outcome]] = {}
+
+    @property
+    def handlers(self) -> dict[tuple[str, str], api.Handler]:
+        """The handler of each method and path."""
+        return {
+            ("POST", "/peer/heartbeat"): self.heartbeat,
+            ("POST", "/peer/forward"): self.forward,
+            ("POST", "/peer/hand-off"): self.hand_off,
+            ("POST", "/peer/reports"): self.reports,
+            ("GET", "/peer/snapshot"): self.snapshot,
+            ("GET", "/peer/blobs/"): self.blob,
+        }
+
+    async def run(self) -> None:
+        """Gives outcomes to the calls that wait for them."""
+        while True:
+            message = await self._replies.receive()
+            if not isinstance(message, messages.RequestEnded):
+                continue
+            future = self._waiting.pop(message.token, None)
+            if future is not None and not future.done():
+                future.set_result(message.outcome)
+
+    async def heartbeat(self, request: exchange.Request) -> exchange.Answer:
+        """Exchanges heartbeats.
+
+        Args:
+            request: The call.
+        """
+        heartbeat = peer_codec.heartbeat_from_json(orjson.loads(request.body))
+        reply = asyncio.get_running_loop().create_future()
+        self._gossip.force(messages.HeartbeatArrived(heartbeat, reply))
+        return api.json_answer(peer_codec.heartbeat_to_json(await reply))
+
+    async def forward(self, request: exchange.Request) -> exchange.Answer:
+        """Runs a keyed request whose home is here.
+
+        Args:
+            request: The call.
+        """
+        data = orjson.loads(request.body)
+        claimed = data.get("claimed_home")
+        arrived = messages.RequestArrived(
+            peer_codec.request_from_json(
+                data["request"], float(data["timeout_s"])
+            ),
+            self._replies,
+            next(self._tokens),
+            True,
+            None if claimed is None else peer_codec.home_from_json(claimed),
+        )
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[arrived.token] = future
+        try:
+            self._dispatcher.post(arrived)
+        except mailbox.MailboxFullError:
+            del self._waiting[arrived.token]
+            code = errors.ResultCode.RECORDS_FULL
+            return _outcome_answer(exchange.Outcome(code))
+        return _outcome_answer(await future)
+
+    async def hand_off(self, request: exchange.Request) -> exchange.Answer:
+        """Takes over the records of a home that stops.
+
+        Args:
+            request: The call.
+        """
+        hand_off = peer_codec.hand_off_from_json(orjson.loads(request.body))
+        now_s = self._clock.now_s()
+        book = records.Book(hand_off.home, now_s - hand_off.age_s)
+        book.adopted_at_s = now_s
+        book.raise_floor(hand_off.floor_epoch)
+        for scoped_key, record in hand_off.records.items():
+            book.adopt(scoped_key, record)
+        if hand_off.is_closed:
+            book.close()
+        adopted = messages.BookAdopted(book)
+        self._dispatcher.force(adopted)
+        self._gossip.force(adopted)
+        return api.json_answer({})
+
+    async def reports(self, request: exchange.Request) -> exchange.Answer:
+        """Takes in a peer's reports on a service.
+
+        Args:
+            request: The call.
+        """
+        data = orjson.loads(request.body)
+        try:
+            arrived = messages.ReportsArrived(
+                str(data["service"]),
+                str(data["daemon_id"]),
+                str(data["data_centre"]),
+                tuple(str(instance) for instance in data["sick"]),
+            )
+        except (KeyError, TypeError) as error:
+            raise ValueError(f"not reports: {error!r}") from error
+        self._steward_inbox.force(arrived)
+        return api.json_answer({})
+
+    async def snapshot(self, request: exchange.Request) -> exchange.Answer:
+        """Shows what is in force here.
+
+        Args:
+            request: The call.
+        """
+        head = self._keeper.head
+        return api.json_answer(
+            {
+                "head": None if head is None else self._codec.encode_head(head),
+                "ledgers": [
+                    [
+                        service,
+                        self._codec.encode_ledger(ledger),
+                        ledger.revision,
+                    ]
+                    for service, ledger in self._steward.ledgers.items()
+                ],
+            }
+        )
+
+    async def blob(self, request: exchange.Request) -> exchange.Answer:
+        """Gives the text of a section.
+
+        Args:
+            request: The call.
+        """
+        text = self._keeper.texts.get(api.last_segment(request))
+        return api.json_answer({"text": text})
+
+
+def _outcome_answer(outcome: exchange.Outcome) -> exchange.Answer:
+    return api.json_answer(peer_codec.outcome_to_json(outcome))
--- /dev/null
+++ b/src/dotterelpath/adapters/peer_client.py
@@ -0,0 +1,158 @@
+"""Calls to other daemons over HTTP with JSON."""
+
+from __future__ import annotations
+
+import typing
+import urllib.parse
+
+import orjson
+
+from dotterelpath.adapters import http_client
+from dotterelpath.adapters import peer_codec
+from dotterelpath.domain import exchange
+from dotterelpath.domain import keys
+from dotterelpath.domain import members
+from dotterelpath.domain import vms
+from dotterelpath.ports import codec as codec_port
+from dotterelpath.ports import peers
+
+HEARTBEAT_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 3.0
+FORWARD_MARGIN_S = 0.5
+
+
+class PeerClient:
+    """Calls other daemons; see peers.Peers."""
+
+    __slots__ = ("_client", "_codec", "_data_centre", "_own")
+
+    def __init__(
+        self,
+        own: keys.Home,
+        data_centre: str,
+        client: http_client.HttpClient,
+        codec: codec_port.Codec,
+    ) -> None:
+        """Creates a client.
+
+        Args:
+            own: This daemon.
+            data_centre: Where it stands.
+            client: Makes the calls.
+            codec: Reads heads and ledgers.
+        """
+        self._own = own
+        self._data_centre = data_centre
+        self._client = client
+        self._codec = codec
+
+    async def heartbeat(
+        self, vm: vms.Vm, heartbeat: members.Heartbeat
+    ) -> members.Heartbeat:
+        """Exchanges heartbeats; see peers.Peers."""
+        data = await self._post(
+            vm,
+            "/peer/heartbeat",
+            peer_codec.heartbeat_to_json(heartbeat),
+            HEARTBEAT_TIMEOUT_S,
+        )
+        return _read(peer_codec.heartbeat_from_json, data)
+
+    async def forward(
+        self,
+        vm: vms.Vm,
+        request: exchange.Request,
+        timeout_s: float,
+        claimed_home: keys.Home | None,
+    ) -> exchange.Outcome:
+        """Has a home run a request; see peers.Peers."""
+        data = {
+            "request": peer_codec.request_to_json(request),
+            "timeout_s": timeout_s,
+            "claimed_home": None
+            if claimed_home is None
+            else peer_codec.home_to_json(claimed_home),
+        }
+        answer = await self._post(
+            vm, "/peer/forward", data, timeout_s + FORWARD_MARGIN_S
+        )
+        return _read(peer_codec.outcome_from_json, answer)
+
+    async def hand_off(self, vm: vms.Vm, hand_off: peers.HandOff) -> None:
+        """Gives records to a successor; see peers.Peers."""
+        await self._post(
+            vm,
+            "/peer/hand-off",
+            peer_codec.hand_off_to_json(hand_off),
+            CALL_TIMEOUT_S,
+        )
+
+    async def snapshot(self, vm: vms.Vm) -> peers.Snapshot:
+        """Reads what is in force at a peer; see peers.Peers."""
+        data = await self._get(vm, "/peer/snapshot")
+        try:
+            head = data["head"]
+            return peers.Snapshot(
+                None if head is None else self._codec.decode_head(head),
+                [
+                    self._codec.decode_ledger(service, text, revision)
+                    for service, text, revision in data["ledgers"]
+                ],
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            raise peers.PeerSilentError(f"not a snapshot: {error}") from error
+
+    async def blob(self, vm: vms.Vm, digest: str) -> str | None:
+        """Reads a section's text; see peers.Peers."""
+        target = "/peer/blobs/" + urllib.parse.quote(digest, safe="")
+        return (await self._get(vm, target)).get("text")
+
+    async def report(
+        self, vm: vms.Vm, service: str, sick: tuple[str, ...]
+    ) -> None:
+        """Reports sick instances; see peers.Peers."""
+        data = {
+            "service": service,
+            "daemon_id": self._own.daemon_id,
+            "data_centre": self._data_centre,
+            "sick": sick,
+        }
+        await self._post(vm, "/peer/reports", data, HEARTBEAT_TIMEOUT_S)
+
+    async def _get(self, vm: vms.Vm, target: str) -> peer_codec.Json:
+        return await self._call(vm, http_client.get(target), CALL_TIMEOUT_S)
+
+    async def _post(
+        self,
+        vm: vms.Vm,
+        target: str,
+        data: peer_codec.Json,
+        timeout_s: float,
+    ) -> peer_codec.Json:
+        request = http_client.post(target, orjson.dumps(data))
+        return await self._call(vm, request, timeout_s)
+
+    async def _call(
+        self, vm: vms.Vm, request: exchange.Request, timeout_s: float
+    ) -> peer_codec.Json:
+        try:
+            answer = await self._client.call(
+                vm.host, vm.peer_port, request, timeout_s
+            )
+        except http_client.NotSentError as error:
+            raise peers.PeerUnreachableError(str(error)) from error
+        except http_client.NoAnswerError as error:
+            raise peers.PeerSilentError(str(error)) from error
+        if answer.status != 200:
+            raise peers.PeerSilentError(f"status {answer.status}")
+        return _read(orjson.loads, answer.body)
+
+
+R = typing.TypeVar("R")
+
+
+def _read(decode: typing.Callable[[typing.Any], R], data: typing.Any) -> R:
+    try:
+        return decode(data)
+    except ValueError as error:
+        raise peers.PeerSilentError(f"invalid answer: {error}") from error
--- /dev/null
+++ b/src/dotterelpath/adapters/peer_codec.py
@@ -0,0 +1,251 @@
+"""JSON of the messages between daemons."""
+
+from __future__ import annotations
+
+import base64
+import typing
+
+from dotterelpath import errors
+from dotterelpath.domain import exchange
+from dotterelpath.domain import keys
+from dotterelpath.domain import members
+from dotterelpath.domain import records
+from dotterelpath.ports import peers
+
+Json = dict[str, typing.Any]
+
+
+def heartbeat_to_json(heartbeat: members.Heartbeat) -> Json:
+    """Writes a heartbeat.
+
+    Args:
+        heartbeat: The heartbeat.
+    """
+    return {
+        "id": heartbeat.home.daemon_id,
+        "inc": heartbeat.home.incarnation,
+        "n": heartbeat.counter,
+        "state": heartbeat.state.value,
+        "doc": heartbeat.document_version,
+        "store_age_s": round(heartbeat.store_age_s, 1),
+        "adopted": [home_to_json(home) for home in heartbeat.adopted],
+        "rumours": [
+            [r.subject, r.incarnation, r.counter, r.state.value, r.witness]
+            for r in heartbeat.rumours
+        ],
+    }
+
+
+def heartbeat_from_json(data: Json) -> members.Heartbeat:
+    """Reads a heartbeat.
+
+    Args:
+        data: What heartbeat_to_json wrote.
+
+    Raises:
+        ValueError: The data is not a heartbeat.
+    """
+    try:
+        return members.Heartbeat(
+            keys.Home(str(data["id"]), str(data["inc"])),
+            int(data["n"]),
+            members.MemberState(data["state"]),
+            int(data["doc"]),
+            float(data["store_age_s"]),
+            tuple(home_from_json(item) for item in data["adopted"]),
+            tuple(
+                members.Rumour(
+                    str(subject),
+                    str(incarnation),
+                    int(counter),
+                    members.MemberState(state),
+                    str(witness),
+                )
+                for subject, incarnation, counter, state, witness in data[
+                    "rumours"
+                ]
+            ),
+        )
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"not a heartbeat: {error!r}") from error
+
+
+def home_to_json(home: keys.Home) -> list[str]:
+    """Writes a home.
+
+    Args:
+        home: The home.
+    """
+    return [home.daemon_id, home.incarnation]
+
+
+def home_from_json(data: typing.Any) -> keys.Home:
+    """Reads a home.
+
+    Args:
+        data: What home_to_json wrote.
+
+    Raises:
+        ValueError: The data is not a home.
+    """
+    if not isinstance(data, list) or len(data) != 2:
+        raise ValueError("not a home")
+    return keys.Home(str(data[0]), str(data[1]))
+
+
+def request_to_json(request: exchange.Request) -> Json:
+    """Writes a request.
+
+    Args:
+        request: The request.
+    """
+    return {
+        "method": request.method,
+        "target": request.target,
+        "headers": _headers_to_json(request.headers),
+        "body": _bytes_to_json(request.body),
+        "workspace": request.workspace,
+        "key": request.key,
+        "attempt": request.attempt,
+        "request_id": request.request_id,
+    }
+
+
+def request_from_json(data: Json, timeout_s: float) -> exchange.Request:
+    """Reads a request.
+
+    Args:
+        data: What request_to_json wrote.
+        timeout_s: What remains until the caller's deadline, in seconds.
+
+    Raises:
+        ValueError: The data is not a request.
+    """
+    try:
+        return exchange.Request(
+            str(data["method"]),
+            str(data["target"]),
+            _headers_from_json(data["headers"]),
+            base64.b64decode(data["body"]),
+            workspace=str(data["workspace"]),
+            key=data["key"],
+            attempt=int(data["attempt"]),
+            timeout_s=timeout_s,
+            request_id=str(data["request_id"]),
+        )
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"not a request: {error!r}") from error
+
+
+def outcome_to_json(outcome: exchange.Outcome) -> Json:
+    """Writes an outcome.
+
+    Args:
+        outcome: The outcome.
+    """
+    answer = outcome.answer
+    return {
+        "code": int(outcome.code),
+        "detail": outcome.detail,
+        "instance": outcome.instance,
+        "answer": None
+        if answer is None
+        else {
+            "status": answer.status,
+            "headers": _headers_to_json(answer.headers),
+            "body": _bytes_to_json(answer.body),
+        },
+    }
+
+
+def outcome_from_json(data: Json) -> exchange.Outcome:
+    """Reads an outcome.
+
+    Args:
+        data: What outcome_to_json wrote.
+
+    Raises:
+        ValueError: The data is not an outcome.
+    """
+    try:
+        answer = data["answer"]
+        return exchange.Outcome(
+            errors.ResultCode(data["code"]),
+            str(data["detail"]),
+            None
+            if answer is None
+            else exchange.Answer(
+                int(answer["status"]),
+                _headers_from_json(answer["headers"]),
+                base64.b64decode(answer["body"]),
+            ),
+            data["instance"],
+        )
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"not an outcome: {error!r}") from error
+
+
+def hand_off_to_json(hand_off: peers.HandOff) -> Json:
+    """Writes a hand-off.
+
+    Args:
+        hand_off: The records of one home.
+    """
+    return {
+        "home": home_to_json(hand_off.home),
+        "age_s": hand_off.age_s,
+        "floor_epoch": hand_off.floor_epoch,
+        "is_closed": hand_off.is_closed,
+        "records": [
+            [
+                scoped_key,
+                record.epoch,
+                record.fingerprint,
+                record.attempt,
+                outcome_to_json(record.outcome),
+            ]
+            for scoped_key, record in hand_off.records.items()
+            if record.outcome is not None
+        ],
+    }
+
+
+def hand_off_from_json(data: Json) -> peers.HandOff:
+    """Reads a hand-off.
+
+    Args:
+        data: What hand_off_to_json wrote.
+
+    Raises:
+        ValueError: The data is not a hand-off.
+    """
+    try:
+        kept = {}
+        for scoped_key, epoch, fingerprint, attempt, outcome in data["records"]:
+            record = records.Record(int(epoch), str(fingerprint), int(attempt))
+            record.state = records.RecordState.ENDED
+            record.outcome = outcome_from_json(outcome)
+            kept[str(scoped_key)] = record
+        return peers.HandOff(
+            home_from_json(data["home"]),
+            float(data["age_s"]),
+            int(data["floor_epoch"]),
+            bool(data["is_closed"]),
+            kept,
+        )
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"not a hand-off: {error!r}") from error
+
+
+def _headers_to_json(headers: exchange.Headers) -> list[list[str]]:
+    return [[n.decode("latin-1"), v.decode("latin-1")] for n, v in headers]
+
+
+def _headers_from_json(data: typing.Any) -> exchange.Headers:
+    return [
+        (str(n).encode("latin-1"), str(v).encode("latin-1")) for n, v in data
+    ]
+
+
+def _bytes_to_json(data: bytes) -> str:
+    return base64.b64encode(data).decode()
--- /dev/null
+++ b/src/dotterelpath/adapters/settings.py
@@ -0,0 +1,126 @@
+"""The daemon's settings, checked when it starts."""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+
+import click
+
+MAX_PORT = 65535
+_ID = re.compile(r"[A-Za-z0-9_-]{1,64}\Z")
+
+
+class Address:
+    """An IP address and a port."""
+
+    __slots__ = ("host", "port")
+
+    def __init__(self, host: str, port: int) -> None:
+        """Creates an address.
+
+        Args:
+            host: The IP address.
+            port: The port.
+        """
+        self.host = host
+        self.port = port
+
+    def __str__(self) -> str:
+        """Shows the address as it is given."""
+        return f"{self.host}:{self.port}"
+
+
+class AddressType(click.ParamType):
+    """Reads HOST:PORT from a flag or an environment variable."""
+
+    name = "HOST:PORT"
+
+    def convert(
+        self,
+        value: object,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> Address:
+        """Reads an address; see click.ParamType."""
+        host, _, port = str(value).rpartition(":")
+        try:
+            ipaddress.ip_address(host)
+        except ValueError:
+            self.fail(f"{value!r} does not begin with an IP address")
+        if not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+            self.fail(f"{value!r} does not end with a port from 1 to 65535")
+        return Address(host, int(port))
+
+
+class DaemonIdType(click.ParamType):
+    """Reads a daemon's id, which becomes a part of issued keys."""
+
+    name = "ID"
+
+    def convert(
+        self,
+        value: object,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> str:
+        """Reads an id; see click.ParamType."""
+        if not _ID.match(str(value)):
+            self.fail(f"{value!r} is not 1 to 64 characters of A-Z a-z 0-9 _ -")
+        return str(value)
+
+
+class Settings:
+    """All settings of a daemon."""
+
+    __slots__ = (
+        "control_listen",
+        "daemon_id",
+        "data_centre",
+        "drain_grace_s",
+        "drain_timeout_s",
+        "listen",
+        "log_level",
+        "peer_listen",
+        "store",
+        "vm_list",
+    )
+
+    def __init__(
+        self,
+        daemon_id: str,
+        data_centre: str,
+        listen: Address,
+        peer_listen: Address,
+        control_listen: Address,
+        store: Address,
+        vm_list: Address,
+        drain_grace_s: float,
+        drain_timeout_s: float,
+        log_level: str,
+    ) -> None:
+        """Creates settings.
+
+        Args:
+            daemon_id: This daemon's id in the VM list.
+            data_centre: Where it stands.
+            listen: The address for callers.
+            peer_listen: The address for other daemons.
+            control_listen: The address for operators.
+            store: The configuration store's address.
+            vm_list: The VM list's address.
+            drain_grace_s: How long a stopping daemon goes on to accept
+                callers, in seconds.
+            drain_timeout_s: The longest wait for work in flight, in seconds.
+            log_level: The least severe level that is logged.
+        """
+        self.daemon_id = daemon_id
+        self.data_centre = data_centre
+        self.listen = listen
+        self.peer_listen = peer_listen
+        self.control_listen = control_listen
+        self.store = store
+        self.vm_list = vm_list
+        self.drain_grace_s = drain_grace_s
+        self.drain_timeout_s = drain_timeout_s
+        self.log_level = log_level
--- /dev/null
+++ b/src/dotterelpath/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool for operators and callers."""
--- /dev/null
+++ b/src/dotterelpath/cli/calls.py
@@ -0,0 +1,174 @@
+"""Calls of the command-line tool to a daemon."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+import urllib.parse
+
+import orjson
+
+from dotterelpath import errors
+from dotterelpath.adapters import clock as clock_adapter
+from dotterelpath.adapters import http_client
+from dotterelpath.adapters import settings as settings_adapter
+from dotterelpath.domain import exchange
+
+CALL_TIMEOUT_S = 20.0
+
+
+def read(at: settings_adapter.Address, target: str) -> typing.Any:
+    """Reads a resource.
+
+    Args:
+        at: The daemon.
+        target: The path with the query.
+
+    Returns:
+        The decoded JSON.
+
+    Raises:
+        DotterelpathError: The daemon cannot be reached or says no.
+    """
+    return orjson.loads(_call(at, http_client.get(target)).body)
+
+
+def read_section(at: settings_adapter.Address, section: str) -> tuple[str, str]:
+    """Reads a section.
+
+    Args:
+        at: The daemon.
+        section: The section's name.
+
+    Returns:
+        The text and its digest.
+
+    Raises:
+        DotterelpathError: The daemon cannot be reached or says no.
+    """
+    answer = _call(at, http_client.get(_section_target(section)))
+    etag = (answer.header(b"etag") or b"").decode().strip('"')
+    return answer.body.decode(), etag
+
+
+def current_digest(at: settings_adapter.Address, section: str) -> str | None:
+    """Finds the digest of a section.
+
+    Args:
+        at: The daemon.
+        section: The section's name.
+
+    Returns:
+        The digest, or None where there is no such section.
+
+    Raises:
+        DotterelpathError: The daemon cannot be reached or says no.
+    """
+    try:
+        return read_section(at, section)[1]
+    except errors.DotterelpathError as error:
+        if error.code is errors.ResultCode.NO_SECTION:
+            return None
+        raise
+
+
+def put_section(
+    at: settings_adapter.Address,
+    section: str,
+    text: str,
+    base: str | None,
+    token: str,
+    edit_id: str,
+) -> typing.Any:
+    """Saves a section.
+
+    Args:
+        at: The daemon.
+        section: The section's name.
+        text: The new text.
+        base: The digest of the text that was edited; None for a new one.
+        token: An owner's token.
+        edit_id: Names the edit.
+
+    Returns:
+        The decoded JSON of the answer.
+
+    Raises:
+        DotterelpathError: The edit was not saved, or its outcome is unknown.
+    """
+    fields = [
+        (b"authorization", f"Bearer {token}".encode()),
+        (b"if-match", f'"{base or ""}"'.encode()),
+        (b"edit-id", edit_id.encode()),
+    ]
+    request = exchange.Request(
+        "PUT", _section_target(section), fields, text.encode()
+    )
+    try:
+        return orjson.loads(_call(at, request).body)
+    except http_client.NoAnswerError as error:
+        raise errors.DotterelpathError(
+            errors.ResultCode.EDIT_UNKNOWN,
+            f"the answer to edit {edit_id} was lost: {error}",
+        ) from error
+
+
+def addresses(
+    at: settings_adapter.Address, service: str, workspace: str
+) -> typing.Any:
+    """Asks which daemons callers should use.
+
+    Args:
+        at: Any daemon's address for callers.
+        service: The service.
+        workspace: The caller's workspace.
+
+    Returns:
+        The decoded JSON.
+
+    Raises:
+        DotterelpathError: The daemon cannot be reached or says no.
+    """
+    query = urllib.parse.urlencode({"service": service, "workspace": workspace})
+    return read(at, f"/-/addresses?{query}")
+
+
+def _section_target(section: str) -> str:
+    return "/document/sections/" + urllib.parse.quote(section, safe="")
+
+
+def _call(
+    at: settings_adapter.Address, request: exchange.Request
+) -> exchange.Answer:
+    try:
+        answer = asyncio.run(_exchange(at, request))
+    except http_client.NotSentError as error:
+        raise errors.DotterelpathError(
+            errors.ResultCode.DAEMON_UNREACHABLE, f"{at}: {error}"
+        ) from error
+    except http_client.NoAnswerError as error:
+        if request.method != "GET":
+            raise
+        raise errors.DotterelpathError(
+            errors.ResultCode.DAEMON_UNREACHABLE, f"{at}: {error}"
+        ) from error
+    if answer.status < 300:
+        return answer
+    try:
+        problem = orjson.loads(answer.body)
+        code = errors.ResultCode(problem["code"])
+        raise errors.DotterelpathError(code, problem["text"])
+    except (ValueError, KeyError, TypeError) as error:
+        raise errors.DotterelpathError(
+            errors.ResultCode.BAD_REQUEST, f"status {answer.status}"
+        ) from error
+
+
+async def _exchange(
+    at: settings_adapter.Address, request: exchange.Request
+) -> exchange.Answer:
+    client = http_client.HttpClient(clock_adapter.SystemClock())
+    try:
+        return await client.call(at.host, at.port, request, CALL_TIMEOUT_S)
+    finally:
+        client.close()
--- /dev/null
+++ b/src/dotterelpath/cli/main.py
@@ -0,0 +1,289 @@
+"""The command-line tool for operators and callers."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+import typing
+import uuid
+
+import click
+import orjson
+
+from dotterelpath import errors
+from dotterelpath.adapters import codec as codec_adapter
+from dotterelpath.adapters import settings as settings_adapter
+from dotterelpath.cli import calls
+from dotterelpath.domain import edits
+
+EXIT_INVALID = 2
+EXIT_CONFLICT = 3
+EXIT_FORBIDDEN = 4
+EXIT_UNKNOWN = 5
+EXIT_UNAVAILABLE = 6
+
+_EXITS = {
+    errors.ResultCode.EDIT_CONFLICT: EXIT_CONFLICT,
+    errors.ResultCode.EDIT_FORBIDDEN: EXIT_FORBIDDEN,
+    errors.ResultCode.EDIT_UNKNOWN: EXIT_UNKNOWN,
+    errors.ResultCode.STORE_UNAVAILABLE: EXIT_UNAVAILABLE,
+    errors.ResultCode.DAEMON_UNREACHABLE: EXIT_UNAVAILABLE,
+}
+_address = settings_adapter.AddressType()
+
+
+class Tool:
+    """What the commands share."""
+
+    __slots__ = ("as_json", "control")
+
+    def __init__(
+        self, control: settings_adapter.Address, as_json: bool
+    ) -> None:
+        """Creates the shared state.
+
+        Args:
+            control: The operators' address of any daemon.
+            as_json: Whether to print JSON.
+        """
+        self.control = control
+        self.as_json = as_json
+
+    def show(self, data: typing.Any, lines: typing.Iterable[str]) -> None:
+        """Prints a result.
+
+        Args:
+            data: The result as JSON.
+            lines: The result for people.
+        """
+        if self.as_json:
+            click.echo(orjson.dumps(data, option=orjson.OPT_INDENT_2))
+            return
+        for line in lines:
+            click.echo(line)
+
+
+class _Group(click.Group):
+    """Turns coded errors into messages and exit codes."""
+
+    def invoke(self, ctx: click.Context) -> typing.Any:
+        """Runs a command; see click.Group."""
+        try:
+            return super().invoke(ctx)
+        except errors.DotterelpathError as error:
+            click.echo(f"error {int(error.code)}: {error.detail}", err=True)
+            ctx.exit(_EXITS.get(error.code, EXIT_INVALID))
+
+
+@click.group(
+    cls=_Group, context_settings={"auto_envvar_prefix": "DOTTERELPATH"}
+)
+@click.option(
+    "--control",
+    type=_address,
+    default="127.0.0.1:7002",
+    show_default=True,
+    help="The operators' address of any daemon.",
+)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@click.version_option(package_name="dotterelpath")
+@click.pass_context
+def main(
+    ctx: click.Context, control: settings_adapter.Address, as_json: bool
+) -> None:
+    """Edits the document and shows what the fleet does."""
+    ctx.obj = Tool(control, as_json)
+
+
+@main.group()
+def document() -> None:
+    """Shows, checks and changes the operators' document."""
+
+
+@document.command()
+@click.argument("section", required=False)
+@click.pass_obj
+def show(tool: Tool, section: str | None) -> None:
+    """Shows the document in force, or the text of one SECTION."""
+    if section is None:
+        data = calls.read(tool.control, "/document")
+        lines = [f"version {data['version']}"]
+        lines += [f"{n}  {d[:12]}" for n, d in sorted(data["sections"].items())]
+        tool.show(data, lines)
+        return
+    text, digest = calls.read_section(tool.control, section)
+    tool.show({"section": section, "digest": digest, "text": text}, [text])
+
+
+@document.command()
+@click.argument(
+    "files",
+    nargs=-1,
+    required=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+)
+@click.pass_obj
+def check(tool: Tool, files: tuple[pathlib.Path, ...]) -> None:
+    """Checks section FILES, each named NAME.toml, alone and together."""
+    codec = codec_adapter.Codec()
+    sections = [codec.parse_section(f.stem, _text(f)) for f in files]
+    edits.check_rules(sections)
+    names = [section.name for section in sections]
+    tool.show({"valid": names}, [f"{name}: valid" for name in names])
+
+
+@document.command()
+@click.argument("section")
+@click.argument(
+    "file", type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path)
+)
+@click.option("--token", required=True, help="An owner's token.")
+@click.option("--base", help="The digest that was edited; default: current.")
+@click.option("--edit-id", help="Repeats an edit whose outcome is unknown.")
+@click.pass_obj
+def put(
+    tool: Tool,
+    section: str,
+    file: pathlib.Path,
+    token: str,
+    base: str | None,
+    edit_id: str | None,
+) -> None:
+    """Saves FILE as SECTION."""
+    text = _text(file)
+    codec_adapter.Codec().parse_section(section, text)
+    if base is None:
+        base = calls.current_digest(tool.control, section)
+    _save(tool, section, text, base, token, edit_id)
+
+
+@document.command()
+@click.argument("section")
+@click.option("--token", required=True, help="An owner's token.")
+@click.pass_obj
+def edit(tool: Tool, section: str, token: str) -> None:
+    """Opens SECTION in the editor, checks it and saves it.
+
+    An invalid text is opened again with the error; nothing typed is lost.
+    """
+    text, base = calls.read_section(tool.control, section)
+    codec = codec_adapter.Codec()
+    edited = click.edit(text, extension=".toml")
+    while edited is not None and edited != text:
+        try:
+            codec.parse_section(section, edited)
+            _save(tool, section, edited, base, token, None)
+            return
+        except errors.DotterelpathError as error:
+            if error.code in (
+                errors.ResultCode.EDIT_FORBIDDEN,
+                errors.ResultCode.EDIT_UNKNOWN,
+            ):
+                _keep(section, edited)
+                raise
+            click.echo(f"error {int(error.code)}: {error.detail}", err=True)
+            if not click.confirm("Edit again?", default=True):
+                _keep(section, edited)
+                raise
+            if error.code is errors.ResultCode.EDIT_CONFLICT:
+                theirs, base = calls.read_section(tool.control, section)
+                edited = _with_conflict(edited, theirs)
+            edited = click.edit(edited, extension=".toml") or edited
+    click.echo("nothing changed", err=True)
+
+
+@main.command()
+@click.option("--at", type=_address, required=True, help="Any daemon.")
+@click.option("--service", required=True)
+@click.option("--workspace", default="")
+@click.pass_obj
+def addresses(
+    tool: Tool, at: settings_adapter.Address, service: str, workspace: str
+) -> None:
+    """Shows which daemons callers of a service should use."""
+    data = calls.addresses(at, service, workspace)
+    lines = [
+        f"{a['host']}:{a['port']}  {a['data_centre']}"
+        for a in data["addresses"]
+    ]
+    tool.show(data, lines)
+
+
+@main.command()
+@click.pass_obj
+def status(tool: Tool) -> None:
+    """Shows a daemon's state and its view of the fleet."""
+    data = calls.read(tool.control, "/status")
+    lines = [
+        f"daemon {data['daemon']}  {data['state']}"
+        f"  document {data['document_version']}"
+        f"  fresh {str(data['is_fresh']).lower()}"
+        f"  in flight {data['in_flight']}"
+    ]
+    lines += [
+        f"member {name}  {member['state']}  {member['data_centre']}"
+        for name, member in sorted(data["members"].items())
+    ]
+    lines += _service_lines(data["services"])
+    tool.show(data, lines)
+
+
+@main.command()
+@click.pass_obj
+def outcomes(tool: Tool) -> None:
+    """Shows how requests ended, and each service's floor margin."""
+    data = calls.read(tool.control, "/outcomes")
+    lines = [
+        f"{service:12} {code}  {count}"
+        for service, by_code in sorted(data["outcomes"].items())
+        for code, count in sorted(by_code.items())
+    ]
+    lines += _service_lines(data["services"])
+    tool.show(data, lines)
+
+
+def _service_lines(services: dict[str, typing.Any]) -> list[str]:
+    return [
+        f"service {name}  in use {state['in_use']}/{state['instances']}"
+        f"  floor {state['floor']} (margin {state['floor_margin']})"
+        f"  ejected {len(state['ejected'])}  avoided {len(state['avoided'])}"
+        f"  queued {state['queued']}"
+        for name, state in sorted(services.items())
+    ]
+
+
+def _save(
+    tool: Tool,
+    section: str,
+    text: str,
+    base: str | None,
+    token: str,
+    edit_id: str | None,
+) -> None:
+    edit_id = edit_id or uuid.uuid4().hex
+    data = calls.put_section(tool.control, section, text, base, token, edit_id)
+    tool.show(data, [f"{section}: saved in version {data['version']}"])
+
+
+def _text(file: pathlib.Path) -> str:
+    try:
+        return file.read_text(encoding="utf-8")
+    except UnicodeDecodeError as error:
+        raise errors.DotterelpathError(
+            errors.ResultCode.SECTION_SYNTAX, f"{file} is not UTF-8"
+        ) from error
+
+
+def _keep(section: str, text: str) -> None:
+    kept = pathlib.Path(f"{section}.unsaved.toml")
+    kept.write_text(text, encoding="utf-8")
+    click.echo(f"your text is kept in {kept}", err=True)
+
+
+def _with_conflict(mine: str, theirs: str) -> str:
+    marked = "".join(f"# {line}\n" for line in theirs.splitlines())
+    return f"# The section now reads:\n{marked}# Your text:\n{mine}"
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/dotterelpath/daemon.py
@@ -0,0 +1,420 @@
+"""The daemon: wires adapters to ports and starts the tasks."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import secrets
+import signal
+import sys
+import typing
+
+import click
+import structlog
+import uvloop
+
+from dotterelpath import errors
+from dotterelpath.adapters import api
+from dotterelpath.adapters import clock as clock_adapter
+from dotterelpath.adapters import codec as codec_adapter
+from dotterelpath.adapters import control_api
+from dotterelpath.adapters import h11_backend
+from dotterelpath.adapters import h11_frontend
+from dotterelpath.adapters import http_client
+from dotterelpath.adapters import logs
+from dotterelpath.adapters import metrics as metrics_adapter
+from dotterelpath.adapters import peer_api
+from dotterelpath.adapters import peer_client
+from dotterelpath.adapters import settings as settings_adapter
+from dotterelpath.adapters import store_client
+from dotterelpath.adapters import vm_list_client
+from dotterelpath.domain import keys
+from dotterelpath.tasks import back_ends
+from dotterelpath.tasks import claims
+from dotterelpath.tasks import directory
+from dotterelpath.tasks import dispatcher
+from dotterelpath.tasks import document_keeper
+from dotterelpath.tasks import editor
+from dotterelpath.tasks import front_end
+from dotterelpath.tasks import gossip
+from dotterelpath.tasks import mailbox
+from dotterelpath.tasks import peer_link
+from dotterelpath.tasks import shutdown
+from dotterelpath.tasks import steward
+from dotterelpath.tasks import store_watcher
+from dotterelpath.tasks import supervisor
+from dotterelpath.tasks import ticker
+from dotterelpath.tasks import vm_watcher
+
+PEER_BODY_BYTES = 64 * 1024 * 1024
+CONTROL_BODY_BYTES = 1024 * 1024
+
+_log = structlog.get_logger()
+
+
+class Inboxes:
+    """The mailboxes of all tasks."""
+
+    __slots__ = (
+        "back_ends",
+        "claims",
+        "directory",
+        "dispatcher",
+        "front_end",
+        "gossip",
+        "keeper",
+        "peer_link",
+        "peer_replies",
+        "steward",
+    )
+
+    def __init__(self) -> None:
+        """Creates empty mailboxes."""
+        for name in self.__slots__:
+            setattr(self, name, mailbox.Mailbox(name))
+
+
+class Daemon:
+    """One daemon with its adapters and tasks."""
+
+    __slots__ = (
+        "_clock",
+        "_codec",
+        "_client",
+        "_control",
+        "_dispatcher",
+        "_front_end",
+        "_gossip",
+        "_home",
+        "_inboxes",
+        "_keeper",
+        "_metrics",
+        "_peer_api",
+        "_peer_server",
+        "_peers",
+        "_settings",
+        "_steward",
+        "_store",
+        "_supervisor",
+    )
+
+    def __init__(self, settings: settings_adapter.Settings) -> None:
+        """Creates a daemon that does not run yet.
+
+        Args:
+            settings: Its settings.
+        """
+        self._settings = settings
+        self._home = keys.Home(settings.daemon_id, secrets.token_hex(4))
+        self._clock = clock_adapter.SystemClock()
+        self._codec = codec_adapter.Codec()
+        self._metrics = metrics_adapter.Metrics()
+        self._inboxes = Inboxes()
+        self._supervisor = supervisor.Supervisor()
+        self._client = http_client.HttpClient(self._clock)
+        self._store = store_client.StoreClient(
+            settings.store.host,
+            settings.store.port,
+            self._client,
+            self._clock,
+            self._metrics,
+        )
+        self._peers = peer_client.PeerClient(
+            self._home, settings.data_centre, self._client, self._codec
+        )
+        self._create_tasks()
+        self._create_servers()
+
+    async def run(self) -> None:
+        """Runs until a signal asks for a stop or a task dies.
+
+        Raises:
+            DotterelpathError: An address is in use, or a task died.
+        """
+        await self._front_end.listen()
+        await self._peer_server.listen()
+        await self._control.listen()
+        self._start_tasks()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._on_signal)
+        _log.info(
+            "daemon started",
+            daemon=repr(self._home),
+            data_centre=self._settings.data_centre,
+            listen=str(self._settings.listen),
+        )
+        try:
+            await self._supervisor.wait()
+        finally:
+            await self._supervisor.cancel_all()
+            self._peer_server.close()
+            self._control.close()
+            self._client.close()
+
+    def _create_tasks(self) -> None:
+        boxes = self._inboxes
+        settings = self._settings
+        self._dispatcher = dispatcher.Dispatcher(
+            self._home,
+            self._clock,
+            self._metrics,
+            boxes.dispatcher,
+            boxes.back_ends,
+            boxes.peer_link,
+            boxes.claims,
+            boxes.steward,
+        )
+        self._front_end = front_end.FrontEnd(
+            h11_frontend.H11Binder(settings.daemon_id),
+            settings.listen.host,
+            settings.listen.port,
+            boxes.front_end,
+            boxes.dispatcher,
+            boxes.directory,
+            boxes.back_ends,
+        )
+        self._keeper = document_keeper.DocumentKeeper(
+            settings.daemon_id,
+            self._store,
+            self._peers,
+            self._codec,
+            boxes.keeper,
+            (
+                boxes.dispatcher,
+                boxes.directory,
+                boxes.gossip,
+                boxes.steward,
+            ),
+        )
+        self._gossip = gossip.Gossip(
+            self._home,
+            settings.data_centre,
+            self._peers,
+            self._clock,
+            boxes.gossip,
+            boxes.keeper,
+            (boxes.dispatcher, boxes.directory, boxes.steward),
+        )
+        self._steward = steward.Steward(
+            settings.daemon_id,
+            self._store,
+            self._peers,
+            self._codec,
+            self._clock,
+            boxes.steward,
+            boxes.dispatcher,
+        )
+
+    def _create_servers(self) -> None:
+        boxes = self._inboxes
+        settings = self._settings
+        self._peer_api = peer_api.PeerApi(
+            self._clock,
+            self._codec,
+            self._keeper,
+            self._steward,
+            boxes.peer_replies,
+            boxes.dispatcher,
+            boxes.gossip,
+            boxes.steward,
+        )
+        self._peer_server = api.Api(
+            h11_frontend.H11Binder(settings.daemon_id, PEER_BODY_BYTES),
+            settings.peer_listen.host,
+            settings.peer_listen.port,
+            self._peer_api.handlers,
+        )
+        control = control_api.ControlApi(
+            editor.Editor(self._store, self._codec, boxes.keeper),
+            self._keeper,
+            self._dispatcher,
+            self._gossip,
+            self._steward,
+            self._metrics,
+        )
+        self._control = api.Api(
+            h11_frontend.H11Binder(settings.daemon_id, CONTROL_BODY_BYTES),
+            settings.control_listen.host,
+            settings.control_listen.port,
+            control.handlers,
+        )
+
+    def _start_tasks(self) -> None:
+        boxes = self._inboxes
+        start = self._supervisor.start
+        start("dispatcher", self._dispatcher.run())
+        start("front end", self._front_end.run())
+        start("keeper", self._keeper.run())
+        start("gossip", self._gossip.run())
+        start("steward", self._steward.run())
+        start("peer api", self._peer_api.run())
+        start("back ends", self._back_ends().run())
+        start("claims", self._claims().run())
+        start("directory", self._directory().run())
+        peers = peer_link.PeerLink(
+            self._peers, boxes.peer_link, boxes.dispatcher
+        )
+        start("peer link", peers.run())
+        start("store watcher", self._store_watcher().run())
+        start("vm watcher", self._vm_watcher().run())
+        for box, period_s in (
+            (boxes.gossip, gossip.ROUND_S),
+            (boxes.steward, steward.ROUND_S),
+            (boxes.keeper, document_keeper.RETRY_S),
+        ):
+            start(f"ticker of {box.name}", ticker.tick(box, period_s))
+
+    def _back_ends(self) -> back_ends.BackEnds:
+        return back_ends.BackEnds(
+            h11_backend.H11Connector(self._clock),
+            self._clock,
+            self._inboxes.back_ends,
+            self._inboxes.dispatcher,
+        )
+
+    def _claims(self) -> claims.Claims:
+        return claims.Claims(
+            self._home,
+            self._store,
+            self._inboxes.claims,
+            self._inboxes.dispatcher,
+        )
+
+    def _directory(self) -> directory.Directory:
+        return directory.Directory(
+            self._home,
+            self._settings.data_centre,
+            self._clock,
+            self._inboxes.directory,
+        )
+
+    def _store_watcher(self) -> store_watcher.StoreWatcher:
+        boxes = self._inboxes
+        return store_watcher.StoreWatcher(
+            self._store,
+            self._codec,
+            self._clock,
+            boxes.keeper,
+            boxes.gossip,
+            (boxes.dispatcher, boxes.steward),
+        )
+
+    def _vm_watcher(self) -> vm_watcher.VmWatcher:
+        boxes = self._inboxes
+        client = vm_list_client.VmListClient(
+            self._settings.vm_list.host,
+            self._settings.vm_list.port,
+            self._client,
+        )
+        return vm_watcher.VmWatcher(
+            client,
+            (
+                boxes.dispatcher,
+                boxes.directory,
+                boxes.gossip,
+                boxes.keeper,
+                boxes.steward,
+            ),
+        )
+
+    def _on_signal(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            # A second signal stops the process at once.
+            loop.remove_signal_handler(number)
+        self._supervisor.start("shutdown", self._stop())
+
+    async def _stop(self) -> None:
+        steps = shutdown.Shutdown(
+            self._clock,
+            self._peers,
+            self._front_end,
+            self._inboxes.front_end,
+            self._gossip,
+            self._inboxes.gossip,
+            self._inboxes.dispatcher,
+            self._settings.drain_grace_s,
+            self._settings.drain_timeout_s,
+        )
+        await steps.run()
+        self._supervisor.stop()
+
+
+def run(settings: settings_adapter.Settings) -> int:
+    """Runs a daemon in this process.
+
+    Args:
+        settings: Its settings.
+
+    Returns:
+        The process's exit code.
+    """
+    logs.configure(settings.log_level)
+    # Objects made at start live as long as the process; leaving them out of
+    # collections keeps those short.
+    gc.freeze()
+
+    async def work() -> None:
+        await Daemon(settings).run()
+
+    try:
+        uvloop.run(work())
+    except errors.DotterelpathError as error:
+        _log.error("daemon failed", code=int(error.code), error=error.detail)
+        return 1
+    return 0
+
+
+_address = settings_adapter.AddressType()
+
+
+@click.command(context_settings={"auto_envvar_prefix": "DOTTERELPATH"})
+@click.option(
+    "--id",
+    "daemon_id",
+    type=settings_adapter.DaemonIdType(),
+    required=True,
+    envvar="DOTTERELPATH_ID",
+    help="This daemon's id in the VM list.",
+)
+@click.option("--data-centre", required=True, help="Where the daemon stands.")
+@click.option("--listen", type=_address, required=True, help="For callers.")
+@click.option(
+    "--peer-listen", type=_address, required=True, help="For other daemons."
+)
+@click.option(
+    "--control-listen", type=_address, required=True, help="For operators."
+)
+@click.option(
+    "--store", type=_address, required=True, help="The configuration store."
+)
+@click.option("--vm-list", type=_address, required=True, help="The VM list.")
+@click.option(
+    "--drain-grace-s",
+    type=click.FloatRange(0.0, 300.0),
+    default=2.0,
+    show_default=True,
+    help="How long a stopping daemon goes on to accept callers.",
+)
+@click.option(
+    "--drain-timeout-s",
+    type=click.FloatRange(0.1, 3600.0),
+    default=30.0,
+    show_default=True,
+    help="The longest wait for work in flight at a stop.",
+)
+@click.option(
+    "--log-level",
+    type=click.Choice(logs.LEVELS),
+    default="info",
+    show_default=True,
+)
+@click.version_option(package_name="dotterelpath")
+def main(**options: typing.Any) -> None:
+    """Runs one daemon of the fleet on this entry VM."""
+    sys.exit(run(settings_adapter.Settings(**options)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/dotterelpath/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""Asyncio tasks that own sockets and state and exchange messages."""
--- /dev/null
+++ b/src/dotterelpath/tasks/_answers.py
@@ -0,0 +1,147 @@
+"""Reads what answers say, and tells waiting receivers of outcomes."""
+
+from __future__ import annotations
+
+from dotterelpath import errors
+from dotterelpath.domain import document
+from dotterelpath.domain import exchange
+from dotterelpath.domain import hashing
+from dotterelpath.domain import keys
+from dotterelpath.domain import tries
+from dotterelpath.domain import vms
+from dotterelpath.tasks import _exchange
+from dotterelpath.tasks import messages
+
+LOAD_HEADER = b"dotterelpath-load"
+DRAINING_HEADER = b"dotterelpath-draining"
+MAX_SUCCESSORS = 2
+_MAX_LOAD = 1000.0
+
+
+class Signs:
+    """What an instance says of itself on an answer."""
+
+    __slots__ = ("is_draining", "load")
+
+    def __init__(self, load: float | None, is_draining: bool) -> None:
+        """Creates the signs.
+
+        Args:
+            load: Its requests running and waiting, per slot.
+            is_draining: Whether it drains.
+        """
+        self.load = load
+        self.is_draining = is_draining
+
+
+def needs_record(request: exchange.Request) -> bool:
+    """Tells whether a request's outcome must be kept under its key.
+
+    Args:
+        request: The request.
+
+    Returns:
+        Whether it has a key and a method that is not safe.
+    """
+    return (
+        request.key is not None and request.method not in document.SAFE_METHODS
+    )
+
+
+def is_refusal(answer: exchange.Answer, refusal_header: str | None) -> bool:
+    """Tells whether an instance says that it did not run the request.
+
+    Args:
+        answer: Its answer.
+        refusal_header: The header that the service's section declares.
+
+    Returns:
+        Whether the answer is such a refusal.
+    """
+    if refusal_header is None or answer.status < 400:
+        return False
+    return answer.header(refusal_header.encode()) is not None
+
+
+def did_work(end: tries.TryEnd, answer: exchange.Answer | None) -> bool | None:
+    """Judges an instance by the end of a try.
+
+    Args:
+        end: How the try ended.
+        answer: The answer, if there is one.
+
+    Returns:
+        Whether it did its work; None where it shed load.
+    """
+    if end is tries.TryEnd.REFUSED:
+        return None
+    if end is not tries.TryEnd.ANSWERED or answer is None:
+        return False
+    return answer.status < 500
+
+
+def read_signs(answer: exchange.Answer) -> Signs:
+    """Reads an instance's load report and drain sign.
+
+    Args:
+        answer: Its answer.
+
+    Returns:
+        What it says; an invalid report counts as none.
+    """
+    load = None
+    raw = answer.header(LOAD_HEADER)
+    if raw is not None:
+        try:
+            load = min(max(float(raw), 0.0), _MAX_LOAD)
+        except ValueError:
+            load = None
+    return Signs(load, answer.header(DRAINING_HEADER) is not None)
+
+
+def home_candidates(
+    home: keys.Home,
+    listed: dict[str, vms.Vm],
+    live: list[str],
+    adopters: dict[keys.Home, str],
+) -> list[vms.Vm]:
+    """Orders the daemons that may answer for a key's home.
+
+    Args:
+        home: The home.
+        listed: All VMs by id.
+        live: Ids of the live daemons.
+        adopters: The daemon that answers for each stopped home.
+
+    Returns:
+        The known adopter, else the home itself, then those that it would
+        have chosen as its successors.
+    """
+    ids = [adopters[home]] if home in adopters else []
+    ids.append(home.daemon_id)
+    others = [member for member in live if member != home.daemon_id]
+    ids += hashing.ranked(home.daemon_id, others)[:MAX_SUCCESSORS]
+    found = []
+    for daemon_id in dict.fromkeys(ids):
+        vm = listed.get(daemon_id)
+        if vm is not None and vm.role is vms.VmRole.ENTRY:
+            found.append(vm)
+    return found
+
+
+def reply(
+    receivers: list[_exchange.ReplyTo], outcome: exchange.Outcome
+) -> None:
+    """Tells all who wait for a request how it ended.
+
+    A long answer streams to the first; the others learn only that it ran.
+
+    Args:
+        receivers: Those who wait.
+        outcome: How it ended.
+    """
+    for index, receiver in enumerate(receivers):
+        told = outcome
+        if index and outcome.stream_id is not None:
+            told = exchange.Outcome(errors.ResultCode.ANSWER_NOT_KEPT)
+        receiver.inbox.force(messages.RequestEnded(receiver.token, told))
--- /dev/null
+++ b/src/dotterelpath/tasks/claims.py
@@ -0,0 +1,121 @@
+"""The task that claims callers' own keys in the store."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import itertools
+import typing
+
+import structlog
+
+from dotterelpath import errors
+from dotterelpath.domain import keys
+from dotterelpath.ports import store as store_port
+from dotterelpath.tasks import mailbox
+from dotterelpath.tasks import messages
+
+PREFIX = "claims/"
+LEASE_S = 3600.0
+MAX_OPEN_CLAIMS = 64
+
+_log = structlog.get_logger()
+
+
+class Claims:
+    """Makes the store name one home for each key that a caller made.
+
+    The claim's value carries a nonce, so that after a lost answer a read
+    tells whether this very claim took effect.
+    """
+
+    __slots__ = (
+        "_dispatcher",
+        "_home",
+        "_mailbox",
+        "_nonces",
+        "_open",
+        "_store",
+    )
+
+    def __init__(
+        self,
+        home: keys.Home,
+        store: store_port.Store,
+        inbox: mailbox.Mailbox[typing.Any],
+        dispatcher: mailbox.Mailbox[typing.Any],
+    ) -> None:
+        """Creates the task's state.
+
+        Args:
+            home: This daemon.
+            store: The store.
+            inbox: This task's mailbox.
+            dispatcher: Hears what became of claims.
+        """
+        self._home = home
+        self._store = store
+        self._mailbox = inbox
+        self._dispatcher = dispatcher
+        self._nonces = itertools.count(1)
+        self._open: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Handles messages until cancelled."""
+        try:
+            while True:
+                self.on_claim_key(await self._mailbox.receive())
+        finally:
+            for task in self._open:
+                task.cancel()
+
+    def on_claim_key(self, message: messages.ClaimKey) -> None:
+        """Begins a claim, unless too many are open.
+
+        Args:
+            message: The key.
+        """
+        if len(self._open) >= MAX_OPEN_CLAIMS:
+            self._tell(message, None, False)
+            return
+        task = asyncio.get_running_loop().create_task(self._claim(message))
+        self._open.add(task)
+        task.add_done_callback(self._open.discard)
+
+    async def _claim(self, message: messages.ClaimKey) -> None:
+        digest = hashlib.sha256(message.scoped_key.encode()).hexdigest()
+        key = PREFIX + digest
+        own = f"{self._home!r}.{next(self._nonces)}"
+        try:
+            found = await self._create(key, own)
+        except errors.StoreError as error:
+            _log.info("claim failed", error=str(error))
+            self._tell(message, None, False)
+            return
+        if found.value == own:
+            self._tell(message, self._home, True)
+            return
+        self._tell(message, _home_of(found.value), False)
+
+    async def _create(self, key: str, own: str) -> store_port.Versioned:
+        try:
+            return await self._store.create(key, own, LEASE_S)
+        except errors.UnknownOutcomeError:
+            found = await self._store.get(key)
+            if found.value is None:
+                raise errors.StoreError("the claim is unsettled") from None
+            return found
+
+    def _tell(
+        self, message: messages.ClaimKey, home: keys.Home | None, is_new: bool
+    ) -> None:
+        self._dispatcher.force(
+            messages.KeyClaimed(message.exchange_id, home, is_new)
+        )
+
+
+def _home_of(value: str | None) -> keys.Home | None:
+    parts = (value or "").split(".")
+    if len(parts) != 3:
+        return None
+    return keys.Home(parts[0], parts[1])
--- /dev/null
+++ b/src/dotterelpath/tasks/document_keeper.py
@@ -0,0 +1,209 @@
+"""The task that keeps the document in force."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+import structlog
+
+from dotterelpath import errors
+from dotterelpath.domain import document
+from dotterelpath.domain import edits
+from dotterelpath.domain import vms
+from dotterelpath.ports import codec as codec_port
+from dotterelpath.ports import peers as peers_port
+from dotterelpath.ports import store as store_port
+from dotterelpath.tasks import mailbox
+from dotterelpath.tasks import messages
+
+BLOB_PREFIX = "blobs/"
+RETRY_S = 0.5
+MAX_PEERS_ASKED = 3
+
+_log = structlog.get_logger()
+
+
+class DocumentKeeper:
+    """Fetches what a head names and puts the document into force.
+
+    A head of a lower version is never applied, whoever shows it. Texts come
+    from the store or from any peer; their hash proves them.
+    """
+
+    __slots__ = (
+        "_codec",
+        "_head",
+        "_mailbox",
+        "_peers",
+        "_readers",
+        "_sections",
+        "_store",
+        "_texts",
+        "_vms",
+        "_wanted",
+        "own_id",
+    )
+
+    def __init__(
+        self,
+        own_id: str,
+        store: store_port.Store,
+        peers: peers_port.Peers,
+        codec: codec_port.Codec,
+        inbox: mailbox.Mailbox[typing.Any],
+        readers: tuple[mailbox.Mailbox[typing.Any], ...],
+    ) -> None:
+        """Creates the task's state.
+
+        Args:
+            own_id: This daemon's id.
+            store: The store.
+            peers: The other daemons.
+            codec: Reads sections.
+            inbox: This task's mailbox.
+            readers: Get the document when it changes.
+        """
+        self.own_id = own_id
+        self._store = store
+        self._peers = peers
+        self._codec = codec
+        self._mailbox = inbox
+        self._readers = readers
+        self._head: document.Head | None = None
+        self._texts: dict[str, str] = {}
+        self._sections: dict[tuple[str, str], document.Section] = {}
+        self._wanted: document.Head | None = None
+        self._vms: dict[str, vms.Vm] = {}
+
+    @property
+    def head(self) -> document.Head | None:
+        """The head in force."""
+        return self._head
+
+    @property
+    def texts(self) -> dict[str, str]:
+        """The texts of the sections in force, by digest."""
+        return self._texts
+
+    async def run(self) -> None:
+        """Handles messages until cancelled."""
+        while True:
+            message = await self._mailbox.receive()
+            if isinstance(message, messages.HeadSeen):
+                await self.on_head_seen(message)
+            elif isinstance(message, messages.PeerAhead):
+                await self.on_peer_ahead(message)
+            elif isinstance(message, messages.VmsChanged):
+                self._vms = message.listed
+            elif isinstance(message, messages.RoundDue):
+                await self.on_round_due()
+
+    async def on_head_seen(self, message: messages.HeadSeen) -> None:
+        """Applies a head if it is newer.
+
+        Args:
+            message: The head and who showed it.
+        """
+        head = message.head
+        if self._head is not None and head.version <= self._head.version:
+            return
+        if self._wanted is None or head.version > self._wanted.version:
+            self._wanted = head
+        await self._apply(head, message.source)
+
+    async def on_peer_ahead(self, message: messages.PeerAhead) -> None:
+        """Fetches a newer head from a peer.
+
+        Args:
+            message: The peer.
+        """
+        try:
+            snapshot = await self._peers.snapshot(message.vm)
+        except (
+            peers_port.PeerUnreachableError,
+            peers_port.PeerSilentError,
+        ) as error:
+            _log.info("no snapshot", peer=message.vm.id, error=str(error))
+            return
+        for ledger in snapshot.ledgers:
+            for reader in self._readers:
+                reader.force(messages.LedgerChanged(ledger))
+        if snapshot.head is not None:
+            await self.on_head_seen(
+                messages.HeadSeen(snapshot.head, message.vm)
+            )
+
+    async def on_round_due(self) -> None:
+        """Tries again to fetch what could not be fetched."""
+        if self._wanted is not None:
+            await self._apply(self._wanted, None)
+
+    async def _apply(self, head: document.Head, source: vms.Vm | None) -> None:
+        texts = {}
+        for name, digest in head.blobs.items():
+            text = await self._text(digest, source)
+            if text is None:
+                _log.warning("section missing", section=name, digest=digest)
+                return
+            texts[digest] = text
+        try:
+            sections = self._parse(head, texts)
+        except errors.DotterelpathError as error:
+            # An accepted document that this release cannot read must not be
+            # served in part: the daemon then goes on to be reported as old.
+            _log.error("document cannot be applied", error=str(error))
+            return
+        self._head = head
+        self._texts = texts
+        self._wanted = None
+        in_force = document.Document(head.version, tuple(sections))
+        for reader in self._readers:
+            reader.force(messages.DocumentChanged(in_force))
+        _log.info("document in force", version=head.version)
+
+    def _parse(
+        self, head: document.Head, texts: dict[str, str]
+    ) -> list[document.Section]:
+        parsed = {}
+        for name, digest in sorted(head.blobs.items()):
+            known = self._sections.get((name, digest))
+            if known is None:
+                known = self._codec.parse_section(name, texts[digest])
+            parsed[(name, digest)] = known
+        self._sections = parsed
+        return list(parsed.values())
+
+    async def _text(self, digest: str, source: vms.Vm | None) -> str | None:
+        known = self._texts.get(digest)
+        if known is not None:
+            return known
+        if source is None:
+            try:
+                found = await self._store.get(BLOB_PREFIX + digest)
+                if found.value and edits.digest(found.value) == digest:
+                    return found.value
+            except errors.StoreError as error:
+                _log.info("store has no text", digest=digest, error=str(error))
+        return await self._text_from_peers(digest, source)
+
+    async def _text_from_peers(
+        self, digest: str, source: vms.Vm | None
+    ) -> str | None:
+        entry_vms = [
+            vm
+            for vm in self._vms.values()
+            if vm.role is vms.VmRole.ENTRY and vm.id != self.own_id
+        ]
+        asked = random.sample(entry_vms, min(MAX_PEERS_ASKED, len(entry_vms)))
+        for vm in [source, *asked] if source else asked:
+            try:
+                text = await self._peers.blob(vm, digest)
+            except (
+                peers_port.PeerUnreachableError,
+                peers_port.PeerSilentError,
+            ):
+                continue
+            if text is not None and edits.digest(text) == digest:
+                return text
+        return None
--- /dev/null
+++ b/src/dotterelpath/tasks/editor.py
@@ -0,0 +1,189 @@
+"""Saves operators' edits: a compare-and-swap of one head."""
+
+from __future__ import annotations
+
+import typing
+
+import structlog
+
+from dotterelpath import errors
+from dotterelpath.domain import document
+from dotterelpath.domain import edits
+from dotterelpath.ports import codec as codec_port
+from dotterelpath.ports import store as store_port
+from dotterelpath.tasks import document_keeper
+from dotterelpath.tasks import mailbox
+from dotterelpath.tasks import messages
+from dotterelpath.tasks import store_watcher
+
+MAX_SWAPS = 8
+EMPTY_HEAD = document.Head(0, {})
+
+_log = structlog.get_logger()
+
+
+class EditRequest:
+    """What an operator asks for."""
+
+    __slots__ = ("base_digest", "edit_id", "section", "text", "token")
+
+    def __init__(
+        self,
+        section: str,
+        text: str | None,
+        base_digest: str | None,
+        edit_id: str,
+        token: str,
+    ) -> None:
+        """Creates a request.
+
+        Args:
+            section: The section's name.
+            text: The new text; None removes the section.
+            base_digest: The digest of the text that was edited; None for a
+                new section.
+            edit_id: Names the edit.
+            token: The operator's token.
+        """
+        self.section = section
+        self.text = text
+        self.base_digest = base_digest
+        self.edit_id = edit_id
+        self.token = token
+
+
+class Editor:
+    """Checks edits against the store's newest document and saves them."""
+
+    __slots__ = ("_codec", "_keeper", "_store", "_texts")
+
+    def __init__(
+        self,
+        store: store_port.Store,
+        codec: codec_port.Codec,
+        keeper: mailbox.Mailbox[typing.Any],
+    ) -> None:
+        """Creates an editor.
+
+        Args:
+            store: The store.
+            codec: Reads sections and writes heads.
+            keeper: Gets the new head at once.
+        """
+        self._store = store
+        self._codec = codec
+        self._keeper = keeper
+        self._texts: dict[str, str] = {}
+
+    async def save(self, request: EditRequest) -> document.Head:
+        """Saves an edit.
+
+        Args:
+            request: What the operator asks for.
+
+        Returns:
+            The head that has the edit.
+
+        Raises:
+            DotterelpathError: The edit is invalid, forbidden or in conflict,
+                the store gave no answer, or it is unknown whether the edit
+                took effect.
+        """
+        may_have_landed = False
+        for _ in range(MAX_SWAPS):
+            try:
+                head, revision = await self._read_head()
+                if request.edit_id in head.recent_edits:
+                    return self._landed(head)
+                newer = await self._check(head, request)
+                text = self._codec.encode_head(newer)
+                found = await self._store.swap(
+                    store_watcher.HEAD_KEY, text, revision
+                )
+            except errors.UnknownOutcomeError as error:
+                # Reading the head again tells; a swap at the same revision
+                # can take effect only once.
+                _log.warning("edit answer lost", error=str(error))
+                may_have_landed = True
+                continue
+            except errors.StoreError as error:
+                raise _unsaved(request, may_have_landed, error) from error
+            if found is not None:
+                return self._landed(newer)
+        raise _unsaved(request, may_have_landed, "too many races")
+
+    async def _read_head(self) -> tuple[document.Head, int]:
+        found = await self._store.get(store_watcher.HEAD_KEY)
+        if found.value is None:
+            return EMPTY_HEAD, 0
+        return self._codec.decode_head(found.value), found.revision
+
+    async def _check(
+        self, head: document.Head, request: EditRequest
+    ) -> document.Head:
+        """Checks an edit against a head and stores its text."""
+        sections = await self._sections(head)
+        current = sections.get(request.section)
+        if current is not None:
+            edits.check_owner(current, request.token)
+        digest = None
+        if request.text is None:
+            if current is None:
+                raise errors.DotterelpathError(errors.ResultCode.NO_SECTION)
+            del sections[request.section]
+        else:
+            digest = edits.digest(request.text)
+            edited = self._codec.parse_section(request.section, request.text)
+            if current is None:
+                edits.check_owner(edited, request.token)
+            sections[request.section] = edited
+        edit = edits.Edit(
+            request.section, request.base_digest, digest, request.edit_id
+        )
+        newer = edits.apply(head, edit)
+        edits.check_rules([sections[name] for name in sorted(sections)])
+        if digest is not None and request.text is not None:
+            await self._save_text(digest, request.text)
+        return newer
+
+    async def _save_text(self, digest: str, text: str) -> None:
+        key = document_keeper.BLOB_PREFIX + digest
+        try:
+            await self._store.create(key, text)
+        except errors.UnknownOutcomeError:
+            # Creating a blob again is harmless: its key is its content.
+            await self._store.create(key, text)
+
+    async def _sections(
+        self, head: document.Head
+    ) -> dict[str, document.Section]:
+        parsed = {}
+        for name, digest in head.blobs.items():
+            text = self._texts.get(digest)
+            if text is None:
+                key = document_keeper.BLOB_PREFIX + digest
+                text = (await self._store.get(key)).value
+            if text is None:
+                raise errors.StoreError(f"the text of {name} is missing")
+            self._texts[digest] = text
+            parsed[name] = self._codec.parse_section(name, text)
+        kept = set(head.blobs.values())
+        self._texts = {d: t for d, t in self._texts.items() if d in kept}
+        return parsed
+
+    def _landed(self, head: document.Head) -> document.Head:
+        self._keeper.force(messages.HeadSeen(head))
+        return head
+
+
+def _unsaved(
+    request: EditRequest, may_have_landed: bool, reason: object
+) -> errors.DotterelpathError:
+    if may_have_landed:
+        return errors.DotterelpathError(
+            errors.ResultCode.EDIT_UNKNOWN,
+            f"edit {request.edit_id} may have taken effect: {reason}",
+        )
+    return errors.DotterelpathError(
+        errors.ResultCode.STORE_UNAVAILABLE, str(reason)
+    )
--- /dev/null
+++ b/src/dotterelpath/tasks/front_end.py
@@ -0,0 +1,261 @@
+"""The task that owns the listening socket and all callers' connections."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import typing
+
+import structlog
+
+from dotterelpath import errors
+from dotterelpath.domain import exchange
+from dotterelpath.ports import frontend
+from dotterelpath.tasks import mailbox
+from dotterelpath.tasks import messages
+
+OWN_PREFIX = "/-/"
+
+_log = structlog.get_logger()
+
+
+class FrontEnd:
+    """Passes callers' requests to the dispatcher and writes the answers."""
+
+    __slots__ = (
+        "_back_ends",
+        "_binder",
+        "_busy",
+        "_directory",
+        "_dispatcher",
+        "_drained",
+        "_host",
+        "_is_draining",
+        "_mailbox",
+        "_open",
+        "_port",
+        "_server",
+        "_streams",
+        "_tokens",
+    )
+
+    def __init__(
+        self,
+        binder: frontend.Binder,
+        host: str,
+        port: int,
+        inbox: mailbox.Mailbox[typing.Any],
+        dispatcher: mailbox.Mailbox[typing.Any],
+        directory: mailbox.Mailbox[typing.Any],
+        back_ends: mailbox.Mailbox[typing.Any],
+    ) -> None:
+        """Creates the task's state.
+
+        Args:
+            binder: Opens the listening socket.
+            host: The IP address for callers.
+            port: The port for callers.
+            inbox: This task's mailbox.
+            dispatcher: Gets callers' requests.
+            directory: Gets requests for addresses.
+            back_ends: Hears of slow readers.
+        """
+        self._binder = binder
+        self._host = host
+        self._port = port
+        self._mailbox = inbox
+        self._dispatcher = dispatcher
+        self._directory = directory
+        self._back_ends = back_ends
+        self._server: frontend.Server | None = None
+        self._open: set[frontend.Connection] = set()
+        self._busy: dict[int, frontend.Connection] = {}
+        self._tokens: dict[frontend.Connection, int] = {}
+        self._streams: dict[int, int] = {}
+        self._drained = asyncio.Event()
+        self._is_draining = False
+
+    @property
+    def drained(self) -> asyncio.Event:
+        """Set when a drain has closed the last connection."""
+        return self._drained
+
+    async def listen(self) -> None:
+        """Opens the listening socket.
+
+        Raises:
+            DotterelpathError: The address is in use.
+        """
+        self._server = await self._binder.listen(self._host, self._port, self)
+
+    async def run(self) -> None:
+        """Handles messages until cancelled."""
+        try:
+            while True:
+                self._handle(await self._mailbox.receive())
+        finally:
+            self._close()
+
+    def on_opened(self, connection: frontend.Connection) -> None:
+        """A caller connected; see frontend.Listener."""
+        self._open.add(connection)
+        if self._is_draining:
+            connection.drain()
+
+    def on_request(
+        self, connection: frontend.Connection, request: exchange.Request
+    ) -> None:
+        """A request came in; see frontend.Listener."""
+        token = next(_tokens)
+        self._busy[token] = connection
+        self._tokens[connection] = token
+        is_own = request.path.startswith(OWN_PREFIX)
+        receiver = self._directory if is_own else self._dispatcher
+        try:
+            receiver.post(
+                messages.RequestArrived(request, self._mailbox, token)
+            )
+        except mailbox.MailboxFullError:
+            self._end(token, _overloaded(request))
+
+    def on_rejected(
+        self, connection: frontend.Connection, error: errors.DotterelpathError
+    ) -> None:
+        """A request was refused by its form; see frontend.Listener."""
+        _log.info("request rejected", code=int(error.code), text=error.detail)
+
+    def on_gone(self, connection: frontend.Connection) -> None:
+        """A caller closed; see frontend.Listener."""
+        self._open.discard(connection)
+        token = self._tokens.pop(connection, None)
+        if token is not None:
+            self._busy.pop(token, None)
+            self._forget_stream(token)
+            self._dispatcher.force(messages.CallerGone(self._mailbox, token))
+        self._check_drained()
+
+    def on_paused(self, connection: frontend.Connection) -> None:
+        """A caller reads slowly; see frontend.Listener."""
+        self._tell_reader(connection, True)
+
+    def on_resumed(self, connection: frontend.Connection) -> None:
+        """A caller has caught up; see frontend.Listener."""
+        self._tell_reader(connection, False)
+
+    def on_request_ended(self, message: messages.RequestEnded) -> None:
+        """Writes an answer.
+
+        Args:
+            message: The request and its outcome.
+        """
+        self._end(message.token, message.outcome)
+
+    def on_answer_part(self, message: messages.AnswerPart) -> None:
+        """Writes a part of a long answer.
+
+        Args:
+            message: The part.
+        """
+        connection = self._stream_connection(message.exchange_id)
+        if connection is not None:
+            connection.part(message.data)
+
+    def on_answer_done(self, message: messages.AnswerDone) -> None:
+        """Completes a long answer, or closes if it broke off.
+
+        Args:
+            message: Whether it is whole.
+        """
+        connection = self._stream_connection(message.exchange_id)
+        token = self._streams.pop(message.exchange_id, None)
+        if connection is None or token is None:
+            return
+        self._release(token)
+        if message.is_whole:
+            connection.end()
+        else:
+            connection.abort()
+
+    def on_drain_began(self) -> None:
+        """Stops listening and closes each connection when it is idle."""
+        self._is_draining = True
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._open):
+            connection.drain()
+        self._check_drained()
+
+    def _handle(self, message: typing.Any) -> None:
+        if isinstance(message, messages.RequestEnded):
+            self.on_request_ended(message)
+        elif isinstance(message, messages.AnswerPart):
+            self.on_answer_part(message)
+        elif isinstance(message, messages.AnswerDone):
+            self.on_answer_done(message)
+        elif isinstance(message, messages.DrainBegan):
+            self.on_drain_began()
+
+    def _end(self, token: int, outcome: exchange.Outcome) -> None:
+        connection = self._busy.get(token)
+        if connection is None:
+            if outcome.stream_id is not None:
+                self._back_ends.force(
+                    messages.CancelTry(outcome.stream_id, False)
+                )
+            return
+        if outcome.stream_id is not None:
+            self._streams[outcome.stream_id] = token
+        else:
+            self._release(token)
+        connection.answer(outcome)
+
+    def _release(self, token: int) -> None:
+        connection = self._busy.pop(token, None)
+        if connection is not None and self._tokens.get(connection) == token:
+            del self._tokens[connection]
+
+    def _stream_connection(
+        self, exchange_id: int
+    ) -> frontend.Connection | None:
+        token = self._streams.get(exchange_id)
+        return None if token is None else self._busy.get(token)
+
+    def _forget_stream(self, token: int) -> None:
+        for exchange_id, of_token in list(self._streams.items()):
+            if of_token == token:
+                del self._streams[exchange_id]
+                self._back_ends.force(messages.CancelTry(exchange_id, False))
+
+    def _tell_reader(
+        self, connection: frontend.Connection, is_paused: bool
+    ) -> None:
+        token = self._tokens.get(connection)
+        for exchange_id, of_token in self._streams.items():
+            if of_token == token:
+                self._back_ends.force(
+                    messages.ReaderPaused(exchange_id, is_paused)
+                )
+
+    def _check_drained(self) -> None:
+        if self._is_draining and not self._open:
+            self._drained.set()
+
+    def _close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._open):
+            connection.abort()
+
+
+_tokens = itertools.count(1)
+
+
+def _overloaded(request: exchange.Request) -> exchange.Outcome:
+    """Refuses a request that no decision has been made on.
+
+    Another attempt with the same key may be running, so that only a request
+    without a key is certainly not run.
+    """
+    if request.key is None:
+        return exchange.Outcome(errors.ResultCode.OVERLOADED)
+    return exchange.Outcome(errors.ResultCode.RECORDS_FULL)
--- /dev/null
+++ b/src/dotterelpath/tasks/gossip.py
@@ -0,0 +1,260 @@
+"""The task that exchanges heartbeats with other daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import typing
+
+import structlog
+
+from dotterelpath.domain import document
+from dotterelpath.domain import keys
+from dotterelpath.domain import members
+from dotterelpath.domain import vms
+from dotterelpath.ports import clock as clock_port
+from dotterelpath.ports import peers as peers_port
+from dotterelpath.tasks import mailbox
+from dotterelpath.tasks import messages
+
+ROUND_S = 1.0
+STALE_AFTER_S = 5.0
+PUSH_FANOUT = 4
+
+_log = structlog.get_logger()
+
+
+class Gossip:
+    """Owns the membership and tells the other tasks who is live."""
+
+    __slots__ = (
+        "_adopted",
+        "_clock",
+        "_data_centre",
+        "_document_version",
+        "_is_fresh",
+        "_keeper",
+        "_listed",
+        "_mailbox",
+        "_membership",
+        "_peers",
+        "_random",
+        "_readers",
+        "_seen",
+        "_sending",
+        "_store_s",
+        "_vms_known",
+    )
+
+    def __init__(
+        self,
+        home: keys.Home,
+        data_centre: str,
+        peers: peers_port.Peers,
+        clock: clock_port.Clock,
+        inbox: mailbox.Mailbox[typing.Any],
+        keeper: mailbox.Mailbox[typing.Any],
+        readers: tuple[mailbox.Mailbox[typing.Any], ...],
+    ) -> None:
+        """Creates the task's state.
+
+        Args:
+            home: This daemon.
+            data_centre: Where it stands.
+            peers: The other daemons.
+            clock: Tells the time.
+            inbox: This task's mailbox.
+            keeper: Hears of peers with a newer document.
+            readers: Hear who is live and whether this daemon is fresh.
+        """
+        self._data_centre = data_centre
+        self._peers = peers
+        self._clock = clock
+        self._mailbox = inbox
+        self._keeper = keeper
+        self._readers = readers
+        self._membership = members.Membership(home, clock.now_s())
+        self._random = random.Random()
+        self._document_version = 0
+        self._store_s = clock.now_s()
+        self._is_fresh = True
+        self._adopted: tuple[keys.Home, ...] = ()
+        self._listed: dict[str, vms.Vm] = {}
+        self._vms_known = False
+        self._sending: set[asyncio.Task[None]] = set()
+        self._seen: list[str] = []
+
+    @property
+    def membership(self) -> members.Membership:
+        """The view of the fleet, for reports on the daemon's state."""
+        return self._membership
+
+    async def run(self) -> None:
+        """Handles messages until cancelled."""
+        try:
+            while True:
+                self._handle(await self._mailbox.receive())
+        finally:
+            for task in self._sending:
+                task.cancel()
+
+    def on_round_due(self) -> None:
+        """Sends this round's heartbeats."""
+        self._membership.forget_old_adoptions(self._clock.now_s())
+        self._push(self._membership.targets(self._random))
+        self._check_fresh()
+        self._tell_members()
+
+    def on_heartbeat_arrived(self, message: messages.HeartbeatArrived) -> None:
+        """Takes in a peer's heartbeat and answers it.
+
+        Args:
+            message: The heartbeat.
+        """
+        self._take_in(message.heartbeat)
+        if not message.reply.done():
+            message.reply.set_result(self._own_heartbeat())
+
+    def on_heartbeat_answered(
+        self, message: messages.HeartbeatAnswered
+    ) -> None:
+        """Takes in a peer's answer or its silence.
+
+        Args:
+            message: What the peer said.
+        """
+        if message.heartbeat is None:
+            now_s = self._clock.now_s()
+            self._membership.on_silence(message.member_id, now_s)
+        else:
+            self._membership.on_reply(message.member_id)
+            self._take_in(message.heartbeat)
+        self._tell_members()
+
+    def on_vms_changed(self, message: messages.VmsChanged) -> None:
+        """Takes in the platform's list.
+
+        Args:
+            message: The list.
+        """
+        self._listed = message.listed
+        entry = [
+            vm for vm in message.listed.values() if vm.role is vms.VmRole.ENTRY
+        ]
+        self._membership.set_vms(entry, self._clock.now_s())
+        if not self._vms_known:
+            # A daemon that just started asks at once what is in force.
+            self._vms_known = True
+            self._push(self._membership.targets(self._random))
+        self._tell_members()
+
+    def on_document_changed(self, document_in_force: document.Document) -> None:
+        """Tells a few peers at once that there is a newer document.
+
+        Args:
+            document_in_force: The document.
+        """
+        self._document_version = document_in_force.version
+        ids = list(self._membership.members)
+        count = min(PUSH_FANOUT, len(ids))
+        self._push(self._random.sample(ids, count))
+
+    def on_book_adopted(self, message: messages.BookAdopted) -> None:
+        """Tells peers that this daemon answers for a stopped home.
+
+        Args:
+            message: The home's records.
+        """
+        if message.book.home not in self._adopted:
+            self._adopted = (*self._adopted, message.book.home)[-64:]
+        self._push(self._membership.targets(self._random))
+
+    def on_leave_began(self) -> None:
+        """Tells all peers that this daemon leaves."""
+        self._membership.leave()
+        self._push(list(self._membership.members))
+        self._tell_members()
+
+    def _handle(self, message: typing.Any) -> None:
+        if isinstance(message, messages.RoundDue):
+            self.on_round_due()
+        elif isinstance(message, messages.HeartbeatArrived):
+            self.on_heartbeat_arrived(message)
+        elif isinstance(message, messages.HeartbeatAnswered):
+            self.on_heartbeat_answered(message)
+        elif isinstance(message, messages.VmsChanged):
+            self.on_vms_changed(message)
+        elif isinstance(message, messages.StoreHeard):
+            self._store_s = message.at_s
+            self._check_fresh()
+        elif isinstance(message, messages.DocumentChanged):
+            self.on_document_changed(message.document)
+        elif isinstance(message, messages.BookAdopted):
+            self.on_book_adopted(message)
+        elif isinstance(message, messages.LeaveBegan):
+            self.on_leave_began()
+
+    def _take_in(self, heartbeat: members.Heartbeat) -> None:
+        self._membership.on_heartbeat(heartbeat, self._clock.now_s())
+        self._check_fresh()
+        if heartbeat.document_version <= self._document_version:
+            return
+        vm = self._listed.get(heartbeat.home.daemon_id)
+        if vm is not None:
+            self._keeper.force(messages.PeerAhead(vm))
+
+    def _own_heartbeat(self) -> members.Heartbeat:
+        return members.Heartbeat(
+            self._membership.own,
+            self._membership.counter,
+            self._membership.own_state,
+            self._document_version,
+            self._clock.now_s() - self._store_s,
+            self._adopted,
+            self._membership.take_rumours(),
+        )
+
+    def _push(self, member_ids: list[str]) -> None:
+        for member_id in member_ids:
+            self._membership.asked(member_id, self._clock.now_s())
+            vm = self._membership.members[member_id].vm
+            task = asyncio.get_running_loop().create_task(self._send(vm))
+            self._sending.add(task)
+            task.add_done_callback(self._sending.discard)
+
+    async def _send(self, vm: vms.Vm) -> None:
+        answer = None
+        try:
+            answer = await self._peers.heartbeat(vm, self._own_heartbeat())
+        except (
+            peers_port.PeerUnreachableError,
+            peers_port.PeerSilentError,
+        ) as error:
+            _log.debug("peer silent", peer=vm.id, error=str(error))
+        self._mailbox.force(messages.HeartbeatAnswered(vm.id, answer))
+
+    def _check_fresh(self) -> None:
+        """Judges whether an accepted edit would have been heard of."""
+        heard_s = max(self._store_s, self._membership.last_peer_s)
+        is_alone = not self._membership.members
+        is_fresh = is_alone or self._clock.now_s() - heard_s <= STALE_AFTER_S
+        if is_fresh == self._is_fresh:
+            return
+        self._is_fresh = is_fresh
+        _log.warning("freshness changed", is_fresh=is_fresh)
+        for reader in self._readers:
+            reader.force(messages.FreshnessChanged(is_fresh))
+
+    def _tell_members(self) -> None:
+        live = sorted(self._membership.live())
+        if live == self._seen:
+            return
+        self._seen = live
+        places = {
+            m: v.vm.data_centre for m, v in self._membership.members.items()
+        }
+        places[self._membership.own.daemon_id] = self._data_centre
+        for reader in self._readers:
+            reader.force(
+                messages.MembersChanged(live, places, self._membership.adopters)
+            )
--- /dev/null
+++ b/src/dotterelpath/tasks/messages.py
@@ -0,0 +1,603 @@
+"""The messages that the daemon's tasks exchange."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from dotterelpath.domain import document
+from dotterelpath.domain import exchange
+from dotterelpath.domain import keys
+from dotterelpath.domain import ledger
+from dotterelpath.domain import members
+from dotterelpath.domain import records
+from dotterelpath.domain import tries
+from dotterelpath.domain import vms
+from dotterelpath.ports import backend
+from dotterelpath.tasks import mailbox
+
+
+class RequestArrived:
+    """A request came from a caller, or from a peer for a key kept here."""
+
+    __slots__ = (
+        "claimed_home",
+        "is_forwarded",
+        "reply_to",
+        "request",
+        "token",
+    )
+
+    def __init__(
+        self,
+        request: exchange.Request,
+        reply_to: mailbox.Mailbox[typing.Any],
+        token: int,
+        is_forwarded: bool = False,
+        claimed_home: keys.Home | None = None,
+    ) -> None:
+        """Creates the message.
+
+        Args:
+            request: The request.
+            reply_to: Where RequestEnded goes.
+            token: Names the request to that receiver.
+            is_forwarded: Whether a peer sent it here as its key's home.
+            claimed_home: The home that the store names, where the caller
+                made the key itself and a peer sent the request here.
+        """
+        self.claimed_home = claimed_home
+        self.request = request
+        self.reply_to = reply_to
+        self.token = token
+        self.is_forwarded = is_forwarded
+
+
+class RequestEnded:
+    """A request has its outcome."""
+
+    __slots__ = ("outcome", "token")
+
+    def __init__(self, token: int, outcome: exchange.Outcome) -> None:
+        """Creates the message.
+
+        Args:
+            token: The request's name at the receiver.
+            outcome: How it ended.
+        """
+        self.token = token
+        self.outcome = outcome
+
+
+class CallerGone:
+    """A caller closed its connection with a request on it."""
+
+    __slots__ = ("reply_to", "token")
+
+    def __init__(
+        self, reply_to: mailbox.Mailbox[typing.Any], token: int
+    ) -> None:
+        """Creates the message.
+
+        Args:
+            reply_to: The receiver that RequestArrived named.
+            token: The token that RequestArrived named.
+        """
+        self.reply_to = reply_to
+        self.token = token
+
+
+class SendTry:
+    """A request is to be written to an instance."""
+
+    __slots__ = (
+        "buffer_limit",
+        "exchange_id",
+        "needs_fresh",
+        "request",
+        "timeout_s",
+        "vm",
+    )
+
+    def __init__(
+        self,
+        exchange_id: int,
+        vm: vms.Vm,
+        request: exchange.Request,
+        timeout_s: float,
+        needs_fresh: bool,
+        buffer_limit: int,
+    ) -> None:
+        """Creates the message.
+
+        Args:
+            exchange_id: Names the try.
+            vm: The instance.
+            request: The request.
+            timeout_s: What remains until the deadline, in seconds.
+            needs_fresh: Whether the connection must be lately proven.
+            buffer_limit: The longest answer, in bytes, that is given whole.
+        """
+        self.exchange_id = exchange_id
+        self.vm = vm
+        self.request = request
+        self.timeout_s = timeout_s
+        self.needs_fresh = needs_fresh
+        self.buffer_limit = buffer_limit
+
+
+class CancelTry:
+    """Nobody waits for a try any more, or it took too long."""
+
+    __slots__ = ("exchange_id", "timed_out")
+
+    def __init__(self, exchange_id: int, timed_out: bool) -> None:
+        """Creates the message.
+
+        Args:
+            exchange_id: The try.
+            timed_out: Whether the instance's silence is the reason.
+        """
+        self.exchange_id = exchange_id
+        self.timed_out = timed_out
+
+
+class TryEnded:
+    """A try has ended."""
+
+    __slots__ = ("answer", "detail", "end", "exchange_id", "is_whole")
+
+    def __init__(
+        self,
+        exchange_id: int,
+        end: tries.TryEnd,
+        detail: str = "",
+        answer: exchange.Answer | None = None,
+        is_whole: bool = True,
+    ) -> None:
+        """Creates the message.
+
+        Args:
+            exchange_id: The try.
+            end: How it ended.
+            detail: What was seen.
+            answer: The answer, where there is one.
+            is_whole: Whether no parts of the answer follow.
+        """
+        self.exchange_id = exchange_id
+        self.end = end
+        self.detail = detail
+        self.answer = answer
+        self.is_whole = is_whole
+
+
+class AnswerPart:
+    """A further part of a long answer."""
+
+    __slots__ = ("data", "exchange_id")
+
+    def __init__(self, exchange_id: int, data: bytes) -> None:
+        """Creates the message.
+
+        Args:
+            exchange_id: The try that the answer belongs to.
+            data: The part.
+        """
+        self.exchange_id = exchange_id
+        self.data = data
+
+
+class AnswerDone:
+    """A long answer is complete, or broke off."""
+
+    __slots__ = ("exchange_id", "is_whole")
+
+    def __init__(self, exchange_id: int, is_whole: bool) -> None:
+        """Creates the message.
+
+        Args:
+            exchange_id: The try that the answer belongs to.
+            is_whole: Whether all of it came in.
+        """
+        self.exchange_id = exchange_id
+        self.is_whole = is_whole
+
+
+class ReaderPaused:
+    """The reader of a long answer is slow, or has caught up."""
+
+    __slots__ = ("exchange_id", "is_paused")
+
+    def __init__(self, exchange_id: int, is_paused: bool) -> None:
+        """Creates the message.
+
+        Args:
+            exchange_id: The try that the answer belongs to.
+            is_paused: Whether to stop reading.
+        """
+        self.exchange_id = exchange_id
+        self.is_paused = is_paused
+
+
+class ConnectionOpened:
+    """A connection to an instance is open, or could not be opened."""
+
+    __slots__ = ("connection", "detail", "vm_id")
+
+    def __init__(
+        self,
+        vm_id: str,
+        connection: backend.Connection | None,
+        detail: str = "",
+    ) -> None:
+        """Creates the message.
+
+        Args:
+            vm_id: The instance.
+            connection: The connection; None where it failed.
+            detail: Why it failed.
+        """
+        self.vm_id = vm_id
+        self.connection = connection
+        self.detail = detail
+
+
+class DocumentChanged:
+    """A newer document is in force."""
+
+    __slots__ = ("document",)
+
+    def __init__(self, document: document.Document) -> None:
+        """Creates the message.
+
+        Args:
+            document: The document.
+        """
+        self.document = document
+
+
+class VmsChanged:
+    """The platform's list changed."""
+
+    __slots__ = ("listed",)
+
+    def __init__(self, listed: dict[str, vms.Vm]) -> None:
+        """Creates the message.
+
+        Args:
+            listed: All VMs by id; the receiver must not change it.
+        """
+        self.listed = listed
+
+
+class LedgerChanged:
+    """The ejections of a service changed."""
+
+    __slots__ = ("ledger",)
+
+    def __init__(self, ledger: ledger.Ledger) -> None:
+        """Creates the message.
+
+        Args:
+            ledger: The service's ledger.
+        """
+        self.ledger = ledger
+
+
+class MembersChanged:
+    """The live daemons changed."""
+
+    __slots__ = ("adopters", "data_centres", "live")
+
+    def __init__(
+        self,
+        live: list[str],
+        data_centres: dict[str, str],
+        adopters: dict[keys.Home, str],
+    ) -> None:
+        """Creates the message.
+
+        Args:
+            live: Ids of the live daemons, this one included.
+            data_centres: The data centre of each.
+            adopters: The daemon that answers for each stopped home.
+        """
+        self.live = live
+        self.data_centres = data_centres
+        self.adopters = adopters
+
+
+class FreshnessChanged:
+    """The daemon has, or has not, lately heard the store or a peer."""
+
+    __slots__ = ("is_fresh",)
+
+    def __init__(self, is_fresh: bool) -> None:
+        """Creates the message.
+
+        Args:
+            is_fresh: Whether the document may be taken as current.
+        """
+        self.is_fresh = is_fresh
+
+
+class ForwardRequest:
+    """A request is to go to its key's home."""
+
+    __slots__ = (
+        "candidates",
+        "claimed_home",
+        "exchange_id",
+        "request",
+        "timeout_s",
+    )
+
+    def __init__(
+        self,
+        exchange_id: int,
+        candidates: list[vms.Vm],
+        request: exchange.Request,
+        timeout_s: float,
+        claimed_home: keys.Home | None,
+    ) -> None:
+        """Creates the message.
+
+        Args:
+            exchange_id: Names the forward.
+            candidates: The daemons to ask, in order, until one answers for
+                the home.
+            request: The request.
+            timeout_s: How long to wait, in seconds.
+            claimed_home: The home that the store names, for a key that the
+                caller made itself.
+        """
+        self.claimed_home = claimed_home
+        self.exchange_id = exchange_id
+        self.candidates = candidates
+        self.request = request
+        self.timeout_s = timeout_s
+
+
+class ForwardEnded:
+    """A home has answered, or cannot be reached."""
+
+    __slots__ = ("exchange_id", "outcome")
+
+    def __init__(self, exchange_id: int, outcome: exchange.Outcome) -> None:
+        """Creates the message.
+
+        Args:
+            exchange_id: The forward.
+            outcome: How the request ended.
+        """
+        self.exchange_id = exchange_id
+        self.outcome = outcome
+
+
+class ClaimKey:
+    """A caller's own key is to be claimed in the store."""
+
+    __slots__ = ("exchange_id", "scoped_key")
+
+    def __init__(self, exchange_id: int, scoped_key: str) -> None:
+        """Creates the message.
+
+        Args:
+            exchange_id: Names the claim.
+            scoped_key: The key with its workspace.
+        """
+        self.exchange_id = exchange_id
+        self.scoped_key = scoped_key
+
+
+class KeyClaimed:
+    """The store has named the home of a key, or gave no answer."""
+
+    __slots__ = ("exchange_id", "home", "is_new")
+
+    def __init__(
+        self, exchange_id: int, home: keys.Home | None, is_new: bool
+    ) -> None:
+        """Creates the message.
+
+        Args:
+            exchange_id: The claim.
+            home: The key's home; None where the store gave no answer.
+            is_new: Whether this claim created it.
+        """
+        self.exchange_id = exchange_id
+        self.home = home
+        self.is_new = is_new
+
+
+class BookAdopted:
+    """A stopping daemon gave its records to this one."""
+
+    __slots__ = ("book",)
+
+    def __init__(self, book: records.Book) -> None:
+        """Creates the message.
+
+        Args:
+            book: The records of the home, frozen if only kept outcomes may
+                be given.
+        """
+        self.book = book
+
+
+class Tick:
+    """The earliest deadline may have passed."""
+
+    __slots__ = ()
+
+
+class DrainBegan:
+    """The daemon is to stop; finish what is in flight."""
+
+    __slots__ = ()
+
+
+class FreezeBegan:
+    """The records are to be handed off; no key may start here any more."""
+
+    __slots__ = ("books",)
+
+    def __init__(self, books: asyncio.Future[list[records.Book]]) -> None:
+        """Creates the message.
+
+        Args:
+            books: Gets all books once nothing in them runs.
+        """
+        self.books = books
+
+
+class HandedOff:
+    """A successor has the records, or none could be found."""
+
+    __slots__ = ("successor",)
+
+    def __init__(self, successor: vms.Vm | None) -> None:
+        """Creates the message.
+
+        Args:
+            successor: The daemon that answers from now on.
+        """
+        self.successor = successor
+
+
+class SickChanged:
+    """This daemon's opinion of a service's instances changed."""
+
+    __slots__ = ("service", "sick")
+
+    def __init__(self, service: str, sick: tuple[str, ...]) -> None:
+        """Creates the message.
+
+        Args:
+            service: The service.
+            sick: The instances that this daemon calls sick, worst first.
+        """
+        self.service = service
+        self.sick = sick
+
+
+class ReportsArrived:
+    """A daemon reports all instances of a service that it calls sick."""
+
+    __slots__ = ("daemon_id", "data_centre", "service", "sick")
+
+    def __init__(
+        self,
+        service: str,
+        daemon_id: str,
+        data_centre: str,
+        sick: tuple[str, ...],
+    ) -> None:
+        """Creates the message.
+
+        Args:
+            service: The service.
+            daemon_id: The reporting daemon.
+            data_centre: Where it stands.
+            sick: The instances that it calls sick.
+        """
+        self.service = service
+        self.daemon_id = daemon_id
+        self.data_centre = data_centre
+        self.sick = sick
+
+
+class HeadSeen:
+    """The store or a peer has shown a head of the document."""
+
+    __slots__ = ("head", "source")
+
+    def __init__(
+        self, head: document.Head, source: vms.Vm | None = None
+    ) -> None:
+        """Creates the message.
+
+        Args:
+            head: The head.
+            source: The peer that showed it; None for the store.
+        """
+        self.head = head
+        self.source = source
+
+
+class PeerAhead:
+    """A peer has a newer document in force."""
+
+    __slots__ = ("vm",)
+
+    def __init__(self, vm: vms.Vm) -> None:
+        """Creates the message.
+
+        Args:
+            vm: The peer.
+        """
+        self.vm = vm
+
+
+class StoreHeard:
+    """The store answered a call."""
+
+    __slots__ = ("at_s",)
+
+    def __init__(self, at_s: float) -> None:
+        """Creates the message.
+
+        Args:
+            at_s: When, on the monotonic clock, in seconds.
+        """
+        self.at_s = at_s
+
+
+class HeartbeatArrived:
+    """A peer sent a heartbeat and waits for this daemon's own."""
+
+    __slots__ = ("heartbeat", "reply")
+
+    def __init__(
+        self,
+        heartbeat: members.Heartbeat,
+        reply: asyncio.Future[members.Heartbeat],
+    ) -> None:
+        """Creates the message.
+
+        Args:
+            heartbeat: What the peer says.
+            reply: Gets this daemon's heartbeat.
+        """
+        self.heartbeat = heartbeat
+        self.reply = reply
+
+
+class HeartbeatAnswered:
+    """A peer answered a heartbeat, or did not."""
+
+    __slots__ = ("heartbeat", "member_id")
+
+    def __init__(
+        self, member_id: str, heartbeat: members.Heartbeat | None
+    ) -> None:
+        """Creates the message.
+
+        Args:
+            member_id: The peer.
+            heartbeat: What it said; None where it was silent.
+        """
+        self.member_id = member_id
+        self.heartbeat = heartbeat
+
+
+class RoundDue:
+    """It is time for a task's periodic work."""
+
+    __slots__ = ()
+
+
+class LeaveBegan:
+    """This daemon is to leave the fleet."""
+
+    __slots__ = ()
--- /dev/null
+++ b/src/dotterelpath/tasks/peer_link.py
@@ -0,0 +1,90 @@
+"""The task that forwards keyed requests to their homes."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from dotterelpath import errors
+from dotterelpath.domain import exchange
+from dotterelpath.ports import peers as peers_port
+from dotterelpath.tasks import mailbox
+from dotterelpath.tasks import messages
+
+MAX_OPEN_FORWARDS = 1024
+
+
+class PeerLink:
+    """Asks the candidates for a home until one answers for it."""
+
+    __slots__ = ("_dispatcher", "_mailbox", "_open", "_peers")
+
+    def __init__(
+        self,
+        peers: peers_port.Peers,
+        inbox: mailbox.Mailbox[typing.Any],
+        dispatcher: mailbox.Mailbox[typing.Any],
+    ) -> None:
+        """Creates the task's state.
+
+        Args:
+            peers: The other daemons.
+            inbox: This task's mailbox.
+            dispatcher: Hears what homes answer.
+        """
+        self._peers = peers
+        self._mailbox = inbox
+        self._dispatcher = dispatcher
+        self._open: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Handles messages until cancelled."""
+        try:
+            while True:
+                self.on_forward_request(await self._mailbox.receive())
+        finally:
+            for task in self._open:
+                task.cancel()
+
+    def on_forward_request(self, message: messages.ForwardRequest) -> None:
+        """Begins a forward, unless too many are open.
+
+        Args:
+            message: The request and the daemons to ask.
+        """
+        if len(self._open) >= MAX_OPEN_FORWARDS:
+            outcome = exchange.Outcome(errors.ResultCode.HOME_UNREACHABLE)
+            self._tell(message, outcome)
+            return
+        task = asyncio.get_running_loop().create_task(self._forward(message))
+        self._open.add(task)
+        task.add_done_callback(self._open.discard)
+
+    async def _forward(self, message: messages.ForwardRequest) -> None:
+        outcome = exchange.Outcome(errors.ResultCode.HOME_UNREACHABLE)
+        for vm in message.candidates:
+            try:
+                outcome = await self._peers.forward(
+                    vm,
+                    message.request,
+                    message.timeout_s,
+                    message.claimed_home,
+                )
+            except peers_port.PeerUnreachableError:
+                continue
+            except peers_port.PeerSilentError as error:
+                # It may be running there; nobody else may be asked to run it.
+                outcome = exchange.Outcome(
+                    errors.ResultCode.HOME_UNREACHABLE, str(error)
+                )
+                break
+            if outcome.code is not errors.ResultCode.HOME_REPLACED:
+                break
+        self._tell(message, outcome)
+
+    def _tell(
+        self, message: messages.ForwardRequest, outcome: exchange.Outcome
+    ) -> None:
+        self._dispatcher.force(
+            messages.ForwardEnded(message.exchange_id, outcome)
+        )
--- /dev/null
+++ b/src/dotterelpath/tasks/ticker.py
@@ -0,0 +1,21 @@
+"""Gives tasks the rhythm of their periodic work."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from dotterelpath.tasks import mailbox
+from dotterelpath.tasks import messages
+
+
+async def tick(inbox: mailbox.Mailbox[typing.Any], period_s: float) -> None:
+    """Posts RoundDue to a task until cancelled.
+
+    Args:
+        inbox: The task's mailbox.
+        period_s: The time between two rounds, in seconds.
+    """
+    while True:
+        await asyncio.sleep(period_s)
+        inbox.force(messages.RoundDue())
--- /dev/null
+++ b/src/dotterelpath/tasks/timers.py
@@ -0,0 +1,86 @@
+"""Deadlines of many requests on one timer."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import typing
+
+from dotterelpath.ports import clock as clock_port
+from dotterelpath.tasks import mailbox
+from dotterelpath.tasks import messages
+
+GRANULARITY_S = 0.002
+
+T = typing.TypeVar("T")
+
+
+class Timers(typing.Generic[T]):
+    """Keeps due times and posts a Tick when the earliest has come.
+
+    Items whose work has ended stay until their time comes, which is cheaper
+    than a timer for each request.
+    """
+
+    __slots__ = ("_clock", "_handle", "_handle_s", "_heap", "_inbox", "_order")
+
+    def __init__(
+        self,
+        clock: clock_port.Clock,
+        inbox: mailbox.Mailbox[typing.Any],
+    ) -> None:
+        """Creates timers without items.
+
+        Args:
+            clock: Tells the time.
+            inbox: Gets the Tick.
+        """
+        self._clock = clock
+        self._inbox = inbox
+        self._heap: list[tuple[float, int, T]] = []
+        self._order = 0
+        self._handle: asyncio.TimerHandle | None = None
+        self._handle_s = 0.0
+
+    def add(self, due_s: float, item: T) -> None:
+        """Adds an item.
+
+        Args:
+            due_s: When it is due, on the clock, in seconds.
+            item: The item.
+        """
+        self._order += 1
+        heapq.heappush(self._heap, (due_s, self._order, item))
+        if self._handle is None or due_s < self._handle_s:
+            self._schedule()
+
+    def due(self, now_s: float) -> list[T]:
+        """Takes out the items whose time has come.
+
+        Args:
+            now_s: The clock, in seconds.
+
+        Returns:
+            The items, earliest first.
+        """
+        found = []
+        while self._heap and self._heap[0][0] <= now_s:
+            found.append(heapq.heappop(self._heap)[2])
+        self._schedule()
+        return found
+
+    def _schedule(self) -> None:
+        if self._handle is not None:
+            self._handle.cancel()
+            self._handle = None
+        if not self._heap:
+            return
+        self._handle_s = self._heap[0][0]
+        delay_s = max(0.0, self._handle_s - self._clock.now_s())
+        self._handle = asyncio.get_running_loop().call_later(
+            delay_s + GRANULARITY_S, self._post
+        )
+
+    def _post(self) -> None:
+        self._handle = None
+        self._inbox.force(messages.Tick())
