--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,104 @@
+"""Shared fixtures, and the record of passed and failed scenarios."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import random
+
+import behave
+
+from standins import fleet as fleet_harness
+
+OUT = fleet_harness.ROOT / "out"
+
+SECTIONS = {
+    "bookings": """
+[[service]]
+name = "bookings"
+floor = 4
+weigh = "false-ejections"
+refusal_header = "x-not-run"
+
+[[route]]
+service = "bookings"
+prefix = "/bookings"
+methods = ["GET", "POST"]
+class = "critical"
+
+[[route]]
+service = "bookings"
+prefix = "/bookings/availability"
+methods = ["GET"]
+class = "sheddable"
+timeout_ms = 1500
+""",
+    "catalogue": """
+[[service]]
+name = "catalogue"
+floor = 5
+weigh = "detection"
+refusal_header = "x-not-run"
+
+[[route]]
+service = "catalogue"
+prefix = "/catalogue"
+""",
+}
+
+
+@behave.fixture
+def estate(context, daemons=3):
+    """Starts daemons before bookings and catalogue, with a document."""
+    OUT.mkdir(exist_ok=True)
+    context.fleet = fleet_harness.Fleet(OUT / "features.log")
+    try:
+        context.fleet.start_platform()
+        context.fleet.start_backends("bookings", 6)
+        context.fleet.start_backends("catalogue", 8)
+        context.fleet.add_nodes(daemons)
+        context.fleet.in_force(0)
+        for name, text in SECTIONS.items():
+            saved = context.fleet.put(name, fleet_harness.owners_line() + text)
+            assert saved.status == 200, saved.body
+        context.fleet.in_force(saved.json()["version"])
+        for node in context.fleet.nodes.values():
+            fleet_harness.wait_until(
+                lambda n=node: _is_complete(n), f"{node.id} knows all"
+            )
+        yield context.fleet
+    finally:
+        context.fleet.stop()
+
+
+def _is_complete(node):
+    status = fleet_harness.status(node.control)
+    used = [len(s["rotation"]) for s in status["services"].values()]
+    return sorted(used) == [6, 8] and len(status["members"]) >= 2
+
+
+def before_all(context):
+    context.verdict = {"passed": [], "failed": []}
+
+
+def before_tag(context, tag):
+    if tag == "fixture.estate":
+        behave.use_fixture(estate, context)
+
+
+def before_scenario(context, scenario):
+    context.random = random.Random(scenario.name)
+
+
+def after_scenario(context, scenario):
+    failed = scenario.status.has_failed()
+    kind = "failed" if failed else "passed"
+    if not scenario.status.is_passed() and not failed:
+        return
+    context.verdict[kind].append(scenario.name)
+
+
+def after_all(context):
+    OUT.mkdir(exist_ok=True)
+    path = pathlib.Path(OUT / "verdict.json")
+    path.write_text(json.dumps(context.verdict))
--- /dev/null
+++ b/features/steps/path_steps.py
@@ -0,0 +1,124 @@
+"""Steps that send single requests to daemons."""
+
+from __future__ import annotations
+
+import socket
+
+import behave
+
+from standins import fleet as fleet_harness
+
+RAW = {
+    "request line": b"NONSENSE\r\n\r\n",
+    "header line": b"GET / HTTP/1.1\r\nhost: x\r\nno colon here\r\n\r\n",
+    "head over the limit": b"GET / HTTP/1.1\r\nx: " + b"y" * 70000 + b"\r\n",
+    "body over the limit": (
+        b"POST /bookings HTTP/1.1\r\nhost: x\r\ncontent-length: 2000000\r\n\r\n"
+        + b"z" * 1100000
+    ),
+    "bad timeout": (
+        b"GET /bookings HTTP/1.1\r\nhost: x\r\n"
+        b"dotterelpath-timeout-ms: soon\r\n\r\n"
+    ),
+    "doubled key": (
+        b"POST /bookings HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n"
+        b"idempotency-key: a\r\nidempotency-key: b\r\n\r\n"
+    ),
+    "malformed key": (
+        b"POST /bookings HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n"
+        b"idempotency-key: dk1.x.y\r\n\r\n"
+    ),
+    "chunk": (
+        b"POST /bookings HTTP/1.1\r\nhost: x\r\n"
+        b"transfer-encoding: chunked\r\n\r\nnot-a-size\r\n"
+    ),
+}
+
+
+def send(context, node, method, path, body=b"", **headers):
+    """Sends a request and keeps the response."""
+    fields = {n.replace("_", "-"): str(v) for n, v in headers.items()}
+    port = context.fleet.nodes[node].port
+    context.response = fleet_harness.call(port, method, path, body, fields)
+    return context.response
+
+
+@behave.when("a caller sends {method} {path} to {node}")
+def step_send(context, method, path, node):
+    send(context, node, method, path)
+
+
+@behave.when("a caller of workspace {name} sends GET {path} to {node}")
+def step_send_workspace(context, name, path, node):
+    send(context, node, "GET", path, dotterelpath_workspace=name)
+
+
+@behave.then("the result is {code:d} with status {status:d}")
+def step_result(context, code, status):
+    response = context.response
+    assert response.result == code, (response.headers, response.body)
+    assert response.status == status, response.status
+
+
+@behave.then("the answer was made for {path}")
+def step_made_for(context, path):
+    assert context.response.json()["target"] == path, context.response.body
+
+
+@behave.then('the error text is "{outcome}"')
+def step_error_class(context, outcome):
+    assert context.response.json()["class"] == outcome, context.response.body
+
+
+@behave.when("a caller sends the raw bytes of a {kind}")
+def step_raw(context, kind):
+    port = context.fleet.nodes["entry-1"].port
+    with socket.create_connection(("127.0.0.1", port), timeout=10) as raw:
+        raw.sendall(RAW[kind])
+        received = b""
+        while b"}" not in received:
+            data = raw.recv(65536)
+            if not data:
+                break
+            received += data
+    context.received = received
+
+
+@behave.then("the raw answer has status {status:d} and result {code:d}")
+def step_raw_answer(context, status, code):
+    received = context.received
+    assert received.startswith(b"HTTP/1.1 %d " % status), received
+    assert b"dotterelpath-result: %d\r\n" % code in received, received
+
+
+@behave.then("{node} still answers")
+def step_still_answers(context, node):
+    assert send(context, node, "GET", "/catalogue/x").result == 1000
+
+
+@behave.when("a caller asks {node} for the addresses of {service}")
+def step_addresses(context, node, service):
+    send(context, node, "GET", f"/-/addresses?service={service}&workspace=w")
+
+
+@behave.then(
+    "{count:d} addresses are named and the first stands in data centre {name}"
+)
+def step_named(context, count, name):
+    listed = context.response.json()["addresses"]
+    assert len(listed) == count, listed
+    assert listed[0]["data_centre"] == name, listed
+
+
+@behave.then("a key prefix of {node} is issued")
+def step_prefix(context, node):
+    prefix = context.response.json()["key_prefix"]
+    assert prefix.startswith(f"dk1.{node}."), prefix
+
+
+@behave.then("the metrics of {node} have a histogram with {label} {value}")
+def step_histogram(context, node, label, value):
+    control = context.fleet.nodes[node].control
+    text = fleet_harness.call(control, "GET", "/metrics").body.decode()
+    lines = [line for line in text.splitlines() if "_bucket{" in line]
+    assert any(f'{label}="{value}"' in line for line in lines), text[:2000]
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, the backend servers, callers and the network."""
--- /dev/null
+++ b/standins/backend.py
@@ -0,0 +1,202 @@
+"""Stands in for backend servers; one process can serve several ports."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import random
+import time
+import typing
+
+import click
+import orjson
+import uvloop
+
+from dotterelpath import errors
+from dotterelpath.domain import exchange
+from dotterelpath.ports import frontend
+from standins import http
+
+MAX_WAITING_PER_SLOT = 8
+PART_S = 0.05
+
+
+class Backend:
+    """One instance with slots, a load report and fault modes.
+
+    Modes: `fail_share` fails work while probes succeed, `slow_factor` makes
+    a straggler, `flap_s` switches faults on and off, `silent` runs and never
+    answers, `drop` runs and closes, `truncate` cuts answers short, `extra`
+    sends bytes after an answer, `draining` refuses, `warm_s` starts cold.
+    """
+
+    __slots__ = (
+        "_mode",
+        "_name",
+        "_running",
+        "_runs",
+        "_served",
+        "_since_s",
+        "_slots",
+        "_work_s",
+    )
+
+    def __init__(self, name: str, slots: int, work_s: float) -> None:
+        """Creates an instance.
+
+        Args:
+            name: Its VM id.
+            slots: Requests that run at a time.
+            work_s: The mean time of a request, in seconds.
+        """
+        self._name = name
+        self._slots = asyncio.Semaphore(slots)
+        self._work_s = work_s
+        self._mode: dict[str, typing.Any] = {"slots": slots}
+        self._running = 0
+        self._since_s = time.monotonic()
+        self._served: collections.Counter[str] = collections.Counter()
+        self._runs: collections.Counter[str] = collections.Counter()
+
+    async def handle(
+        self, request: exchange.Request, connection: frontend.Connection
+    ) -> exchange.Answer | None:
+        """Answers a request as the mode says."""
+        if request.path == "/_mode":
+            self._mode.update(orjson.loads(request.body))
+            self._since_s = time.monotonic()
+            return http.answer({})
+        if request.path == "/_runs":
+            return http.answer({"runs": self._runs, "served": self._served})
+        if request.path == "/health":
+            await asyncio.sleep(0.025)
+            return http.answer({"ok": True})
+        self._served["arrived"] += 1
+        limit = self._mode["slots"] * MAX_WAITING_PER_SLOT
+        if self._mode.get("draining") or self._running >= limit:
+            self._served["refused"] += 1
+            headers = [(b"x-not-run", b"1"), *self._signs()]
+            return http.answer({"refused": self._name}, 503, headers)
+        self._running += 1
+        try:
+            async with self._slots:
+                return await self._work(request, connection)
+        finally:
+            self._running -= 1
+
+    async def _work(
+        self, request: exchange.Request, connection: frontend.Connection
+    ) -> exchange.Answer | None:
+        if request.method not in ("GET", "HEAD"):
+            self._runs[_identity(request)] += 1
+        sick = self._is_sick()
+        factor = self._mode.get("slow_factor", 1.0) if sick else 1.0
+        warm_s = self._mode.get("warm_s", 0.0)
+        if time.monotonic() - self._since_s < warm_s:
+            factor *= 5.0
+        work_s = self._mode.get("work_s", self._work_s)
+        await asyncio.sleep(random.expovariate(1.0 / work_s) * factor)
+        if sick and self._mode.get("silent"):
+            await asyncio.sleep(3600.0)
+        if sick and self._mode.get("drop"):
+            return None
+        if sick and random.random() < self._mode.get("fail_share", 0.0):
+            return http.answer({"failed": self._name}, 500, self._signs())
+        self._served["done"] += 1
+        if request.path.endswith("/long"):
+            return await self._long(connection, _size(request))
+        data = {
+            "instance": self._name,
+            "target": request.target,
+            "echo": _header(request, b"x-echo"),
+            "body": request.body.decode("latin-1"),
+        }
+        answer = http.answer(data, 200, self._signs())
+        if sick and self._mode.get("truncate"):
+            _raw(
+                connection, b"HTTP/1.1 200 OK\r\ncontent-length: 999\r\n\r\nab"
+            )
+            return None
+        if sick and self._mode.get("extra"):
+            connection.answer(
+                exchange.Outcome(errors.ResultCode.ANSWERED, answer=answer)
+            )
+            _raw(
+                connection, b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nevil"
+            )
+            return http.HANDLED
+        return answer
+
+    async def _long(
+        self, connection: frontend.Connection, size: int
+    ) -> exchange.Answer | None:
+        head = exchange.Answer(200, [(b"transfer-encoding", b"chunked")], b"")
+        connection.answer(
+            exchange.Outcome(
+                errors.ResultCode.ANSWERED, answer=head, stream_id=1
+            )
+        )
+        part = b"x" * 65536
+        while size > 0:
+            if self._is_sick() and self._mode.get("truncate"):
+                return None
+            connection.part(part[:size])
+            size -= len(part)
+            await asyncio.sleep(self._mode.get("part_s", PART_S))
+        connection.end()
+        return http.HANDLED
+
+    def _is_sick(self) -> bool:
+        flap_s = self._mode.get("flap_s")
+        if not flap_s:
+            return True
+        return int((time.monotonic() - self._since_s) / flap_s) % 2 == 0
+
+    def _signs(self) -> exchange.Headers:
+        load = self._mode.get("load", self._running / self._mode["slots"])
+        signs = [(b"dotterelpath-load", f"{load:.2f}".encode())]
+        if self._mode.get("draining"):
+            signs.append((b"dotterelpath-draining", b"1"))
+        return signs
+
+
+def _raw(connection: frontend.Connection, data: bytes) -> None:
+    connection._transport.write(data)  # noqa: SLF001
+
+
+def _identity(request: exchange.Request) -> str:
+    key = _header(request, b"idempotency-key")
+    return key or _header(request, b"x-echo") or request.request_id
+
+
+def _header(request: exchange.Request, name: bytes) -> str:
+    for key, value in request.headers:
+        if key == name:
+            return value.decode("latin-1")
+    return ""
+
+
+def _size(request: exchange.Request) -> int:
+    return int(request.target.partition("bytes=")[2] or 1_000_000)
+
+
+@click.command()
+@click.option("--instance", "instances", multiple=True, required=True)
+@click.option("--slots", type=int, default=4)
+@click.option("--work-ms", type=float, default=5.0)
+def main(instances: tuple[str, ...], slots: int, work_ms: float) -> None:
+    """Runs instances, each given as NAME:PORT."""
+
+    async def work() -> None:
+        for instance in instances:
+            name, _, port = instance.rpartition(":")
+            backend = Backend(name, slots, work_ms / 1000.0)
+            server = http.Server(backend.handle)
+            await server.listen("127.0.0.1", int(port))
+        await asyncio.Event().wait()
+
+    uvloop.run(work())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,336 @@
+"""Starts stand-ins and daemons as processes, for the tests and the demo."""
+
+from __future__ import annotations
+
+import hashlib
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import typing
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+HOST = "127.0.0.1"
+READY_S = 30.0
+TOKEN = "owner-token"
+
+Json = typing.Any
+
+
+class Response:
+    """An HTTP response, read whole."""
+
+    __slots__ = ("body", "headers", "status")
+
+    def __init__(
+        self, status: int, headers: dict[str, str], body: bytes
+    ) -> None:
+        """Creates a response; header names are in lower case."""
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    @property
+    def result(self) -> int:
+        """The numbered result code."""
+        return int(self.headers["dotterelpath-result"])
+
+    def json(self) -> Json:
+        """Decodes the body."""
+        return json.loads(self.body)
+
+
+class Node:
+    """A daemon's process with its ports."""
+
+    __slots__ = ("control", "data_centre", "id", "peer", "port", "process")
+
+    def __init__(self, id: str, data_centre: str) -> None:
+        """Creates a node that does not run yet."""
+        self.id = id
+        self.data_centre = data_centre
+        self.port, self.peer, self.control = free_ports(3)
+        self.process: subprocess.Popen[bytes] | None = None
+
+
+class Fleet:
+    """A small estate: a store, a VM list, backend servers and daemons."""
+
+    __slots__ = (
+        "_log",
+        "backends",
+        "nodes",
+        "processes",
+        "slots",
+        "store",
+        "vm_list",
+        "vms",
+        "work_ms",
+    )
+
+    def __init__(
+        self, log: pathlib.Path, slots: int = 4, work_ms: float = 5.0
+    ) -> None:
+        """Creates an empty estate.
+
+        Args:
+            log: Where all processes write their logs.
+            slots: The slots of each instance.
+            work_ms: The mean time of a request, in milliseconds.
+        """
+        self._log = log.open("ab")
+        self.slots = slots
+        self.work_ms = work_ms
+        self.processes: list[subprocess.Popen[bytes]] = []
+        self.nodes: dict[str, Node] = {}
+        self.backends: dict[str, int] = {}
+        self.vms: dict[str, Json] = {}
+        self.store, self.vm_list = free_ports(2)
+
+    def start_platform(self, lag_s: float = 0.0) -> None:
+        """Starts the store and the VM list."""
+        self.spawn("-m", "standins.store", "--port", self.store)
+        self.spawn(
+            "-m",
+            "standins.vm_list",
+            "--port",
+            self.vm_list,
+            "--lag-s",
+            lag_s,
+        )
+        wait_for_port(self.store)
+        wait_for_port(self.vm_list)
+
+    def start_backends(self, service: str, count: int) -> None:
+        """Starts a service's instances in one process and lists them."""
+        ports = free_ports(count)
+        names = [f"{service}-{n}" for n in range(1, count + 1)]
+        args: list[typing.Any] = ["-m", "standins.backend"]
+        for name, port in zip(names, ports, strict=True):
+            self.backends[name] = port
+            args += ["--instance", f"{name}:{port}"]
+        args += ["--slots", self.slots, "--work-ms", self.work_ms]
+        self.spawn(*args)
+        wait_for_port(ports[-1])
+        self.list_vms(
+            *(
+                self.backend_vm(name, service, "abc"[n % 3])
+                for n, name in enumerate(names)
+            )
+        )
+
+    def backend_vm(
+        self,
+        name: str,
+        service: str,
+        data_centre: str,
+        state: str = "live",
+    ) -> Json:
+        """Builds the VM list's entry of an instance."""
+        return {
+            "id": name,
+            "role": "backend",
+            "host": HOST,
+            "port": self.backends[name],
+            "data_centre": data_centre,
+            "state": state,
+            "service": service,
+        }
+
+    def list_vms(self, *entries: Json) -> None:
+        """Puts entries into the VM list."""
+        for entry in entries:
+            self.vms[entry["id"]] = entry
+        post(self.vm_list, "/set", {"vms": entries})
+
+    def add_nodes(self, count: int) -> list[Node]:
+        """Starts daemons in data centres a, b and c, and lists them."""
+        added = []
+        for number in range(len(self.nodes) + 1, len(self.nodes) + count + 1):
+            node = Node(f"entry-{number}", "abc"[(number - 1) % 3])
+            self.nodes[node.id] = node
+            added.append(node)
+        self.list_vms(*(self.entry_vm(node) for node in added))
+        for node in added:
+            self.start_node(node)
+        for node in added:
+            wait_for_port(node.control)
+        return added
+
+    def entry_vm(self, node: Node, state: str = "live") -> Json:
+        """Builds the VM list's entry of a daemon."""
+        return {
+            "id": node.id,
+            "role": "entry",
+            "host": HOST,
+            "port": node.port,
+            "peer_port": node.peer,
+            "data_centre": node.data_centre,
+            "state": state,
+        }
+
+    def start_node(self, node: Node, **options: typing.Any) -> None:
+        """Starts a daemon's process."""
+        settings = {
+            "id": node.id,
+            "data-centre": node.data_centre,
+            "listen": f"{HOST}:{node.port}",
+            "peer-listen": f"{HOST}:{node.peer}",
+            "control-listen": f"{HOST}:{node.control}",
+            "store": f"{HOST}:{self.store}",
+            "vm-list": f"{HOST}:{self.vm_list}",
+            "drain-grace-s": 1.0,
+            **options,
+        }
+        args: list[typing.Any] = ["-m", "dotterelpath.daemon"]
+        for name, value in settings.items():
+            args += [f"--{name}", value]
+        node.process = self.spawn(*args)
+
+    def spawn(self, *args: typing.Any) -> subprocess.Popen[bytes]:
+        """Starts a Python process with this project on its path."""
+        path = f"{ROOT / 'src'}{os.pathsep}{ROOT}"
+        process = subprocess.Popen(
+            [sys.executable, *map(str, args)],
+            stdout=self._log,
+            stderr=self._log,
+            env={**os.environ, "PYTHONPATH": path},
+            cwd=ROOT,
+        )
+        self.processes.append(process)
+        return process
+
+    def put(
+        self, section: str, text: str, node: str = "entry-1", **headers: str
+    ) -> Response:
+        """Saves a section through a daemon."""
+        control = self.nodes[node].control
+        target = f"/document/sections/{section}"
+        current = call(control, "GET", target)
+        base = current.headers.get("etag", '""')
+        fields = {
+            "authorization": f"Bearer {TOKEN}",
+            "if-match": base,
+            **headers,
+        }
+        return call(control, "PUT", target, text.encode(), fields)
+
+    def in_force(self, version: int, *nodes: str) -> None:
+        """Waits until daemons have at least a version in force."""
+        for name in nodes or tuple(self.nodes):
+            control = self.nodes[name].control
+            wait_until(
+                lambda c=control: (
+                    (status(c)["document_version"] or 0) >= version
+                ),
+                f"version {version} in force at {name}",
+            )
+
+    def mode(self, instance: str, **mode: typing.Any) -> None:
+        """Sets the fault mode of an instance."""
+        post(self.backends[instance], "/_mode", mode)
+
+    def fault(self, **faults: typing.Any) -> None:
+        """Sets the faults of the store; none ends them."""
+        post(self.store, "/fault", faults)
+
+    def runs(self) -> dict[str, int]:
+        """Sums up how often each request identity ran, over all instances."""
+        total: dict[str, int] = {}
+        for port in self.backends.values():
+            runs = call(port, "GET", "/_runs").json()["runs"]
+            for identity, count in runs.items():
+                total[identity] = total.get(identity, 0) + count
+        return total
+
+    def stop(self) -> None:
+        """Kills all processes."""
+        for process in self.processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes:
+            process.wait()
+        self._log.close()
+
+
+def owners_line() -> str:
+    """Builds the line of a section that names the test's owner."""
+    digest = hashlib.sha256(TOKEN.encode()).hexdigest()
+    return f'owners = ["{digest}"]\n'
+
+
+def free_ports(count: int) -> list[int]:
+    """Finds free ports."""
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind((HOST, 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+def call(
+    port: int,
+    method: str,
+    target: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 20.0,
+) -> Response:
+    """Makes a call on a new connection."""
+    connection = http.client.HTTPConnection(HOST, port, timeout=timeout_s)
+    try:
+        connection.request(method, target, body or None, headers or {})
+        response = connection.getresponse()
+        fields = {n.lower(): v for n, v in response.getheaders()}
+        return Response(response.status, fields, response.read())
+    finally:
+        connection.close()
+
+
+def post(port: int, target: str, data: Json) -> Response:
+    """Posts JSON."""
+    return call(port, "POST", target, json.dumps(data).encode())
+
+
+def status(control: int) -> Json:
+    """Reads a daemon's status."""
+    return call(control, "GET", "/status").json()
+
+
+def wait_for_port(port: int) -> None:
+    """Waits until a port accepts connections."""
+
+    def is_open() -> bool:
+        with socket.socket() as probe:
+            return probe.connect_ex((HOST, port)) == 0
+
+    wait_until(is_open, f"port {port}")
+
+
+def wait_until(
+    condition: typing.Callable[[], object],
+    what: str,
+    timeout_s: float = READY_S,
+) -> None:
+    """Waits for a condition.
+
+    Raises:
+        AssertionError: It did not come true in time.
+    """
+    deadline_s = time.monotonic() + timeout_s
+    while time.monotonic() < deadline_s:
+        try:
+            if condition():
+                return
+        except (OSError, http.client.HTTPException):
+            pass
+        time.sleep(0.05)
+    raise AssertionError(f"not in time: {what}")
--- /dev/null
+++ b/standins/http.py
@@ -0,0 +1,106 @@
+"""A small HTTP server that can also fail to answer."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import orjson
+
+from dotterelpath import errors
+from dotterelpath.adapters import h11_frontend
+from dotterelpath.domain import exchange
+from dotterelpath.ports import frontend
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+HANDLED = exchange.Answer(0, [], b"")
+
+Handler = typing.Callable[
+    [exchange.Request, frontend.Connection],
+    typing.Awaitable[exchange.Answer | None],
+]
+
+
+class Server:
+    """Gives each request to a handler.
+
+    A handler that returns None closes without an answer, and one that returns
+    HANDLED has written its answer itself.
+    """
+
+    __slots__ = ("_calls", "_handler")
+
+    def __init__(self, handler: Handler) -> None:
+        """Creates a server.
+
+        Args:
+            handler: Answers a request.
+        """
+        self._handler = handler
+        self._calls: set[asyncio.Task[None]] = set()
+
+    async def listen(self, host: str, port: int) -> None:
+        """Opens the listening socket.
+
+        Args:
+            host: The IP address.
+            port: The port.
+        """
+        binder = h11_frontend.H11Binder("standin", MAX_BODY_BYTES)
+        await binder.listen(host, port, self)
+
+    def on_request(
+        self, connection: frontend.Connection, request: exchange.Request
+    ) -> None:
+        """A request came in."""
+        task = asyncio.get_running_loop().create_task(
+            self._serve(connection, request)
+        )
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    def on_rejected(
+        self, connection: frontend.Connection, error: errors.DotterelpathError
+    ) -> None:
+        """A request was refused by its form."""
+
+    def on_opened(self, connection: frontend.Connection) -> None:
+        """A client connected."""
+
+    def on_gone(self, connection: frontend.Connection) -> None:
+        """A client closed."""
+
+    def on_paused(self, connection: frontend.Connection) -> None:
+        """A client reads slowly."""
+
+    def on_resumed(self, connection: frontend.Connection) -> None:
+        """A slow client has caught up."""
+
+    async def _serve(
+        self, connection: frontend.Connection, request: exchange.Request
+    ) -> None:
+        answer = await self._handler(request, connection)
+        if answer is HANDLED:
+            return
+        if answer is None:
+            connection.abort()
+            return
+        connection.answer(
+            exchange.Outcome(errors.ResultCode.ANSWERED, answer=answer)
+        )
+
+
+def answer(
+    data: typing.Any,
+    status: int = 200,
+    headers: exchange.Headers | None = None,
+) -> exchange.Answer:
+    """Builds an answer that carries JSON.
+
+    Args:
+        data: What to encode.
+        status: The HTTP status.
+        headers: Further headers.
+    """
+    fields = [(b"content-type", b"application/json"), *(headers or [])]
+    return exchange.Answer(status, fields, orjson.dumps(data))
--- /dev/null
+++ b/standins/vm_list.py
@@ -0,0 +1,93 @@
+"""Stands in for the platform's list of VMs, which lags."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import typing
+import urllib.parse
+
+import click
+import orjson
+import uvloop
+
+from dotterelpath.domain import exchange
+from dotterelpath.ports import frontend
+from standins import http
+
+POLL_S = 0.05
+
+
+class VmList:
+    """Changes become visible after a lag."""
+
+    __slots__ = ("_lag_s", "_log", "_down")
+
+    def __init__(self, lag_s: float) -> None:
+        """Creates an empty list.
+
+        Args:
+            lag_s: How long a change stays invisible, in seconds.
+        """
+        self._lag_s = lag_s
+        self._down = False
+        self._log: list[tuple[float, str, dict[str, typing.Any] | None]] = []
+
+    async def handle(
+        self, request: exchange.Request, connection: frontend.Connection
+    ) -> exchange.Answer | None:
+        """Answers a call."""
+        if request.path == "/fault":
+            self._down = bool(orjson.loads(request.body).get("down"))
+            return http.answer({})
+        if request.path == "/set":
+            visible_s = time.monotonic() + self._lag_s
+            for vm in orjson.loads(request.body)["vms"]:
+                self._log.append((visible_s, vm["id"], vm))
+            return http.answer({})
+        if request.path == "/remove":
+            visible_s = time.monotonic() + self._lag_s
+            for vm_id in orjson.loads(request.body)["ids"]:
+                self._log.append((visible_s, vm_id, None))
+            return http.answer({})
+        if self._down:
+            return None
+        return await self._changes(request)
+
+    async def _changes(self, request: exchange.Request) -> exchange.Answer:
+        query = urllib.parse.parse_qs(request.target.partition("?")[2])
+        since = int(query["since"][0])
+        deadline_s = time.monotonic() + float(query["wait_s"][0])
+        while self._revision() <= since and time.monotonic() < deadline_s:
+            await asyncio.sleep(POLL_S)
+        revision = self._revision()
+        last = {vm_id: vm for _, vm_id, vm in self._log[since:revision]}
+        return http.answer(
+            {
+                "revision": revision,
+                "changed": [vm for vm in last.values() if vm is not None],
+                "removed": [i for i, vm in last.items() if vm is None],
+                "is_full": since == 0,
+            }
+        )
+
+    def _revision(self) -> int:
+        now_s = time.monotonic()
+        return sum(1 for visible_s, _, _ in self._log if visible_s <= now_s)
+
+
+@click.command()
+@click.option("--port", type=int, required=True)
+@click.option("--lag-s", type=float, default=0.0)
+def main(port: int, lag_s: float) -> None:
+    """Runs the stand-in."""
+
+    async def work() -> None:
+        await http.Server(VmList(lag_s).handle).listen("127.0.0.1", port)
+        await asyncio.Event().wait()
+
+    uvloop.run(work())
+
+
+if __name__ == "__main__":
+    main()
