--- /dev/null
+++ b/standins/estates.py
@@ -0,0 +1,167 @@
+"""Both users' estates in miniature, for the demo and the benchmarks."""
+
+from __future__ import annotations
+
+import pathlib
+import typing
+
+from standins import fleet
+
+
+class ServicePlan:
+    """One service of an estate."""
+
+    __slots__ = ("count", "floor", "name", "reads", "timeout_ms", "writes")
+
+    def __init__(
+        self,
+        name: str,
+        count: int,
+        floor: int,
+        reads: float,
+        writes: float,
+        timeout_ms: int = 4000,
+    ) -> None:
+        """Creates a plan.
+
+        Args:
+            name: The service's name.
+            count: Its instances.
+            floor: The least number of them that stay in use.
+            reads: The share of its reads in the load.
+            writes: The share of its writes in the load.
+            timeout_ms: The routes' timeout, in milliseconds.
+        """
+        self.name = name
+        self.count = count
+        self.floor = floor
+        self.reads = reads
+        self.writes = writes
+        self.timeout_ms = timeout_ms
+
+    def section(self, weigh: str, slots: int) -> str:
+        """Writes the section that the service's team owns."""
+        return (
+            fleet.owners_line()
+            + f"""
+[[service]]
+name = "{self.name}"
+floor = {self.floor}
+slots = {slots}
+weigh = "{weigh}"
+refusal_header = "x-not-run"
+
+[[route]]
+service = "{self.name}"
+prefix = "/{self.name}"
+methods = ["POST"]
+class = "critical"
+timeout_ms = {self.timeout_ms}
+
+[[route]]
+service = "{self.name}"
+prefix = "/{self.name}/check"
+methods = ["GET"]
+class = "sheddable"
+timeout_ms = {self.timeout_ms}
+"""
+        )
+
+    def mix(self) -> list[dict[str, typing.Any]]:
+        """Writes the service's part of the load."""
+        found = []
+        if self.reads:
+            found.append(
+                {
+                    "name": f"{self.name} check",
+                    "service": self.name,
+                    "method": "GET",
+                    "path": f"/{self.name}/check",
+                    "share": self.reads,
+                }
+            )
+        if self.writes:
+            found.append(
+                {
+                    "name": f"{self.name} write",
+                    "service": self.name,
+                    "method": "POST",
+                    "path": f"/{self.name}",
+                    "share": self.writes,
+                }
+            )
+        return found
+
+
+class Estate:
+    """One user's services."""
+
+    __slots__ = ("name", "services", "slots", "weigh")
+
+    def __init__(
+        self, name: str, weigh: str, slots: int, services: list[ServicePlan]
+    ) -> None:
+        """Creates an estate.
+
+        Args:
+            name: The user.
+            weigh: Which error of ejection the user fears more.
+            slots: The slots of each instance.
+            services: The services.
+        """
+        self.name = name
+        self.weigh = weigh
+        self.slots = slots
+        self.services = services
+
+    def start(
+        self, log: pathlib.Path, daemons: int, work_ms: float = 8.0
+    ) -> fleet.Fleet:
+        """Starts the estate's processes and saves its document.
+
+        Args:
+            log: Where the processes write their logs.
+            daemons: How many daemons.
+            work_ms: The mean time of a request, in milliseconds.
+        """
+        started = fleet.Fleet(log, self.slots, work_ms)
+        started.start_platform(lag_s=1.0)
+        for service in self.services:
+            started.start_backends(service.name, service.count)
+        started.add_nodes(daemons)
+        version = 0
+        for service in self.services:
+            saved = started.put(
+                service.name, service.section(self.weigh, self.slots)
+            )
+            if saved.status != 200:
+                raise RuntimeError(saved.body.decode())
+            version = saved.json()["version"]
+        started.in_force(version)
+        return started
+
+    def mix(self) -> list[dict[str, typing.Any]]:
+        """Writes the load of all services."""
+        return [one for service in self.services for one in service.mix()]
+
+
+KAROO = Estate(
+    "Karoo Pers Uitleen",
+    "false-ejections",
+    4,
+    [
+        ServicePlan("catalogue", 8, 5, 4.0, 0.0),
+        ServicePlan("deposits", 22, 15, 0.0, 1.0),
+        ServicePlan("bookings", 6, 4, 2.0, 2.0),
+    ],
+)
+SPRUNGFREUDE = Estate(
+    "Sprungfreude",
+    "detection",
+    3,
+    [
+        ServicePlan("kalender", 8, 5, 4.0, 0.0),
+        ServicePlan("gruppen", 13, 9, 1.0, 1.0),
+        ServicePlan("kasse", 6, 4, 0.0, 2.0),
+    ],
+)
