Prove at most once: a stateful machine, process scenarios and records

Cause: the promises need failures of every order, not only chosen ones. Change: a hypothesis machine drives the real dispatchers of three daemons with fake sockets, a store and servers that log runs; its oracle: a key runs at most once, an attempt told not run never runs, an answer is the caller's own. Scenarios with processes: silent connections, retries elsewhere and at once, a frozen, killed and replaced home, the store down or losing answers. Found by the machine: an attempt that joined a running one was not covered by the finality of not run. Sequence: attempt 1 runs, attempt 2 joins, both are told not run, a further copy of attempt 2 ran. The record now takes over the highest attempt that joined; the scenario on it failed before. Found by the scenarios: a server stand-in did not notice a closed connection, so its slots stayed taken; its listener now closes on an end of stream.

--- /dev/null
+++ b/features/records.feature
@@ -0,0 +1,61 @@
+Feature: The records of keys are bounded and never let a key run twice
+
+  Scenario: A record dropped for room keeps its key from running again
+    Given a book with room for 2 records
+    When the keys k1 and k2 run in epoch 0 and end
+    And the key k3 starts in epoch 3
+    Then the key k1 of epoch 0 is refused with 3005
+
+  Scenario: A full book without old records refuses new keys as unknown
+    Given a book with room for 2 records
+    When the keys k1 and k2 run in epoch 0 and end
+    Then the key k3 of epoch 0 is refused with 3007
+
+  Scenario: A running record outlives its epoch
+    Given a book with room for 100 records
+    When the key k1 starts in epoch 0
+    And 70 epochs pass
+    Then another attempt of k1 joins the running one
+
+  Scenario: A later attempt that joined shares the finality of not run
+    Given a book with room for 100 records
+    When the key k1 starts in epoch 0
+    And attempt 2 of k1 joins and both end as not run
+    Then attempt 2 of k1 is told again that it was not run
+    And attempt 3 of k1 may run
+
+  Scenario: A claimed key without a record does not start
+    Given a book with room for 100 records
+    Then the claimed key k1 without a record is refused with 3005
+
+  Scenario: A key from the future is refused
+    Given a book with room for 100 records
+    Then the key k1 of epoch 9 is refused with 3005
+
+  Scenario: Answers over the byte limit are dropped before records
+    Given a book that keeps 100 bytes of answers
+    When the keys k1 and k2 run in epoch 0 with answers of 80 bytes
+    Then another attempt of k1 is told 3006
+    And another attempt of k2 is told 3006
+
+  Scenario Outline: Any try that may have run makes the outcome unknown
+    Given tries of an idempotent request
+    When the first try ends <first> and the second ends <second>
+    Then the outcome is <code>
+
+    Examples:
+      | first       | second      | code |
+      | BROKEN      | REFUSED     | 3001 |
+      | TIMED_OUT   | UNREACHABLE | 3002 |
+      | REFUSED     | UNREACHABLE | 2010 |
+      | UNREACHABLE | BROKEN      | 3001 |
+
+  Scenario: A request that comes while records are handed off is held back
+    Given a fleet of decisions with 3 daemons
+    And a booking with a key of d0 has ended
+    When d0 begins to hand off its records while another booking runs
+    And a further key of d0 comes to d0
+    Then it does not start at d0
+    When the running booking ends and d0 hands its records to d1
+    Then the further key ran once, at d1
+    And the first booking's answer is still given by d1
--- /dev/null
+++ b/features/steps/fuzz_steps.py
@@ -0,0 +1,17 @@
+"""Steps that run stateful machines."""
+
+from __future__ import annotations
+
+import behave
+
+from features.support import machine
+
+
+@behave.when("the fleet machine runs {examples:d} examples of {steps:d} steps")
+def step_machine(context, examples, steps):
+    machine.check(examples, steps)
+
+
+@behave.then("no promise was broken")
+def step_no_promise_broken(context):
+    """The machine raises at the first broken one."""
--- /dev/null
+++ b/features/steps/once_steps.py
@@ -0,0 +1,209 @@
+"""Steps that send non-idempotent requests, more than once."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import signal
+import socket
+
+import behave
+
+from features.support import calls
+from standins import fleet as fleet_harness
+
+PATH = "/bookings"
+
+
+def servers(context):
+    return [name for name in context.fleet.backends if "bookings" in name]
+
+
+def set_mode(context, **mode):
+    for name in servers(context):
+        context.fleet.mode(name, **mode)
+
+
+def end_modes(context):
+    set_mode(context, silent=False, drop=False, work_s=0.005, shed=False)
+
+
+def fresh_key(context, prefix):
+    context.number = getattr(context, "number", 0) + 1
+    unique = f"{context.random.getrandbits(48):012x}{context.number}"
+    context.key = prefix + unique
+    return context.key
+
+
+def post(context, node, **headers):
+    fields = {"idempotency_key": context.key, **headers}
+    body = context.key.encode()
+    calls.send(context, node, "POST", PATH, body, **fields)
+    context.responses.append(context.response)
+
+
+@behave.given("a key prefix issued by {node}")
+def step_prefix(context, node):
+    target = "/-/addresses?service=bookings&workspace=w"
+    answer = calls.send(context, node, "GET", target)
+    context.prefix = answer.json()["key_prefix"]
+    context.responses = []
+    context.add_cleanup(end_modes, context)
+    context.add_cleanup(context.fleet.fault)
+
+
+@behave.given("bookings take {ms:d} ms")
+def step_slow(context, ms):
+    set_mode(context, work_s=ms / 1000.0, fixed=True)
+
+
+@behave.given("the bookings servers run and close without an answer")
+def step_drop(context):
+    set_mode(context, drop=True)
+
+
+@behave.given("the bookings servers run and never answer")
+def step_silent(context):
+    set_mode(context, silent=True)
+
+
+@behave.given("the bookings servers refuse all work")
+def step_refuse(context):
+    set_mode(context, shed=True)
+
+
+@behave.given("the bookings servers serve again")
+def step_serve(context):
+    set_mode(context, shed=False)
+
+
+@behave.given("the store is down")
+def step_store_down(context):
+    context.fleet.fault(down=True)
+
+
+@behave.given("the store loses the answer of the next write")
+def step_store_loses(context):
+    context.fleet.fault(lose=1)
+
+
+@behave.given("{node} is frozen")
+def step_freeze(context, node):
+    process = context.fleet.nodes[node].process
+    process.send_signal(signal.SIGSTOP)
+    context.add_cleanup(process.send_signal, signal.SIGCONT)
+
+
+@behave.given("{node} is resumed")
+def step_resume(context, node):
+    context.fleet.nodes[node].process.send_signal(signal.SIGCONT)
+
+
+@behave.given("{node} is killed and replaced")
+def step_replace(context, node):
+    replaced = context.fleet.nodes[node]
+    replaced.process.kill()
+    replaced.process.wait()
+    context.fleet.start_node(replaced)
+    fleet_harness.wait_for_port(replaced.control)
+    context.fleet.complete({"bookings": 6, "catalogue": 8})
+
+
+@behave.when("a caller posts a booking with a new key to {node}")
+def step_post(context, node):
+    fresh_key(context, context.prefix)
+    post(context, node)
+
+
+@behave.when("a caller posts a booking with its own key to {node}")
+def step_post_own(context, node):
+    fresh_key(context, "own-")
+    post(context, node)
+
+
+@behave.when("a caller posts a booking with the key {key} to {node}")
+def step_post_key(context, key, node):
+    context.key = key
+    post(context, node)
+
+
+@behave.when("a caller posts a booking with a deadline of {ms:d} ms to {node}")
+def step_post_deadline(context, ms, node):
+    fresh_key(context, context.prefix)
+    post(context, node, dotterelpath_timeout_ms=ms)
+
+
+@behave.when("two callers post one new key to {one} and {two} at once")
+def step_post_both(context, one, two):
+    fresh_key(context, context.prefix)
+    post_at_once(context, one, two)
+
+
+@behave.when("two callers post their own key to {one} and {two} at once")
+def step_post_own_both(context, one, two):
+    fresh_key(context, "own-")
+    post_at_once(context, one, two)
+
+
+def post_at_once(context, one, two):
+    def send(node):
+        port = context.fleet.nodes[node].port
+        fields = {"idempotency-key": context.key}
+        body = context.key.encode()
+        return fleet_harness.call(port, "POST", PATH, body, fields)
+
+    with concurrent.futures.ThreadPoolExecutor(2) as pool:
+        context.responses = list(pool.map(send, (one, two)))
+
+
+@behave.when("a caller posts a new key to {node} and closes at once")
+def step_post_close(context, node):
+    body = fresh_key(context, context.prefix).encode()
+    head = (
+        f"POST {PATH} HTTP/1.1\r\nhost: x\r\nidempotency-key: {context.key}\r\n"
+        f"content-length: {len(body)}\r\n\r\n"
+    )
+    address = ("127.0.0.1", context.fleet.nodes[node].port)
+    with socket.create_connection(address) as raw:
+        raw.sendall(head.encode() + body)
+        fleet_harness.wait_until(
+            lambda: context.key in context.fleet.runs(), "the booking runs"
+        )
+
+
+@behave.when("the caller posts it again to {node}")
+def step_again(context, node):
+    post(context, node)
+
+
+@behave.when("the caller posts attempt {attempt:d} of it to {node}")
+def step_attempt(context, attempt, node):
+    post(context, node, dotterelpath_attempt=attempt)
+
+
+@behave.when("the caller posts another body with the key to {node}")
+def step_other_body(context, node):
+    calls.send(
+        context, node, "POST", PATH, b"other", idempotency_key=context.key
+    )
+
+
+@behave.then("both results are {code:d} with the same body")
+def step_both(context, code):
+    one, two = context.responses[-2:]
+    assert one.result == two.result == code, (one.body, two.body)
+    assert one.body == two.body, (one.body, two.body)
+
+
+@behave.then("the booking ran once")
+def step_ran_once(context):
+    assert context.fleet.runs().get(context.key) == 1, context.fleet.runs()
+
+
+@behave.then("the booking ran 0 times")
+def step_not_run(context):
+    assert context.key not in context.fleet.runs()
+
+
+@behave.then("the booking ran at most once")
+def step_at_most_once(context):
+    assert context.fleet.runs().get(context.key, 0) <= 1
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -6,6 +6,7 @@
 
 import behave
 
+from features.support import calls
 from standins import fleet as fleet_harness
 
 RAW = {
@@ -35,22 +36,14 @@
 }
 
 
-def send(context, node, method, path, body=b"", **headers):
-    """Sends a request and keeps the response."""
-    fields = {n.replace("_", "-"): str(v) for n, v in headers.items()}
-    port = context.fleet.nodes[node].port
-    context.response = fleet_harness.call(port, method, path, body, fields)
-    return context.response
-
-
 @behave.when("a caller sends {method} {path} to {node}")
 def step_send(context, method, path, node):
-    send(context, node, method, path)
+    calls.send(context, node, method, path)
 
 
 @behave.when("a caller of workspace {name} sends GET {path} to {node}")
 def step_send_workspace(context, name, path, node):
-    send(context, node, "GET", path, dotterelpath_workspace=name)
+    calls.send(context, node, "GET", path, dotterelpath_workspace=name)
 
 
 @behave.then("the result is {code:d} with status {status:d}")
@@ -93,12 +86,14 @@
 
 @behave.then("{node} still answers")
 def step_still_answers(context, node):
-    assert send(context, node, "GET", "/catalogue/x").result == 1000
+    assert calls.send(context, node, "GET", "/catalogue/x").result == 1000
 
 
 @behave.when("a caller asks {node} for the addresses of {service}")
 def step_addresses(context, node, service):
-    send(context, node, "GET", f"/-/addresses?service={service}&workspace=w")
+    calls.send(
+        context, node, "GET", f"/-/addresses?service={service}&workspace=w"
+    )
 
 
 @behave.then(
--- /dev/null
+++ b/features/steps/record_steps.py
@@ -0,0 +1,197 @@
+"""Steps on the records of keys, without processes."""
+
+from __future__ import annotations
+
+import behave
+
+from dotterelpath import errors
+from dotterelpath.domain import budget
+from dotterelpath.domain import exchange
+from dotterelpath.domain import keys
+from dotterelpath.domain import records
+from dotterelpath.domain import tries
+from features.support import world as world_module
+
+HOME = keys.Home("d0", "1")
+
+
+def refusal(context, *args, **kwargs):
+    try:
+        context.book.admit(*args, **kwargs)
+    except errors.DotterelpathError as error:
+        return int(error.code)
+    return None
+
+
+def run(context, key, epoch, size=0):
+    now_s = epoch * keys.EPOCH_S
+    verdict = context.book.admit(key, epoch, "f", 1, now_s)
+    assert verdict.decision is records.Decision.RUN
+    answer = exchange.Answer(200, [], b"x" * size)
+    outcome = exchange.Outcome(errors.ResultCode.ANSWERED, answer=answer)
+    context.book.finish(key, outcome)
+
+
+@behave.given("a book with room for {count:d} records")
+def step_book(context, count):
+    context.now_s = 0.0
+    context.book = records.Book(HOME, 0.0, max_records=count)
+
+
+@behave.given("a book that keeps {size:d} bytes of answers")
+def step_book_bytes(context, size):
+    context.now_s = 0.0
+    context.book = records.Book(HOME, 0.0, max_answer_bytes=size)
+
+
+@behave.when("the keys {one} and {two} run in epoch {epoch:d} and end")
+def step_run(context, one, two, epoch):
+    run(context, one, epoch)
+    run(context, two, epoch)
+
+
+@behave.when(
+    "the keys {one} and {two} run in epoch {epoch:d} with answers of"
+    " {size:d} bytes"
+)
+def step_run_sized(context, one, two, epoch, size):
+    run(context, one, epoch, size)
+    run(context, two, epoch, size)
+
+
+@behave.when("the key {key} starts in epoch {epoch:d}")
+def step_start(context, key, epoch):
+    context.now_s = epoch * keys.EPOCH_S
+    verdict = context.book.admit(key, epoch, "f", 1, context.now_s)
+    assert verdict.decision is records.Decision.RUN
+
+
+@behave.when("{count:d} epochs pass")
+def step_pass(context, count):
+    context.now_s += count * keys.EPOCH_S
+    context.book.expire(context.now_s)
+
+
+@behave.then("the key {key} of epoch {epoch:d} is refused with {code:d}")
+def step_refused(context, key, epoch, code):
+    assert refusal(context, key, epoch, "f", 1, context.now_s) == code
+
+
+@behave.then("the claimed key {key} without a record is refused with {code:d}")
+def step_claimed(context, key, code):
+    epoch = records.OPAQUE_EPOCH
+    found = refusal(context, key, epoch, "f", 1, 0.0, may_start=False)
+    assert found == code, found
+
+
+@behave.when("attempt {attempt:d} of {key} joins and both end as not run")
+def step_join(context, attempt, key):
+    verdict = context.book.admit(key, 0, "f", attempt, 0.0)
+    assert verdict.decision is records.Decision.JOIN
+    code = errors.ResultCode.BACKEND_REFUSED
+    context.book.finish(key, exchange.Outcome(code))
+
+
+@behave.then("attempt {attempt:d} of {key} is told again that it was not run")
+def step_final(context, attempt, key):
+    verdict = context.book.admit(key, 0, "f", attempt, 0.0)
+    assert verdict.decision is records.Decision.REPLAY
+    assert verdict.outcome.is_not_run
+
+
+@behave.then("attempt {attempt:d} of {key} may run")
+def step_may_run(context, attempt, key):
+    verdict = context.book.admit(key, 0, "f", attempt, 0.0)
+    assert verdict.decision is records.Decision.RUN
+
+
+@behave.then("another attempt of {key} joins the running one")
+def step_joins(context, key):
+    verdict = context.book.admit(key, 0, "f", 1, context.now_s)
+    assert verdict.decision is records.Decision.JOIN
+
+
+@behave.then("another attempt of {key} is told {code:d}")
+def step_told(context, key, code):
+    verdict = context.book.admit(key, 0, "f", 1, context.now_s)
+    assert verdict.decision is records.Decision.REPLAY
+    assert verdict.outcome.code == code, verdict.outcome.code
+
+
+@behave.given("tries of an idempotent request")
+def step_tries(context):
+    context.tries = tries.Tries(True)
+
+
+@behave.when("the first try ends {first} and the second ends {second}")
+def step_ends(context, first, second):
+    retries = budget.RetryBudget()
+    for number, name in enumerate((first, second)):
+        context.tries.start(f"i{number}")
+        context.end = tries.TryEnd[name]
+        context.tries.may_retry(context.end, retries)
+
+
+@behave.then("the outcome is {code:d}")
+def step_outcome(context, code):
+    outcome = context.tries.failure(context.end)
+    assert outcome.code == code, outcome.code
+
+
+@behave.given("a fleet of decisions with {count:d} daemons")
+def step_world(context, count):
+    context.world = world_module.World(daemons=count)
+
+
+@behave.given("a booking with a key of {home} has ended")
+def step_booked(context, home):
+    context.prefix = context.world.prefix(home)
+    context.first = context.prefix + "first0001"
+    context.world.send(home, context.first)
+    context.world.settle()
+    context.world.run_try(0)
+    context.world.settle()
+
+
+@behave.when("{home} begins to hand off its records while another booking runs")
+def step_begin(context, home):
+    context.world.send(home, context.prefix + "running01")
+    context.world.settle()
+    context.world.begin_drain(home)
+
+
+@behave.when("a further key of {home} comes to {node}")
+def step_further(context, home, node):
+    context.further = context.prefix + "further01"
+    context.world.send(node, context.further)
+    context.world.settle()
+
+
+@behave.then("it does not start at {node}")
+def step_held(context, node):
+    waiting = [send.request.key for _, send in context.world.tries_open]
+    assert context.further not in waiting, waiting
+
+
+@behave.when("the running booking ends and {home} hands its records to {node}")
+def step_hand_off(context, home, node):
+    context.world.run_try(0)
+    context.world.settle()
+    context.world.finish_drain(home, node)
+
+
+@behave.then("the further key ran once, at {node}")
+def step_ran_there(context, node):
+    assert len(context.world.tries_open) == 1
+    assert context.world.tries_open[0][0].home.daemon_id == node
+    context.world.run_try(0)
+    context.world.settle()
+    assert len(context.world.runs[context.further]) == 1
+
+
+@behave.then("the first booking's answer is still given by {node}")
+def step_still_given(context, node):
+    token = context.world.send(node, context.first)
+    context.world.settle()
+    assert context.world.outcome(token).is_answered
+    assert len(context.world.runs[context.first]) == 1
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes and machines that the steps share."""
--- /dev/null
+++ b/features/support/calls.py
@@ -0,0 +1,13 @@
+"""Calls that the steps make."""
+
+from __future__ import annotations
+
+from standins import fleet as fleet_harness
+
+
+def send(context, node, method, path, body=b"", **headers):
+    """Sends a request to a daemon and keeps the response."""
+    fields = {n.replace("_", "-"): str(v) for n, v in headers.items()}
+    port = context.fleet.nodes[node].port
+    context.response = fleet_harness.call(port, method, path, body, fields)
+    return context.response
--- /dev/null
+++ b/features/support/world.py
@@ -0,0 +1,407 @@
+"""Daemons' decisions without sockets, before backend servers that log runs."""
+
+from __future__ import annotations
+
+import collections
+import heapq
+import random
+
+from dotterelpath import errors
+from dotterelpath.adapters import logs
+from dotterelpath.domain import document
+from dotterelpath.domain import exchange
+from dotterelpath.domain import keys
+from dotterelpath.domain import records
+from dotterelpath.domain import tries
+from dotterelpath.domain import vms
+from dotterelpath.tasks import dispatcher
+from dotterelpath.tasks import mailbox
+from dotterelpath.tasks import messages
+
+REFUSAL = "x-not-run"
+SERVICE = "bookings"
+
+
+class FakeClock:
+    """A clock that moves only when it is told to."""
+
+    __slots__ = ("time_s",)
+
+    def __init__(self):
+        self.time_s = 1000.0
+
+    def now_s(self):
+        return self.time_s
+
+    def wall_s(self):
+        return self.time_s
+
+
+class FakeTimers:
+    """Due times without an event loop."""
+
+    __slots__ = ("heap", "order")
+
+    def __init__(self):
+        self.heap = []
+        self.order = 0
+
+    def add(self, due_s, item):
+        self.order += 1
+        heapq.heappush(self.heap, (due_s, self.order, item))
+
+    def due(self, now_s):
+        found = []
+        while self.heap and self.heap[0][0] <= now_s:
+            found.append(heapq.heappop(self.heap)[2])
+        return found
+
+
+class NoMetrics:
+    """Takes in measurements and forgets them."""
+
+    __slots__ = ()
+
+    def request_ended(self, *args):
+        pass
+
+    def retried(self, *args):
+        pass
+
+    def avoided(self, *args):
+        pass
+
+    def ejected(self, *args):
+        pass
+
+
+class Node:
+    """One daemon's dispatcher with its mailboxes."""
+
+    __slots__ = ("boxes", "dispatcher", "home", "drain", "is_frozen")
+
+    def __init__(self, world, home):
+        self.home = home
+        self.is_frozen = False
+        self.drain = None
+        names = ("inbox", "back_ends", "peers", "claims", "steward")
+        self.boxes = {name: mailbox.Mailbox(name) for name in names}
+        self.dispatcher = dispatcher.Dispatcher(
+            home,
+            world.clock,
+            random.Random(1),
+            FakeTimers(),
+            NoMetrics(),
+            *self.boxes.values(),
+        )
+
+    def take(self, name):
+        """Takes all messages out of a mailbox."""
+        box = self.boxes[name]._messages
+        taken = list(box)
+        box.clear()
+        return taken
+
+
+class World:
+    """A fleet whose network, store and backend servers the test drives."""
+
+    __slots__ = (
+        "answers",
+        "claims",
+        "clock",
+        "incarnations",
+        "late",
+        "nodes",
+        "replies",
+        "runs",
+        "store_down",
+        "told",
+        "tokens",
+        "tries_open",
+    )
+
+    def __init__(self, daemons=3, instances=3):
+        logs.configure("error")
+        self.clock = FakeClock()
+        self.incarnations = 0
+        self.nodes = {}
+        self.store_down = False
+        self.claims = {}
+        self.runs = collections.defaultdict(list)
+        self.told = []
+        self.answers = {}
+        self.tokens = {}
+        self.tries_open = []
+        self.late = []
+        self.replies = mailbox.Mailbox("callers", 10**9)
+        self.vm_table(daemons, instances)
+        for number in range(daemons):
+            self.start(f"d{number}")
+
+    def vm_table(self, daemons, instances):
+        self.answers["vms"] = {
+            **{
+                f"d{n}": vms.Vm(f"d{n}", vms.VmRole.ENTRY, "h", 1, "abc"[n % 3])
+                for n in range(daemons)
+            },
+            **{
+                f"i{n}": vms.Vm(
+                    f"i{n}",
+                    vms.VmRole.BACKEND,
+                    "h",
+                    2,
+                    "abc"[n % 3],
+                    service=SERVICE,
+                )
+                for n in range(instances)
+            },
+        }
+
+    def start(self, daemon_id):
+        """Starts a new life of a daemon."""
+        self.incarnations += 1
+        home = keys.Home(daemon_id, f"{self.incarnations:x}")
+        node = self.nodes[daemon_id] = Node(self, home)
+        handle = node.dispatcher.handle
+        handle(messages.VmsChanged(self.answers["vms"]))
+        service = document.Service(SERVICE, 1, refusal_header=REFUSAL, slots=50)
+        route = document.Route(SERVICE, "/", frozenset(), timeout_s=5.0)
+        section = document.Section("s", ("0" * 64,), (service,), (route,), ())
+        handle(messages.DocumentChanged(document.Document(1, (section,))))
+        self.tell_members()
+        return node
+
+    def tell_members(self):
+        live = sorted(self.nodes)
+        adopters = {
+            home: node.home.daemon_id
+            for node in self.nodes.values()
+            for home in node.dispatcher.books.adopted
+        }
+        places = {
+            daemon_id: "abc"[int(daemon_id[1:]) % 3] for daemon_id in live
+        }
+        for node in self.nodes.values():
+            node.dispatcher.handle(
+                messages.MembersChanged(live, places, adopters)
+            )
+
+    def prefix(self, daemon_id):
+        node = self.nodes[daemon_id]
+        started_s = node.dispatcher.books.own.started_at_s
+        return keys.mint_prefix(node.home, self.clock.now_s() - started_s)
+
+    def send(self, daemon_id, key, attempt=1, body=b"b", method="POST"):
+        """A caller's request arrives at a daemon."""
+        token = len(self.tokens) + 1
+        self.tokens[token] = (key, attempt, body)
+        request = exchange.Request(
+            method,
+            "/bookings",
+            [],
+            body,
+            workspace="w",
+            key=key,
+            attempt=attempt,
+            request_id=f"r{token}",
+        )
+        node = self.nodes[daemon_id]
+        node.boxes["inbox"].force(
+            messages.RequestArrived(request, self.replies, token)
+        )
+        return token
+
+    def settle(self):
+        """Delivers messages until nothing moves but open tries."""
+        moved = True
+        while moved:
+            moved = False
+            for node in list(self.nodes.values()):
+                if not node.is_frozen:
+                    moved |= self._step(node)
+        for message in self._take_replies():
+            key, attempt, body = self.tokens[message.token]
+            self.told.append((message.token, key, attempt, message.outcome))
+
+    def outcome(self, token):
+        """Finds what a caller was told."""
+        for told_token, _, _, outcome in self.told:
+            if told_token == token:
+                return outcome
+        return None
+
+    def run_try(self, index, how="answered"):
+        """Lets a backend server handle an open try in some way."""
+        node, send = self.tries_open.pop(index % len(self.tries_open))
+        request = send.request
+        end = tries.TryEnd.ANSWERED
+        answer = exchange.Answer(200, [], request.body)
+        if how in ("answered", "lost", "late"):
+            self.runs[request.key].append(request.attempt)
+        if how == "refused":
+            answer = exchange.Answer(503, [(REFUSAL.encode(), b"1")], b"")
+        elif how in ("lost", "broken"):
+            end, answer = tries.TryEnd.BROKEN, None
+        elif how == "unreachable":
+            end, answer = tries.TryEnd.UNREACHABLE, None
+        ended = messages.TryEnded(send.exchange_id, end, how, answer)
+        if how == "late":
+            self.late.append((node, ended))
+        else:
+            node.boxes["inbox"].force(ended)
+
+    def deliver_late(self):
+        """Delivers answers that were held back."""
+        for node, message in self.late:
+            node.boxes["inbox"].force(message)
+        self.late.clear()
+
+    def kill(self, daemon_id):
+        """A daemon dies; what its backend servers got may still run."""
+        self.nodes.pop(daemon_id)
+
+    def advance(self, seconds):
+        """Time passes."""
+        self.clock.time_s += seconds
+        for node in self.nodes.values():
+            node.boxes["inbox"].force(messages.Tick())
+
+    def begin_drain(self, daemon_id):
+        """A daemon holds back new keys until its records are final."""
+        node = self.nodes[daemon_id]
+        if node.drain is None:
+            node.drain = _Books()
+            node.boxes["inbox"].force(messages.FreezeBegan(node.drain))
+            self.settle()
+
+    def finish_drain(self, daemon_id, successor_id):
+        """The daemon hands its records to a successor and stops."""
+        node = self.nodes[daemon_id]
+        successor = None
+        if node.drain.done():
+            for book in node.drain.books:
+                self._hand_off(book, self.nodes[successor_id])
+            successor = self.answers["vms"][successor_id]
+        node.boxes["inbox"].force(messages.HandedOff(successor))
+        self.settle()
+        del self.nodes[daemon_id]
+        self.tell_members()
+
+    def _hand_off(self, book, node):
+        copy = records.Book(book.home, book.started_at_s)
+        copy.adopted_at_s = self.clock.now_s()
+        copy.raise_floor(book.floor_epoch)
+        for scoped_key, record in book.records.items():
+            copy.adopt(scoped_key, record)
+        if book.is_closed:
+            copy.close()
+        node.boxes["inbox"].force(messages.BookAdopted(copy))
+
+    def _step(self, node):
+        moved = False
+        for message in node.take("inbox"):
+            node.dispatcher.handle(message)
+            moved = True
+        for message in node.take("back_ends"):
+            if isinstance(message, messages.SendTry):
+                self.tries_open.append((node, message))
+            moved = True
+        for message in node.take("peers"):
+            self._forward(node, message)
+            moved = True
+        for message in node.take("claims"):
+            self._claim(node, message)
+            moved = True
+        node.take("steward")
+        return moved
+
+    def _forward(self, node, message):
+        for vm in message.candidates:
+            target = self.nodes.get(vm.id)
+            if target is None:
+                continue
+            if target.is_frozen:
+                # The peer may have it and is silent until the deadline.
+                self._hold(target, message)
+                return
+            relay = _Relay(node, message, self)
+            target.boxes["inbox"].force(
+                messages.RequestArrived(
+                    message.request, relay, 0, True, message.claimed_home
+                )
+            )
+            return
+        self._forward_failed(node, message)
+
+    def _hold(self, target, message):
+        relay = _Relay(None, message, self)
+        target.boxes["inbox"].force(
+            messages.RequestArrived(
+                message.request, relay, 0, True, message.claimed_home
+            )
+        )
+
+    def _forward_failed(self, node, message):
+        outcome = exchange.Outcome(errors.ResultCode.HOME_UNREACHABLE)
+        node.boxes["inbox"].force(
+            messages.ForwardEnded(message.exchange_id, outcome)
+        )
+
+    def _claim(self, node, message):
+        if self.store_down:
+            claimed = messages.KeyClaimed(message.exchange_id, None, False)
+        else:
+            is_new = message.scoped_key not in self.claims
+            home = self.claims.setdefault(message.scoped_key, node.home)
+            claimed = messages.KeyClaimed(message.exchange_id, home, is_new)
+        node.boxes["inbox"].force(claimed)
+
+    def _take_replies(self):
+        taken = [
+            m
+            for m in self.replies._messages
+            if isinstance(m, messages.RequestEnded)
+        ]
+        self.replies._messages.clear()
+        return taken
+
+
+class _Books:
+    """Waits for the books of a daemon that stops, without an event loop."""
+
+    __slots__ = ("books",)
+
+    def __init__(self):
+        self.books = None
+
+    def done(self):
+        return self.books is not None
+
+    def set_result(self, books):
+        self.books = books
+
+
+class _Relay:
+    """The mailbox of a peer's API: passes an outcome back to the asker."""
+
+    __slots__ = ("message", "node", "world")
+
+    def __init__(self, node, message, world):
+        self.node = node
+        self.message = message
+        self.world = world
+
+    def force(self, ended):
+        if self.node is None or not isinstance(ended, messages.RequestEnded):
+            return
+        outcome = ended.outcome
+        if outcome.code is errors.ResultCode.HOME_REPLACED:
+            rest = self.message.candidates[1:]
+            if rest:
+                self.message.candidates = rest
+                self.world._forward(self.node, self.message)
+                return
+        self.node.boxes["inbox"].force(
+            messages.ForwardEnded(self.message.exchange_id, outcome)
+        )
--- a/src/dotterelpath/adapters/h11_frontend.py
+++ b/src/dotterelpath/adapters/h11_frontend.py
@@ -30,6 +30,7 @@
     __slots__ = (
         "_body",
         "_close_after",
+        "_closes_on_eof",
         "_conn",
         "_head",
         "_id_prefix",
@@ -48,6 +49,7 @@
         listener: frontend.Listener,
         id_prefix: str,
         max_body_bytes: int = MAX_BODY_BYTES,
+        closes_on_eof: bool = False,
     ) -> None:
         """Creates a connection that is not yet open.
 
@@ -55,8 +57,11 @@
             listener: Hears what the caller sends.
             id_prefix: Begins the ids of this daemon's requests.
             max_body_bytes: A longer body is refused.
+            closes_on_eof: Whether an end of the caller's stream means that
+                it waits for no answer.
         """
         self._max_body_bytes = max_body_bytes
+        self._closes_on_eof = closes_on_eof
         self._listener = listener
         self._id_prefix = id_prefix
         self._conn = h11.Connection(
@@ -96,7 +101,7 @@
 
     def eof_received(self) -> bool:
         """Keeps a half-closed connection open until its answer is out."""
-        return self._is_busy
+        return self._is_busy and not self._closes_on_eof
 
     def pause_writing(self) -> None:
         """Tells the listener that the caller reads slowly."""
@@ -263,17 +268,23 @@
 class H11Binder:
     """Listens for callers over HTTP/1.1."""
 
-    __slots__ = ("_id_prefix", "_max_body_bytes")
+    __slots__ = ("_closes_on_eof", "_id_prefix", "_max_body_bytes")
 
     def __init__(
-        self, id_prefix: str, max_body_bytes: int = MAX_BODY_BYTES
+        self,
+        id_prefix: str,
+        max_body_bytes: int = MAX_BODY_BYTES,
+        closes_on_eof: bool = False,
     ) -> None:
         """Creates a binder.
 
         Args:
             id_prefix: Begins the ids of this daemon's requests.
             max_body_bytes: A longer body is refused.
+            closes_on_eof: Whether an end of the caller's stream means that
+                it waits for no answer.
         """
+        self._closes_on_eof = closes_on_eof
         self._id_prefix = id_prefix
         self._max_body_bytes = max_body_bytes
 
@@ -285,7 +296,10 @@
         try:
             return await loop.create_server(
                 lambda: H11Connection(
-                    listener, self._id_prefix, self._max_body_bytes
+                    listener,
+                    self._id_prefix,
+                    self._max_body_bytes,
+                    self._closes_on_eof,
                 ),
                 host,
                 port,
--- a/src/dotterelpath/daemon.py
+++ b/src/dotterelpath/daemon.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import random
 import secrets
 import signal
 import sys
@@ -44,6 +45,7 @@
 from dotterelpath.tasks import store_watcher
 from dotterelpath.tasks import supervisor
 from dotterelpath.tasks import ticker
+from dotterelpath.tasks import timers
 from dotterelpath.tasks import vm_watcher
 
 PEER_BODY_BYTES = 64 * 1024 * 1024
@@ -158,6 +160,8 @@
         self._dispatcher = dispatcher.Dispatcher(
             self._home,
             self._clock,
+            random.Random(),
+            timers.Timers(self._clock, boxes.dispatcher),
             self._metrics,
             boxes.dispatcher,
             boxes.back_ends,
--- a/src/dotterelpath/domain/records.py
+++ b/src/dotterelpath/domain/records.py
@@ -258,6 +258,8 @@
         if record.fingerprint != fingerprint:
             raise errors.DotterelpathError(errors.ResultCode.KEY_REUSED)
         if record.state is RecordState.RUNNING:
+            # All that join share the outcome, so it is final for them too.
+            record.attempt = max(record.attempt, attempt)
             return Verdict(Decision.JOIN)
         outcome = record.outcome
         assert outcome is not None
--- a/src/dotterelpath/tasks/dispatcher.py
+++ b/src/dotterelpath/tasks/dispatcher.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import typing
 
 import structlog
@@ -20,11 +19,12 @@
 from dotterelpath.domain import vms
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import metrics as metrics_port
+from dotterelpath.ports import randomness
+from dotterelpath.ports import timers as timers_port
 from dotterelpath.tasks import _answers
 from dotterelpath.tasks import _exchange
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import messages
-from dotterelpath.tasks import timers
 
 EXPIRE_S = 5.0
 BUFFER_BYTES = 256 * 1024
@@ -70,6 +70,8 @@
         self,
         home: keys.Home,
         clock: clock_port.Clock,
+        random: randomness.RandomSource,
+        due: timers_port.Timers[_exchange.Exchange],
         metrics: metrics_port.Metrics,
         inbox: mailbox.Mailbox[typing.Any],
         back_ends: mailbox.Mailbox[typing.Any],
@@ -82,6 +84,8 @@
         Args:
             home: This daemon.
             clock: Tells the time.
+            random: Draws instances.
+            due: Keeps deadlines and posts ticks to the inbox.
             metrics: Takes in what is measured.
             inbox: This task's mailbox.
             back_ends: Writes tries.
@@ -103,12 +107,10 @@
         self._tries: dict[int, _exchange.OpenTry] = {}
         self._streams: dict[int, _exchange.Exchange] = {}
         self._running: dict[tuple[keys.Home, str], _exchange.Exchange] = {}
-        self._timers: timers.Timers[_exchange.Exchange] = timers.Timers(
-            clock, inbox
-        )
+        self._timers = due
         self._told: dict[str, dict[str, float]] = {}
         self._next_expiry_s = now_s + EXPIRE_S
-        self._random = random.Random()
+        self._random = random
         self._is_fresh = True
         self._vms: dict[str, vms.Vm] = {}
         self._live: list[str] = []
@@ -141,8 +143,15 @@
     async def run(self) -> None:
         """Handles messages until cancelled."""
         while True:
-            message = await self._mailbox.receive()
-            self._handlers[type(message)](message)
+            self.handle(await self._mailbox.receive())
+
+    def handle(self, message: typing.Any) -> None:
+        """Handles one message.
+
+        Args:
+            message: A message of tasks.messages.
+        """
+        self._handlers[type(message)](message)
 
     def on_request_arrived(self, message: messages.RequestArrived) -> None:
         """Decides on a new request.
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -73,7 +73,8 @@
             return http.answer({"ok": True})
         self._served["arrived"] += 1
         limit = self._mode["slots"] * MAX_WAITING_PER_SLOT
-        if self._mode.get("draining") or self._running >= limit:
+        refuses = self._mode.get("draining") or self._mode.get("shed")
+        if refuses or self._running >= limit:
             self._served["refused"] += 1
             headers = [(b"x-not-run", b"1"), *self._signs()]
             return http.answer({"refused": self._name}, 503, headers)
--- a/standins/http.py
+++ b/standins/http.py
@@ -37,7 +37,7 @@
             handler: Answers a request.
         """
         self._handler = handler
-        self._calls: set[asyncio.Task[None]] = set()
+        self._calls: dict[frontend.Connection, asyncio.Task[None]] = {}
 
     async def listen(self, host: str, port: int) -> None:
         """Opens the listening socket.
@@ -46,18 +46,16 @@
             host: The IP address.
             port: The port.
         """
-        binder = h11_frontend.H11Binder("standin", MAX_BODY_BYTES)
+        binder = h11_frontend.H11Binder("standin", MAX_BODY_BYTES, True)
         await binder.listen(host, port, self)
 
     def on_request(
         self, connection: frontend.Connection, request: exchange.Request
     ) -> None:
         """A request came in."""
-        task = asyncio.get_running_loop().create_task(
+        self._calls[connection] = asyncio.get_running_loop().create_task(
             self._serve(connection, request)
         )
-        self._calls.add(task)
-        task.add_done_callback(self._calls.discard)
 
     def on_rejected(
         self, connection: frontend.Connection, error: errors.DotterelpathError
@@ -68,7 +66,10 @@
         """A client connected."""
 
     def on_gone(self, connection: frontend.Connection) -> None:
-        """A client closed."""
+        """A client closed, which cancels its request."""
+        task = self._calls.pop(connection, None)
+        if task is not None:
+            task.cancel()
 
     def on_paused(self, connection: frontend.Connection) -> None:
         """A client reads slowly."""
