--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,371 @@
+"""Cost of a daemon's control work, as slopes over the size of the fleet.
+
+Each cost is measured at several sizes; the slope is the least-squares line,
+and the last column is the cost worked out at the planned size.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import random
+import time
+import tracemalloc
+import typing
+
+import orjson
+
+from benchmarks import report
+from dotterelpath import errors
+from dotterelpath.adapters import codec as codec_adapter
+from dotterelpath.adapters import metrics as metrics_adapter
+from dotterelpath.adapters import peer_codec
+from dotterelpath.domain import addresses
+from dotterelpath.domain import document
+from dotterelpath.domain import estate
+from dotterelpath.domain import keys
+from dotterelpath.domain import members
+from dotterelpath.domain import routing
+from dotterelpath.domain import vms
+
+PLANNED = {
+    "routes": 2_900,
+    "workspaces": 42_000,
+    "instances": 7_700,
+    "daemons": 900,
+    "sections": 150,
+    "series": metrics_adapter.MAX_WORKSPACES,
+}
+REPEATS = 5
+MEMORY_BOUND_MB = 256.0
+PROCESSOR_BOUND = 0.028
+BYTES_BOUND = 8192.0
+EDITS_A_DAY = 1_400
+RESTARTS_A_DAY = 1_000
+DAY_S = 86_400.0
+SCRAPES_A_S = 1.0 / 15.0
+
+Measure = typing.Callable[[int], float]
+
+
+def run() -> report.Table:
+    """Runs the benchmark.
+
+    Returns:
+        A table of slopes, and the sums against the bounds.
+    """
+    table = report.Table(
+        "control work: slopes over the size",
+        ("cost", "unit", "over", "slope", "at 0", "at plan"),
+    )
+    planned: dict[str, float] = {}
+    for name, unit, over, measure in _MEASURES:
+        size = PLANNED[over]
+        sizes = [max(1, size // 8), size // 4, size // 2, size]
+        points = [(n, measure(n)) for n in sizes]
+        slope, base = _line(points)
+        planned[name] = max(slope * size + base, points[-1][1])
+        table.row(
+            name,
+            unit,
+            f"{size} {over}",
+            f"{slope:.3g}",
+            f"{base:.3g}",
+            f"{planned[name]:.4g}",
+        )
+    _sums(table, planned)
+    return table
+
+
+def _sums(table: report.Table, planned: dict[str, float]) -> None:
+    memory_mb = (
+        planned["document"] + planned["instances"] + planned["members"]
+    ) / 1e6
+    # Each round sends up to four heartbeats and hears as many.
+    beats = 2 * (members.RING_NEIGHBOURS + 1)
+    busy = (
+        beats * planned["heartbeat"]
+        + EDITS_A_DAY / DAY_S * (planned["apply"] + planned["parse"])
+        + 2 * RESTARTS_A_DAY / DAY_S * planned["vm change"]
+        + 2 * RESTARTS_A_DAY / DAY_S * planned["members change"]
+        + SCRAPES_A_S * planned["render"]
+    )
+    traffic = beats * planned["heartbeat bytes"]
+    table.note(
+        f"state in memory, without the process itself: {memory_mb:.0f} MB"
+    )
+    table.bound("state in MB", memory_mb, MEMORY_BOUND_MB)
+    table.bound("processor share of these", busy, PROCESSOR_BOUND)
+    table.bound("heartbeat bytes a second", traffic, BYTES_BOUND)
+
+
+def _line(points: list[tuple[int, float]]) -> tuple[float, float]:
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    return slope, mean_y - slope * mean_x
+
+
+def _seconds(work: typing.Callable[[], object]) -> float:
+    """Times work: the best of some repeats, in seconds."""
+    best = float("inf")
+    for _ in range(REPEATS):
+        gc.collect()
+        started_s = time.perf_counter()
+        work()
+        best = min(best, time.perf_counter() - started_s)
+    return best
+
+
+def _bytes(build: typing.Callable[[], object]) -> float:
+    """Measures the memory that an object keeps, in bytes."""
+    gc.collect()
+    tracemalloc.start()
+    kept = build()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return float(size)
+
+
+def _routes(count: int) -> list[document.Route]:
+    return [
+        document.Route(f"s{n % 150}", f"/team{n % 150}/path{n}", frozenset())
+        for n in range(count)
+    ]
+
+
+def _document(
+    routes: int = PLANNED["routes"], workspaces: int = PLANNED["workspaces"]
+) -> document.Document:
+    sections = PLANNED["sections"]
+    built = []
+    by_service: dict[str, list[document.Route]] = {}
+    for route in _routes(routes):
+        by_service.setdefault(route.service, []).append(route)
+    for number in range(sections):
+        name = f"s{number}"
+        limits = tuple(
+            document.WorkspaceLimit(f"workspace-{n}", 10)
+            for n in range(number, workspaces, sections)
+        )
+        service = document.Service(name, 20)
+        built.append(
+            document.Section(
+                name,
+                ("0" * 64,),
+                (service,),
+                tuple(by_service.get(name, ())),
+                limits,
+            )
+        )
+    return document.Document(1, tuple(built))
+
+
+def _vms(count: int) -> list[vms.Vm]:
+    return [
+        vms.Vm(
+            f"instance-{n}",
+            vms.VmRole.BACKEND,
+            f"10.0.{n // 250}.{n % 250}",
+            8080,
+            "abcdef"[n % 6],
+            service=f"s{n % 150}",
+        )
+        for n in range(count)
+    ]
+
+
+def _entry_vms(count: int) -> list[vms.Vm]:
+    return [
+        vms.Vm(
+            f"entry-{n}",
+            vms.VmRole.ENTRY,
+            f"10.1.{n // 250}.{n % 250}",
+            7000,
+            "abcdef"[n % 6],
+            peer_port=7001,
+        )
+        for n in range(count)
+    ]
+
+
+def _membership(count: int) -> members.Membership:
+    membership = members.Membership(keys.Home("entry-0", "abcd1234"), 0.0)
+    membership.set_vms(_entry_vms(count), 0.0)
+    return membership
+
+
+def _measure_find(count: int) -> float:
+    table = routing.RouteTable(_routes(count))
+    paths = [f"/team{n % 150}/path{n}/a/b" for n in range(1000)]
+    found = [p for p in paths if int(p.split("path")[1].split("/")[0]) < count]
+    return _seconds(lambda: [table.find("GET", p) for p in found]) / len(found)
+
+
+def _measure_apply(count: int) -> float:
+    newer = _document(workspaces=count)
+    return _seconds(lambda: estate.Estate().set_document(newer, 0.0))
+
+
+def _measure_parse(count: int) -> float:
+    """Parses the one section of an edit, of all workspaces' share."""
+    share = count // PLANNED["sections"]
+    lines = [f'owners = ["{"0" * 64}"]', "[[service]]", 'name = "s"']
+    lines += ["floor = 2"]
+    for n in range(PLANNED["routes"] // PLANNED["sections"]):
+        lines += ["[[route]]", 'service = "s"', f'prefix = "/p{n}"']
+    lines += [f"[workspaces.w{n}]\nconcurrency = 5" for n in range(share)]
+    text = "\n".join(lines)
+    codec = codec_adapter.Codec()
+    return _seconds(lambda: codec.parse_section("s", text))
+
+
+def _measure_document(count: int) -> float:
+    return _bytes(lambda: _document(workspaces=count))
+
+
+def _filled(count: int) -> estate.Estate[object]:
+    filled: estate.Estate[object] = estate.Estate()
+    filled.set_document(_document(workspaces=150), 0.0)
+    filled.set_vms(vms.VmTable.of(_vms(count)), 0.0)
+    return filled
+
+
+def _measure_instances(count: int) -> float:
+    return _bytes(lambda: _filled(count))
+
+
+def _measure_vm_change(count: int) -> float:
+    filled = _filled(count)
+    table = vms.VmTable.of(_vms(count))
+    leaving = _vms(1)[0]
+    leaving.state = vms.VmState.LEAVING
+    return _seconds(
+        lambda: filled.set_vms(table.changed_by([leaving], []), 1.0)
+    )
+
+
+def _measure_members(count: int) -> float:
+    return _bytes(lambda: _membership(count))
+
+
+def _heartbeat(membership: members.Membership) -> members.Heartbeat:
+    return members.Heartbeat(
+        keys.Home("entry-7", "abcd1234"),
+        5,
+        members.MemberState.ALIVE,
+        12345,
+        1.0,
+        (),
+        membership.take_rumours(),
+    )
+
+
+def _busy_membership(count: int) -> members.Membership:
+    """Builds a view with as many rumours as an ordinary day has at once."""
+    membership = _membership(count)
+    for n in range(1, 1 + max(1, count // 100)):
+        membership.on_heartbeat(
+            members.Heartbeat(
+                keys.Home(f"entry-{n}", "1"),
+                1,
+                members.MemberState.LEAVING,
+                1,
+                0.0,
+                (),
+                (),
+            ),
+            1.0,
+        )
+    return membership
+
+
+def _measure_heartbeat(count: int) -> float:
+    membership = _busy_membership(count)
+
+    def exchange() -> None:
+        text = orjson.dumps(
+            peer_codec.heartbeat_to_json(_heartbeat(membership))
+        )
+        heard = peer_codec.heartbeat_from_json(orjson.loads(text))
+        membership.on_heartbeat(heard, 1.0)
+        membership.targets(random.Random(1))
+
+    return _seconds(lambda: [exchange() for _ in range(10)]) / 10.0
+
+
+def _measure_heartbeat_bytes(count: int) -> float:
+    membership = _busy_membership(count)
+    beat = peer_codec.heartbeat_to_json(_heartbeat(membership))
+    http_bytes = 260.0
+    return http_bytes + len(orjson.dumps(beat))
+
+
+def _measure_addresses(count: int) -> float:
+    places = [
+        addresses.Place(vm.id, vm.data_centre) for vm in _entry_vms(count)
+    ]
+    chosen = addresses.subset("s1", places)
+    return _seconds(lambda: addresses.ordered(chosen, "workspace-1", "a"))
+
+
+def _measure_subset(count: int) -> float:
+    places = [
+        addresses.Place(vm.id, vm.data_centre) for vm in _entry_vms(count)
+    ]
+    return _seconds(lambda: addresses.subset("s1", places))
+
+
+def _measure_members_change(count: int) -> float:
+    filled = _filled(PLANNED["instances"])
+    places = [
+        addresses.Place(vm.id, vm.data_centre) for vm in _entry_vms(count)
+    ]
+    return _seconds(lambda: filled.set_places(places))
+
+
+def _metrics(workspaces: int) -> metrics_adapter.Metrics:
+    filled = metrics_adapter.Metrics()
+    for n in range(workspaces):
+        for code in (errors.ResultCode.ANSWERED, errors.ResultCode.OVERLOADED):
+            filled.request_ended(
+                f"s{n % 20}", "normal", f"w{n}", code, 0.01, 0.001
+            )
+    return filled
+
+
+def _measure_observe(count: int) -> float:
+    filled = _metrics(count)
+    code = errors.ResultCode.ANSWERED
+
+    def observe() -> None:
+        for _ in range(100):
+            filled.request_ended("s1", "normal", "w0", code, 0.01, 0.001)
+
+    return _seconds(observe) / 100.0
+
+
+def _measure_render(count: int) -> float:
+    filled = _metrics(count)
+    return _seconds(lambda: asyncio.run(filled.render()))
+
+
+_MEASURES: tuple[tuple[str, str, str, Measure], ...] = (
+    ("route lookup", "s", "routes", _measure_find),
+    ("apply", "s", "workspaces", _measure_apply),
+    ("parse", "s", "workspaces", _measure_parse),
+    ("document", "bytes", "workspaces", _measure_document),
+    ("instances", "bytes", "instances", _measure_instances),
+    ("vm change", "s", "instances", _measure_vm_change),
+    ("members", "bytes", "daemons", _measure_members),
+    ("heartbeat", "s", "daemons", _measure_heartbeat),
+    ("heartbeat bytes", "bytes", "daemons", _measure_heartbeat_bytes),
+    ("address answer", "s", "daemons", _measure_addresses),
+    ("subset of a service", "s", "daemons", _measure_subset),
+    ("members change", "s", "daemons", _measure_members_change),
+    ("observe", "s", "series", _measure_observe),
+    ("render", "s", "series", _measure_render),
+)
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -9,7 +9,7 @@
 
 import behave
 
-from features.environment import OUT
+from features import environment
 from features.support import calls
 from standins import fleet as fleet_harness
 
@@ -98,7 +98,7 @@
     "all daemons are replaced in turn under {rate:d} requests a second"
 )
 def step_rolling(context, rate):
-    out = OUT / "rolling.json"
+    out = environment.OUT / "rolling.json"
     out.unlink(missing_ok=True)
     args = []
     for node in context.fleet.nodes.values():
--- /dev/null
+++ b/features/steps/tool_steps.py
@@ -0,0 +1,224 @@
+"""Steps on the command-line tool, settings, and ejection by processes."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+
+import behave
+
+from dotterelpath import errors
+from features.support import calls
+from standins import fleet as fleet_harness
+
+SECTION = """
+[[service]]
+name = "team"
+floor = 1
+
+[[route]]
+service = "team"
+prefix = "/team"
+"""
+
+
+def run(context, *args, **env):
+    context.ran = subprocess.run(
+        [sys.executable, *map(str, args)],
+        capture_output=True,
+        text=True,
+        timeout=30,
+        cwd=getattr(context, "folder", None),
+        env={
+            **os.environ,
+            "PYTHONPATH": str(fleet_harness.ROOT / "src"),
+            **env,
+        },
+        check=False,
+    )
+
+
+def tool(context, *args, **env):
+    control = ()
+    if "fleet" in context:
+        port = context.fleet.nodes["entry-1"].control
+        control = ("--control", f"127.0.0.1:{port}")
+    run(context, "-m", "dotterelpath.cli.main", *control, *args, **env)
+
+
+def daemon(context, changed, **env):
+    ports = fleet_harness.free_ports(5)
+    names = ("listen", "peer-listen", "control-listen", "store", "vm-list")
+    options = {"--id": "d", "--data-centre": "a"}
+    for name, port in zip(names, ports, strict=True):
+        options[f"--{name}"] = f"127.0.0.1:{port}"
+    options.update(changed)
+    flat = [p for pair in options.items() if pair[1] for p in pair]
+    run(context, "-m", "dotterelpath.daemon", *flat, **env)
+
+
+@behave.then(
+    "docs/RESULT_CODES.md has each code with its class, status and text"
+)
+def step_codes(context):
+    table = (fleet_harness.ROOT / "docs" / "RESULT_CODES.md").read_text()
+    for code in errors.ResultCode:
+        cells = (int(code), code.name, code.http_status, code.text)
+        row = "| {} | {} | {} | {} |".format(*cells)
+        assert row in table, row
+        assert f"| {int(code) // 1000}xxx | {code.outcome_class.value}" in table
+
+
+@behave.when("the daemon starts with {flag} {value}")
+def step_bad_flag(context, flag, value):
+    if flag.startswith("DOTTERELPATH_"):
+        name = "--" + flag.partition("_")[2].lower()
+        value = value.rpartition(" ")[2]
+        daemon(context, {name: None}, **{flag: value})
+        return
+    daemon(context, {flag: value})
+
+
+@behave.then("it ends with exit code {code:d} and names {flag}")
+def step_names(context, code, flag):
+    assert context.ran.returncode == code, context.ran
+    assert flag in context.ran.stderr, context.ran.stderr
+
+
+@behave.when("the daemon starts on a port that is taken")
+def step_taken(context):
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        port = taken.getsockname()[1]
+        daemon(context, {"--listen": f"127.0.0.1:{port}"})
+
+
+@behave.then("it ends with exit code {code:d} and the log has code {number:d}")
+def step_log_code(context, code, number):
+    assert context.ran.returncode == code, context.ran
+    assert f'"code": {number}' in context.ran.stderr, context.ran.stderr
+
+
+@behave.given("a file team.toml with {content}")
+def step_file(context, content):
+    context.folder = pathlib.Path(tempfile.mkdtemp())
+    text = fleet_harness.owners_line() + SECTION
+    if content == "broken syntax":
+        text += "this is = not"
+    elif content == "a misspelt field":
+        text = text.replace("floor", "flour")
+    elif content == "a foreign route":
+        text = text.replace('service = "team"', 'service = "other"')
+    (context.folder / "team.toml").write_text(text)
+
+
+@behave.when("the tool runs status against a closed port")
+def step_closed(context):
+    port = fleet_harness.free_ports(1)[0]
+    tool(context, "--control", f"127.0.0.1:{port}", "status")
+
+
+@behave.when("the tool edits team, replacing {old} by {new}")
+def step_edit(context, old, new):
+    editor = f"sed -i 's/{old}/{new}/'"
+    args = ("document", "edit", "team", "--token", fleet_harness.TOKEN)
+    tool(context, *args, EDITOR=editor)
+
+
+@behave.when("the tool runs {command}")
+def step_tool(context, command):
+    command, _, condition = command.partition(" with ")
+    args = command.split()
+    if args[:2] == ["document", "put"]:
+        token = "wrong" if "wrong" in condition else fleet_harness.TOKEN
+        args += ["--token", token]
+        if "stale" in condition:
+            args += ["--base", "0" * 64]
+    tool(context, *args)
+
+
+@behave.then("it exits with {code:d} and prints {text}")
+def step_prints(context, code, text):
+    printed = context.ran.stdout + context.ran.stderr
+    assert context.ran.returncode == code, printed
+    assert text in printed, printed
+
+
+@behave.given("{instance} fails {percent:d} % of its work")
+def step_gray(context, instance, percent):
+    context.fleet.mode(instance, fail_share=percent / 100.0)
+
+
+@behave.given("{instance} serves again")
+def step_well(context, instance):
+    context.fleet.mode(instance, fail_share=0.0)
+
+
+@behave.when("callers read the catalogue through all daemons")
+def step_readers(context):
+    done = threading.Event()
+
+    def read(node):
+        while not done.is_set():
+            calls.quietly(context, node, "/catalogue/x")
+
+    threads = [
+        threading.Thread(target=read, args=(node,))
+        for node in context.fleet.nodes
+        for _ in range(2)
+    ]
+    for thread in threads:
+        thread.start()
+
+    def end():
+        done.set()
+        for thread in threads:
+            thread.join()
+
+    context.add_cleanup(end)
+
+
+def shown(context, node):
+    control = context.fleet.nodes[node].control
+    return fleet_harness.status(control)["services"]["catalogue"]
+
+
+@behave.then("all daemons eject {instance} within {seconds:d} s")
+def step_all_eject(context, instance, seconds):
+    for node in context.fleet.nodes:
+        fleet_harness.wait_until(
+            lambda n=node: instance in shown(context, n)["ejected"],
+            f"{node} ejects",
+            float(seconds),
+        )
+
+
+@behave.then("all daemons give {instance} work again within {seconds:d} s")
+def step_work_again(context, instance, seconds):
+    for node in context.fleet.nodes:
+        fleet_harness.wait_until(
+            lambda n=node: instance in shown(context, n)["rotation"],
+            f"{node} gives work",
+            float(seconds),
+        )
+
+
+@behave.then("{node} avoids {instance} within {seconds:d} s")
+def step_avoids(context, node, instance, seconds):
+    fleet_harness.wait_until(
+        lambda: instance in shown(context, node)["avoided"],
+        f"{node} avoids",
+        float(seconds),
+    )
+
+
+@behave.then("no daemon ejects {instance}")
+def step_no_eject(context, instance):
+    for node in context.fleet.nodes:
+        assert instance not in shown(context, node)["ejected"]
--- a/features/support/calls.py
+++ b/features/support/calls.py
@@ -11,3 +11,12 @@
     port = context.fleet.nodes[node].port
     context.response = fleet_harness.call(port, method, path, body, fields)
     return context.response
+
+
+def quietly(context, node, path):
+    """Sends a read and keeps nothing; a failure to connect is ignored."""
+    port = context.fleet.nodes[node].port
+    try:
+        return fleet_harness.call(port, "GET", path)
+    except OSError:
+        return None
--- a/features/support/world.py
+++ b/features/support/world.py
@@ -15,6 +15,7 @@
 from dotterelpath.domain import tries
 from dotterelpath.domain import vms
 from dotterelpath.tasks import dispatcher
+from dotterelpath.tasks import events
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import messages
 
@@ -164,11 +165,11 @@
         home = keys.Home(daemon_id, f"{self.incarnations:x}")
         node = self.nodes[daemon_id] = Node(self, home)
         handle = node.dispatcher.handle
-        handle(messages.VmsChanged(self.answers["vms"]))
+        handle(events.VmsChanged(vms.VmTable.of(self.answers["vms"].values())))
         service = document.Service(SERVICE, 1, refusal_header=REFUSAL, slots=50)
         route = document.Route(SERVICE, "/", frozenset(), timeout_s=5.0)
         section = document.Section("s", ("0" * 64,), (service,), (route,), ())
-        handle(messages.DocumentChanged(document.Document(1, (section,))))
+        handle(events.DocumentChanged(document.Document(1, (section,))))
         self.tell_members()
         return node
 
@@ -184,7 +185,7 @@
         }
         for node in self.nodes.values():
             node.dispatcher.handle(
-                messages.MembersChanged(live, places, adopters)
+                events.MembersChanged(live, places, adopters)
             )
 
     def prefix(self, daemon_id):
@@ -272,7 +273,7 @@
         node = self.nodes[daemon_id]
         if node.drain is None:
             node.drain = _Books()
-            node.boxes["inbox"].force(messages.FreezeBegan(node.drain))
+            node.boxes["inbox"].force(events.FreezeBegan(node.drain))
             self.settle()
 
     def finish_drain(self, daemon_id, successor_id):
@@ -283,7 +284,7 @@
             for book in node.drain.books:
                 self._hand_off(book, self.nodes[successor_id])
             successor = self.answers["vms"][successor_id]
-        node.boxes["inbox"].force(messages.HandedOff(successor))
+        node.boxes["inbox"].force(events.HandedOff(successor))
         self.settle()
         del self.nodes[daemon_id]
         self.tell_members()
@@ -296,7 +297,7 @@
             copy.adopt(scoped_key, record)
         if book.is_closed:
             copy.close()
-        node.boxes["inbox"].force(messages.BookAdopted(copy))
+        node.boxes["inbox"].force(events.BookAdopted(copy))
 
     def _step(self, node):
         moved = False
--- a/src/dotterelpath/adapters/metrics.py
+++ b/src/dotterelpath/adapters/metrics.py
@@ -6,7 +6,6 @@
 import typing
 
 import aioprometheus
-from aioprometheus import renderer
 
 from dotterelpath import errors
 from dotterelpath.domain import exchange
@@ -109,7 +108,7 @@
         Returns:
             The headers and the body of an answer.
         """
-        content, headers = renderer.render(self._registry, [])
+        content, headers = aioprometheus.render(self._registry, [])
         fields = [
             (name.lower().encode(), value.encode())
             for name, value in headers.items()
--- a/src/dotterelpath/adapters/peer_api.py
+++ b/src/dotterelpath/adapters/peer_api.py
@@ -16,6 +16,7 @@
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import codec as codec_port
 from dotterelpath.tasks import document_keeper
+from dotterelpath.tasks import events
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import messages
 from dotterelpath.tasks import steward as steward_task
@@ -101,7 +102,7 @@
         """
         heartbeat = peer_codec.heartbeat_from_json(orjson.loads(request.body))
         reply = asyncio.get_running_loop().create_future()
-        self._gossip.force(messages.HeartbeatArrived(heartbeat, reply))
+        self._gossip.force(events.HeartbeatArrived(heartbeat, reply))
         return api.json_answer(peer_codec.heartbeat_to_json(await reply))
 
     async def forward(self, request: exchange.Request) -> exchange.Answer:
@@ -146,7 +147,7 @@
             book.adopt(scoped_key, record)
         if hand_off.is_closed:
             book.close()
-        adopted = messages.BookAdopted(book)
+        adopted = events.BookAdopted(book)
         self._dispatcher.force(adopted)
         self._gossip.force(adopted)
         return api.json_answer({})
@@ -159,7 +160,7 @@
         """
         data = orjson.loads(request.body)
         try:
-            arrived = messages.ReportsArrived(
+            arrived = events.ReportsArrived(
                 str(data["service"]),
                 str(data["daemon_id"]),
                 str(data["data_centre"]),
--- a/src/dotterelpath/adapters/settings.py
+++ b/src/dotterelpath/adapters/settings.py
@@ -34,6 +34,8 @@
 class AddressType(click.ParamType):
     """Reads HOST:PORT from a flag or an environment variable."""
 
+    __slots__ = ()
+
     name = "HOST:PORT"
 
     def convert(
@@ -56,6 +58,8 @@
 class DaemonIdType(click.ParamType):
     """Reads a daemon's id, which becomes a part of issued keys."""
 
+    __slots__ = ()
+
     name = "ID"
 
     def convert(
--- a/src/dotterelpath/cli/main.py
+++ b/src/dotterelpath/cli/main.py
@@ -66,6 +66,8 @@
 class _Group(click.Group):
     """Turns coded errors into messages and exit codes."""
 
+    __slots__ = ()
+
     def invoke(self, ctx: click.Context) -> typing.Any:
         """Runs a command; see click.Group."""
         try:
--- a/src/dotterelpath/domain/addresses.py
+++ b/src/dotterelpath/domain/addresses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 import typing
 
@@ -46,6 +47,22 @@
     return min(daemons, max(MIN_SUBSET, most))
 
 
+def sharing(places: typing.Iterable[Place]) -> int:
+    """Counts the daemons that serve one service, whichever it is.
+
+    Args:
+        places: The live daemons.
+
+    Returns:
+        The size of every service's subset.
+    """
+    counts = collections.Counter(place.data_centre for place in places)
+    if not counts:
+        return 0
+    each = math.ceil(subset_size(counts.total()) / len(counts))
+    return sum(min(each, count) for count in counts.values())
+
+
 def subset(service: str, places: typing.Sequence[Place]) -> list[Place]:
     """Chooses the daemons that serve one service.
 
--- a/src/dotterelpath/domain/estate.py
+++ b/src/dotterelpath/domain/estate.py
@@ -47,10 +47,10 @@
     __slots__ = (
         "_document",
         "_ledgers",
-        "_listed",
-        "_places",
         "_routes",
         "_services",
+        "_sharing",
+        "_table",
         "workspaces",
     )
 
@@ -59,9 +59,9 @@
         self._document: document.Document | None = None
         self._routes = routing.RouteTable(())
         self._services: dict[str, ServiceState[T]] = {}
-        self._listed: dict[str, list[vms.Vm]] = {}
+        self._table = vms.EMPTY_TABLE
         self._ledgers: dict[str, ledger.Ledger] = {}
-        self._places: list[addresses.Place] = []
+        self._sharing = 1
         self.workspaces = admission.WorkspaceLimits()
 
     @property
@@ -100,20 +100,19 @@
                 state.pool.set_service(service)
         return True
 
-    def set_vms(self, listed: typing.Iterable[vms.Vm], now_s: float) -> None:
+    def set_vms(self, table: vms.VmTable, now_s: float) -> None:
         """Takes in the platform's list.
 
         Args:
-            listed: All VMs.
+            table: The list.
             now_s: A monotonic clock, in seconds.
         """
-        by_service: dict[str, list[vms.Vm]] = {}
-        for vm in listed:
-            if vm.role is vms.VmRole.BACKEND:
-                by_service.setdefault(vm.service, []).append(vm)
-        self._listed = by_service
-        for name, state in self._services.items():
-            state.pool.set_vms(by_service.get(name, ()), now_s)
+        self._table = table
+        touched = table.touched
+        for name in self._services if touched is None else touched:
+            state = self._services.get(name)
+            if state is not None:
+                state.pool.set_vms(table.by_service.get(name, ()), now_s)
 
     def set_ledger(self, newer: ledger.Ledger) -> bool:
         """Takes in a service's ejections, never an older ledger.
@@ -139,9 +138,9 @@
         Args:
             places: The daemons with their data centres.
         """
-        self._places = places
-        for name, state in self._services.items():
-            state.pool.set_sharing(self._sharing(name))
+        self._sharing = addresses.sharing(places)
+        for state in self._services.values():
+            state.pool.set_sharing(self._sharing)
 
     def find(
         self, request: exchange.Request
@@ -179,12 +178,9 @@
         self, service: document.Service, now_s: float
     ) -> ServiceState[T]:
         state: ServiceState[T] = ServiceState(service)
-        state.pool.set_vms(self._listed.get(service.name, ()), now_s)
-        state.pool.set_sharing(self._sharing(service.name))
+        state.pool.set_vms(self._table.by_service.get(service.name, ()), now_s)
+        state.pool.set_sharing(self._sharing)
         known = self._ledgers.get(service.name)
         if known is not None:
             state.pool.set_ledger(known.ejected, frozenset(known.trial))
         return state
-
-    def _sharing(self, service: str) -> int:
-        return len(addresses.subset(service, self._places))
--- a/src/dotterelpath/domain/health.py
+++ b/src/dotterelpath/domain/health.py
@@ -16,7 +16,9 @@
 SLOW_SLACK_S = 0.002
 LATENCY_WEIGHT = 0.1
 PRIOR_COUNT = 5.0
-RAISED_PART = 0.4
+# How far the rates of the two alternatives lie above the usual rate.
+MARKED_PART = 0.4
+MILD_PART = 0.05
 MAX_NORMAL_RATE = 0.9
 MAX_SCORE = 40.0
 EVIDENCE_S = 60.0
@@ -197,31 +199,34 @@
 class _Evidence:
     """What speaks against one instance."""
 
-    __slots__ = ("counts", "failure_score", "latency_s", "slow_score")
+    __slots__ = ("counts", "failing", "latency_s", "mildly_failing", "slow")
 
     def __init__(self, now_s: float) -> None:
         self.counts = _Windows(now_s)
         self.latency_s: float | None = None
-        self.failure_score = 0.0
-        self.slow_score = 0.0
+        self.failing = 0.0
+        self.mildly_failing = 0.0
+        self.slow = 0.0
 
     @property
     def score(self) -> float:
-        """The stronger of both suspicions."""
-        return max(self.failure_score, self.slow_score)
+        """The strongest suspicion."""
+        return max(self.failing, self.mildly_failing, self.slow)
 
     def fade(self, now_s: float) -> None:
         """Lets old evidence fade, so that thin traffic does not freeze it."""
         factor = math.exp(-(now_s - self.counts.steady.at_s) / EVIDENCE_S)
-        self.failure_score *= factor
-        self.slow_score *= factor
+        self.failing *= factor
+        self.mildly_failing *= factor
+        self.slow *= factor
 
 
 class SequentialRatio:
     """CUSUM of log-likelihood ratios against the sibling instances.
 
     Two hypotheses are weighed with each outcome: the instance fails (or is
-    slow) as often as its siblings do now, or markedly more often. The ratio is
+    slow) as often as its siblings do now, or more often, mildly or markedly;
+    each alternative has a sum of its own. The ratio is
     summed and held at zero or above (Page, 1954), so a healthy instance stays
     near zero and a sick one rises steadily. The median score of the siblings
     is subtracted, so that a service that degrades as a whole ejects nobody.
@@ -314,11 +319,14 @@
 
     def _score(self, own: _Evidence, failed: bool, slow: bool) -> None:
         failure_rate = self._sibling_rate(own, "failures", MIN_FAILURE_RATE)
-        own.failure_score = _cusum(own.failure_score, failed, failure_rate)
+        own.failing = _cusum(own.failing, failed, failure_rate, MARKED_PART)
+        own.mildly_failing = _cusum(
+            own.mildly_failing, failed, failure_rate, MILD_PART
+        )
         if failed:
             return
         slow_rate = self._sibling_rate(own, "slow", MIN_SLOW_RATE)
-        own.slow_score = _cusum(own.slow_score, slow, slow_rate)
+        own.slow = _cusum(own.slow, slow, slow_rate, MARKED_PART)
 
     def _sibling_rate(self, own: _Evidence, what: str, least: float) -> float:
         """Finds how often the siblings fail now, the sudden rate included."""
@@ -336,8 +344,8 @@
         return min(highest, MAX_NORMAL_RATE)
 
 
-def _cusum(score: float, event: bool, normal: float) -> float:
-    raised = normal + RAISED_PART * (1.0 - normal)
+def _cusum(score: float, event: bool, normal: float, part: float) -> float:
+    raised = normal + part * (1.0 - normal)
     if event:
         step = math.log(raised / normal)
     else:
--- a/src/dotterelpath/domain/ledger.py
+++ b/src/dotterelpath/domain/ledger.py
@@ -12,6 +12,8 @@
 FIRST_BACKOFF_S = 10.0
 MAX_BACKOFF_S = 640.0
 TRIAL_S = 10.0
+# Reports from before a trial may still be on their way when it begins.
+TRIAL_GRACE_S = 3.0
 STRIKE_MEMORY_S = 900.0
 REPORT_MAX_AGE_S = 10.0
 
@@ -286,6 +288,13 @@
         ledger.entries[instance] = entry.moved_to(Standing.RESTORED, wall_s)
 
 
+def _is_on_new_trial(ledger: Ledger, instance: str, wall_s: float) -> bool:
+    entry = ledger.entries.get(instance)
+    if entry is None or entry.standing is not Standing.TRIAL:
+        return False
+    return wall_s - entry.changed_s < TRIAL_GRACE_S
+
+
 def _eject(
     ledger: Ledger,
     capacity: set[str],
@@ -296,6 +305,8 @@
     for instance in confirmed:
         if instance not in capacity or instance in ledger.ejected:
             continue
+        if _is_on_new_trial(ledger, instance, wall_s):
+            continue
         costs = 0 if instance in ledger.trial else 1
         if _in_use(ledger, capacity) - costs < floor:
             continue
--- a/src/dotterelpath/domain/pool.py
+++ b/src/dotterelpath/domain/pool.py
@@ -199,7 +199,9 @@
             ejected: Ejected instances, oldest ejection first.
             trial: Instances on trial after an ejection.
         """
-        for instance_id in trial - self._trial:
+        # An ejection uses up the evidence; a trial begins without any.
+        newly_ejected = {*ejected} - {*self._ejected}
+        for instance_id in newly_ejected | (trial - self._trial):
             self._detector.forget(instance_id)
         self._ejected = ejected
         self._trial = trial
--- a/src/dotterelpath/tasks/_answers.py
+++ b/src/dotterelpath/tasks/_answers.py
@@ -9,8 +9,6 @@
 from dotterelpath.domain import keys
 from dotterelpath.domain import tries
 from dotterelpath.domain import vms
-from dotterelpath.tasks import _exchange
-from dotterelpath.tasks import messages
 
 LOAD_HEADER = b"dotterelpath-load"
 DRAINING_HEADER = b"dotterelpath-draining"
@@ -130,19 +128,17 @@
     return found
 
 
-def reply(
-    receivers: list[_exchange.ReplyTo], outcome: exchange.Outcome
-) -> None:
-    """Tells all who wait for a request how it ended.
+def for_joined(outcome: exchange.Outcome) -> exchange.Outcome:
+    """Builds what an attempt is told that joined a running one.
 
-    A long answer streams to the first; the others learn only that it ran.
+    A long answer streams to the one that runs; others learn only that it ran.
 
     Args:
-        receivers: Those who wait.
-        outcome: How it ended.
+        outcome: How the running attempt ended.
+
+    Returns:
+        The outcome for the attempt that joined.
     """
-    for index, receiver in enumerate(receivers):
-        told = outcome
-        if index and outcome.stream_id is not None:
-            told = exchange.Outcome(errors.ResultCode.ANSWER_NOT_KEPT)
-        receiver.inbox.force(messages.RequestEnded(receiver.token, told))
+    if outcome.stream_id is None:
+        return outcome
+    return exchange.Outcome(errors.ResultCode.ANSWER_NOT_KEPT)
--- /dev/null
+++ b/src/dotterelpath/tasks/_attempts.py
@@ -0,0 +1,428 @@
+"""Sends requests to instances, retries and hedges them, and ends them."""
+
+from __future__ import annotations
+
+import typing
+
+import structlog
+
+from dotterelpath import errors
+from dotterelpath.domain import admission
+from dotterelpath.domain import estate
+from dotterelpath.domain import exchange
+from dotterelpath.domain import tries
+from dotterelpath.ports import clock as clock_port
+from dotterelpath.ports import metrics as metrics_port
+from dotterelpath.ports import randomness
+from dotterelpath.ports import timers as timers_port
+from dotterelpath.tasks import _answers
+from dotterelpath.tasks import _exchange
+from dotterelpath.tasks import events
+from dotterelpath.tasks import mailbox
+from dotterelpath.tasks import messages
+
+BUFFER_BYTES = 256 * 1024
+KEPT_BUFFER_BYTES = 4 * 1024 * 1024
+TOLD_STEP = 1.0
+
+_NO_WORK = (tries.TryEnd.REFUSED, tries.TryEnd.UNREACHABLE, tries.TryEnd.BROKEN)
+_log = structlog.get_logger()
+
+
+class Attempts:
+    """A part of the dispatcher's state: the services and the open tries."""
+
+    __slots__ = (
+        "_back_ends",
+        "_clock",
+        "_end",
+        "_estate",
+        "_metrics",
+        "_random",
+        "_steward",
+        "_streams",
+        "_timers",
+        "_told",
+        "_tries",
+    )
+
+    def __init__(
+        self,
+        clock: clock_port.Clock,
+        random: randomness.RandomSource,
+        due: timers_port.Timers[_exchange.Exchange],
+        metrics: metrics_port.Metrics,
+        back_ends: mailbox.Mailbox[typing.Any],
+        steward: mailbox.Mailbox[typing.Any],
+        end: typing.Callable[[_exchange.Exchange, exchange.Outcome], None],
+    ) -> None:
+        """Creates an empty state.
+
+        Args:
+            clock: Tells the time.
+            random: Draws instances.
+            due: Keeps deadlines.
+            metrics: Takes in what is measured.
+            back_ends: Writes tries.
+            steward: Hears which instances this daemon suspects.
+            end: Ends a request.
+        """
+        self._clock = clock
+        self._random = random
+        self._timers = due
+        self._metrics = metrics
+        self._back_ends = back_ends
+        self._steward = steward
+        self._end = end
+        self._estate: estate.Estate[_exchange.Exchange] = estate.Estate()
+        self._tries: dict[int, _exchange.OpenTry] = {}
+        self._streams: dict[int, _exchange.Exchange] = {}
+        self._told: dict[str, dict[str, float]] = {}
+
+    @property
+    def estate(self) -> estate.Estate[_exchange.Exchange]:
+        """The services of the document in force."""
+        return self._estate
+
+    def begin(self, work: _exchange.Exchange) -> None:
+        """Routes a request and sends it, or lets it wait for an instance.
+
+        Args:
+            work: The request.
+
+        Raises:
+            DotterelpathError: The request is refused.
+        """
+        request = work.request
+        route, state = self._estate.find(request)
+        work.route = route
+        work.state = state
+        work.limit_time(route.timeout_s)
+        work.tries = tries.Tries(route.is_idempotent(request.method))
+        self._estate.workspaces.enter(
+            request.workspace,
+            self._estate.workspace_concurrency(request.workspace),
+        )
+        work.workspace_entered = True
+        state.retries.earn()
+        if not state.pool.rotation:
+            raise errors.DotterelpathError(
+                errors.ResultCode.NO_BACKEND, f"service {route.service}"
+            )
+        self._timers.add(work.deadline_s, work)
+        if state.admission.queued or not self._try(work):
+            self._wait(work)
+
+    def on_try_ended(self, message: messages.TryEnded) -> None:
+        """Takes in the end of a try.
+
+        Args:
+            message: How it ended.
+        """
+        attempt = self._tries.pop(message.exchange_id, None)
+        if attempt is None:
+            return
+        work = attempt.exchange
+        end = self._judge(work, message)
+        self._settle_instance(work, attempt, end, message.answer)
+        if end is not tries.TryEnd.ANSWERED:
+            self._on_failed_try(work, message, end)
+        elif not self._replaces_failure(work, message):
+            self._on_answered_try(work, attempt, message)
+        self._pump(work)
+
+    def on_answer_part(self, message: messages.AnswerPart) -> None:
+        """Passes on a part of a long answer.
+
+        Args:
+            message: The part.
+        """
+        work = self._streams.get(message.exchange_id)
+        if work is not None and work.reply_to is not None:
+            work.reply_to.inbox.force(message)
+
+    def on_answer_done(
+        self, message: messages.AnswerDone
+    ) -> _exchange.Exchange | None:
+        """Passes on the end of a long answer.
+
+        Args:
+            message: Whether it is whole.
+
+        Returns:
+            The request, which is over now.
+        """
+        work = self._streams.pop(message.exchange_id, None)
+        if work is not None and work.reply_to is not None:
+            work.reply_to.inbox.force(message)
+        return work
+
+    def on_ledger_changed(self, message: events.LedgerChanged) -> None:
+        """Takes in a service's ejections, and withdraws what they settle.
+
+        Args:
+            message: The ledger.
+        """
+        changed = message.ledger
+        if not self._estate.set_ledger(changed):
+            return
+        self._metrics.ejected(changed.service, len(changed.ejected))
+        state = self._estate.services.get(changed.service)
+        if state is not None:
+            self._tell_suspicions(changed.service, state.pool.suspicions)
+
+    def hedge(self, work: _exchange.Exchange) -> None:
+        """Sends a late request to a second instance, if it is allowed.
+
+        Args:
+            work: The request.
+        """
+        work.is_hedge_due = False
+        assert work.state is not None and work.route is not None
+        if work.stream_id is not None or not work.state.admission.has_room():
+            return
+        if work.tries.may_hedge(work.state.retries) and self._try(work):
+            self._metrics.retried(work.route.service, True)
+
+    def time_out(self, work: _exchange.Exchange) -> None:
+        """Ends a routed request whose deadline has passed.
+
+        Args:
+            work: The request.
+        """
+        assert work.state is not None
+        if not work.try_ids:
+            work.state.admission.drop(work)
+            code = errors.ResultCode.DEADLINE_TOO_SHORT
+            self._end(work, exchange.Outcome(code))
+            return
+        for try_id in work.try_ids:
+            attempt = self._tries.pop(try_id, None)
+            if attempt is not None:
+                self._back_ends.force(messages.CancelTry(try_id, True))
+                self._unload(work, attempt, False)
+        work.tries.last_detail = "no answer before the deadline"
+        self._end(work, work.tries.failure(tries.TryEnd.TIMED_OUT))
+        self._pump(work)
+
+    def abandon(self, work: _exchange.Exchange) -> bool:
+        """Gives up a request whose caller is gone, where it loses nothing.
+
+        Args:
+            work: The request.
+
+        Returns:
+            Whether the request is over.
+        """
+        if work.stream_id is not None:
+            self._streams.pop(work.stream_id, None)
+            return True
+        if work.state is None:
+            return True
+        if work.tries.open and not work.tries.is_idempotent:
+            return False
+        work.state.admission.drop(work)
+        self._cancel_tries(work, 0)
+        self._end(work, exchange.Outcome(errors.ResultCode.CALLER_GONE))
+        self._pump(work)
+        return True
+
+    def _wait(self, work: _exchange.Exchange) -> None:
+        assert work.route is not None and work.state is not None
+        now_s = self._clock.now_s()
+        waiter = admission.Waiter(
+            work, work.route.traffic_class, now_s, work.deadline_s
+        )
+        work.state.admission.enqueue(waiter, now_s)
+
+    def _try(self, work: _exchange.Exchange) -> bool:
+        """Sends a request to an instance if one may take it."""
+        state = work.state
+        assert state is not None
+        if not state.admission.has_room():
+            return False
+        now_s = self._clock.now_s()
+        idempotent = work.tries.is_idempotent
+        instance = state.pool.choose(
+            self._random, now_s, idempotent, work.tries.tried
+        )
+        if instance is None:
+            return False
+        try_id = _exchange.next_try_id()
+        work.try_ids.append(try_id)
+        work.tries.start(instance.id)
+        self._tries[try_id] = _exchange.OpenTry(work, instance.id, now_s)
+        state.pool.started(instance)
+        state.admission.started()
+        self._back_ends.force(
+            messages.SendTry(
+                try_id,
+                instance.vm,
+                work.request,
+                work.deadline_s - now_s,
+                not idempotent,
+                KEPT_BUFFER_BYTES if work.book else BUFFER_BYTES,
+            )
+        )
+        self._plan_hedge(work, now_s)
+        return True
+
+    def _plan_hedge(self, work: _exchange.Exchange, now_s: float) -> None:
+        assert work.state is not None
+        if not work.tries.is_idempotent or len(work.tries.tried) > 1:
+            return
+        usual_s = work.state.admission.limit.latency_s
+        delay_s = max(
+            tries.MIN_HEDGE_DELAY_S, usual_s * tries.HEDGE_LATENCY_FACTOR
+        )
+        if now_s + delay_s < work.deadline_s:
+            work.is_hedge_due = True
+            self._timers.add(now_s + delay_s, work)
+
+    def _judge(
+        self, work: _exchange.Exchange, message: messages.TryEnded
+    ) -> tries.TryEnd:
+        """Tells a refusal, by the section's header, from an answer."""
+        assert work.state is not None
+        if message.answer is None:
+            return message.end
+        refusal_header = work.state.pool.service.refusal_header
+        if not _answers.is_refusal(message.answer, refusal_header):
+            return message.end
+        if not message.is_whole:
+            cancel = messages.CancelTry(message.exchange_id, False)
+            self._back_ends.force(cancel)
+        return tries.TryEnd.REFUSED
+
+    def _on_answered_try(
+        self,
+        work: _exchange.Exchange,
+        attempt: _exchange.OpenTry,
+        message: messages.TryEnded,
+    ) -> None:
+        if not message.is_whole:
+            work.stream_id = message.exchange_id
+            self._streams[message.exchange_id] = work
+        self._cancel_tries(work, message.exchange_id)
+        outcome = exchange.Outcome(
+            errors.ResultCode.ANSWERED,
+            answer=message.answer,
+            instance=attempt.instance_id,
+            stream_id=work.stream_id,
+        )
+        self._end(work, outcome)
+
+    def _replaces_failure(
+        self, work: _exchange.Exchange, message: messages.TryEnded
+    ) -> bool:
+        """Has another instance try where one answered with a failure."""
+        assert work.state is not None and work.route is not None
+        answer = message.answer
+        assert answer is not None
+        if answer.status < _answers.FAILURE_STATUS or not message.is_whole:
+            return False
+        if work.is_ended or not work.tries.may_replace(work.state.retries):
+            return False
+        if not self._try(work):
+            return False
+        work.tries.open -= 1
+        self._metrics.retried(work.route.service, False)
+        return True
+
+    def _on_failed_try(
+        self,
+        work: _exchange.Exchange,
+        message: messages.TryEnded,
+        end: tries.TryEnd,
+    ) -> None:
+        assert work.state is not None and work.route is not None
+        if work.is_ended:
+            return
+        work.tries.last_detail = message.detail
+        may_retry = work.tries.may_retry(end, work.state.retries)
+        if work.tries.open > 0:
+            return
+        if may_retry and self._try(work):
+            self._metrics.retried(work.route.service, False)
+            return
+        self._end(work, work.tries.failure(end))
+
+    def _settle_instance(
+        self,
+        work: _exchange.Exchange,
+        attempt: _exchange.OpenTry,
+        end: tries.TryEnd,
+        answer: exchange.Answer | None,
+    ) -> None:
+        """Takes in what a try's end says of its instance."""
+        assert work.state is not None and work.route is not None
+        now_s = self._clock.now_s()
+        took_s = now_s - attempt.started_s
+        work.backend_s = max(work.backend_s, took_s)
+        pool = work.state.pool
+        if answer is not None:
+            signs = _answers.read_signs(answer)
+            if signs.load is not None:
+                pool.report_load(attempt.instance_id, signs.load, now_s)
+            if signs.is_draining:
+                pool.mark_leaving(attempt.instance_id, now_s)
+        before = pool.avoided
+        ok = _answers.did_work(end, answer)
+        pool.ended(attempt.instance_id, ok, took_s, now_s)
+        if end in _NO_WORK:
+            pool.back_off(attempt.instance_id, now_s)
+        service = work.route.service
+        if pool.avoided != before:
+            self._metrics.avoided(service, len(pool.avoided))
+            _log.info("avoided changed", service=service, ids=pool.avoided)
+        self._tell_suspicions(service, pool.suspicions)
+        refused = end is tries.TryEnd.REFUSED
+        work.state.admission.ended(took_s, refused, work.state.ceiling)
+
+    def _tell_suspicions(self, service: str, scores: dict[str, float]) -> None:
+        """Tells the steward's task of suspicions when they move."""
+        told = self._told.get(service, {})
+        if scores.keys() == told.keys() and all(
+            abs(score - told[instance]) < TOLD_STEP
+            for instance, score in scores.items()
+        ):
+            return
+        self._told[service] = scores
+        self._steward.force(events.SuspicionsChanged(service, scores))
+
+    def _cancel_tries(self, work: _exchange.Exchange, kept: int) -> None:
+        """Cancels the tries that lost against another one."""
+        for try_id in work.try_ids:
+            attempt = self._tries.get(try_id)
+            if try_id == kept or attempt is None:
+                continue
+            del self._tries[try_id]
+            self._back_ends.force(messages.CancelTry(try_id, False))
+            self._unload(work, attempt, None)
+
+    def _unload(
+        self,
+        work: _exchange.Exchange,
+        attempt: _exchange.OpenTry,
+        ok: bool | None,
+    ) -> None:
+        assert work.state is not None
+        now_s = self._clock.now_s()
+        took_s = now_s - attempt.started_s
+        work.state.pool.ended(attempt.instance_id, ok, took_s, now_s)
+        work.state.admission.ended(took_s, False, work.state.ceiling)
+
+    def _pump(self, work: _exchange.Exchange) -> None:
+        """Sends waiting requests while instances may take them."""
+        state = work.state
+        if state is None:
+            return
+        while state.admission.queued and state.admission.has_room():
+            waiter = state.admission.next_waiter()
+            if waiter is None:
+                return
+            if waiter.item.is_ended:
+                continue
+            if not self._try(waiter.item):
+                state.admission.put_back(waiter)
+                return
--- a/src/dotterelpath/tasks/_exchange.py
+++ b/src/dotterelpath/tasks/_exchange.py
@@ -5,7 +5,6 @@
 import itertools
 import typing
 
-from dotterelpath.domain import admission
 from dotterelpath.domain import document
 from dotterelpath.domain import estate
 from dotterelpath.domain import exchange
@@ -34,6 +33,16 @@
         self.inbox = inbox
         self.token = token
 
+    def __eq__(self, other: object) -> bool:
+        """Compares by mailbox and token."""
+        if not isinstance(other, ReplyTo):
+            return NotImplemented
+        return self.inbox is other.inbox and self.token == other.token
+
+    def __hash__(self) -> int:
+        """Hashes by mailbox and token."""
+        return hash((id(self.inbox), self.token))
+
 
 class OpenTry:
     """A try that has not ended."""
@@ -68,7 +77,8 @@
         "is_ended",
         "is_forwarded",
         "is_hedge_due",
-        "replies",
+        "joined",
+        "reply_to",
         "request",
         "route",
         "scoped_key",
@@ -76,7 +86,6 @@
         "stream_id",
         "tries",
         "try_ids",
-        "waiter",
         "workspace_entered",
     )
 
@@ -89,18 +98,17 @@
         """
         self.id = next(_numbers)
         self.request: exchange.Request = message.request
-        self.replies = [ReplyTo(message.reply_to, message.token)]
+        self.reply_to: ReplyTo | None = ReplyTo(message.reply_to, message.token)
+        self.joined: list[Exchange] = []
         self.is_forwarded = message.is_forwarded
         self.claimed_home = message.claimed_home
         self.arrived_s = now_s
-        timeout_s = message.request.timeout_s or DEFAULT_TIMEOUT_S
-        self.deadline_s = now_s + timeout_s
+        self.deadline_s = now_s + (self.request.timeout_s or DEFAULT_TIMEOUT_S)
         self.backend_s = 0.0
         self.route: document.Route | None = None
         self.state: estate.ServiceState[Exchange] | None = None
         self.tries = tries.Tries(True)
         self.try_ids: list[int] = []
-        self.waiter: admission.Waiter[Exchange] | None = None
         self.workspace_entered = False
         self.book: records.Book | None = None
         self.scoped_key = ""
@@ -108,6 +116,18 @@
         self.is_hedge_due = False
         self.is_ended = False
 
+    def limit_time(self, route_timeout_s: float) -> None:
+        """Sets the deadline: the route's, or an earlier one of the caller.
+
+        Args:
+            route_timeout_s: The longest time that the route allows, in
+                seconds.
+        """
+        timeout_s = self.request.timeout_s
+        if timeout_s is None or timeout_s > route_timeout_s:
+            timeout_s = route_timeout_s
+        self.deadline_s = self.arrived_s + timeout_s
+
 
 def next_try_id() -> int:
     """Names a new try."""
--- a/src/dotterelpath/tasks/directory.py
+++ b/src/dotterelpath/tasks/directory.py
@@ -14,6 +14,7 @@
 from dotterelpath.domain import keys
 from dotterelpath.domain import vms
 from dotterelpath.ports import clock as clock_port
+from dotterelpath.tasks import events
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import messages
 
@@ -67,11 +68,11 @@
             message = await self._mailbox.receive()
             if isinstance(message, messages.RequestArrived):
                 self.on_request_arrived(message)
-            elif isinstance(message, messages.MembersChanged):
+            elif isinstance(message, events.MembersChanged):
                 self.on_members_changed(message)
-            elif isinstance(message, messages.VmsChanged):
-                self._listed = message.listed
-            elif isinstance(message, messages.DocumentChanged):
+            elif isinstance(message, events.VmsChanged):
+                self._listed = message.table.listed
+            elif isinstance(message, events.DocumentChanged):
                 self._document = message.document
 
     def on_request_arrived(self, message: messages.RequestArrived) -> None:
@@ -86,7 +87,7 @@
             outcome = exchange.Outcome(error.code, error.detail)
         message.reply_to.force(messages.RequestEnded(message.token, outcome))
 
-    def on_members_changed(self, message: messages.MembersChanged) -> None:
+    def on_members_changed(self, message: events.MembersChanged) -> None:
         """Takes in the live daemons.
 
         Args:
--- a/src/dotterelpath/tasks/dispatcher.py
+++ b/src/dotterelpath/tasks/dispatcher.py
@@ -2,37 +2,30 @@
 
 from __future__ import annotations
 
-import asyncio
 import typing
 
 import structlog
 
 from dotterelpath import errors
 from dotterelpath.domain import addresses
-from dotterelpath.domain import admission
 from dotterelpath.domain import books
 from dotterelpath.domain import estate
 from dotterelpath.domain import exchange
 from dotterelpath.domain import keys
-from dotterelpath.domain import records
-from dotterelpath.domain import tries
-from dotterelpath.domain import vms
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import metrics as metrics_port
 from dotterelpath.ports import randomness
 from dotterelpath.ports import timers as timers_port
 from dotterelpath.tasks import _answers
+from dotterelpath.tasks import _attempts
 from dotterelpath.tasks import _exchange
+from dotterelpath.tasks import _keyed
+from dotterelpath.tasks import events
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import messages
 
-EXPIRE_S = 5.0
-BUFFER_BYTES = 256 * 1024
-FORWARDED_BUFFER_BYTES = 4 * 1024 * 1024
 MAX_EXCHANGES = 8192
-TOLD_STEP = 1.0
 
-_NO_WORK = (tries.TryEnd.REFUSED, tries.TryEnd.UNREACHABLE, tries.TryEnd.BROKEN)
 _log = structlog.get_logger()
 
 
@@ -40,31 +33,16 @@
     """Owns routes, instances, limits and records, and drives each request."""
 
     __slots__ = (
-        "_adopters",
-        "_back_ends",
-        "_books",
-        "_claims",
+        "_attempts",
         "_clock",
-        "_deferred",
-        "_estate",
         "_exchanges",
-        "_frozen_books",
         "_handlers",
         "_is_fresh",
-        "_live",
+        "_keyed",
         "_mailbox",
         "_metrics",
-        "_next_expiry_s",
-        "_peers",
-        "_random",
-        "_running",
-        "_steward",
-        "_streams",
-        "_successor",
         "_timers",
-        "_told",
-        "_tries",
-        "_vms",
+        "_waiting",
     )
 
     def __init__(
@@ -92,44 +70,32 @@
             back_ends: Writes tries.
             peers: Forwards keyed requests to their homes.
             claims: Claims callers' own keys in the store.
-            steward: Hears which instances this daemon calls sick.
+            steward: Hears which instances this daemon suspects.
         """
         self._clock = clock
         self._metrics = metrics
         self._mailbox = inbox
-        self._back_ends = back_ends
-        self._peers = peers
-        self._claims = claims
-        self._steward = steward
-        now_s = clock.now_s()
-        self._books = books.Books(records.Book(home, now_s))
-        self._estate: estate.Estate[_exchange.Exchange] = estate.Estate()
-        self._exchanges: dict[int, _exchange.Exchange] = {}
-        self._tries: dict[int, _exchange.OpenTry] = {}
-        self._streams: dict[int, _exchange.Exchange] = {}
-        self._running: dict[tuple[keys.Home, str], _exchange.Exchange] = {}
         self._timers = due
-        self._told: dict[str, dict[str, float]] = {}
-        self._next_expiry_s = now_s + EXPIRE_S
-        self._random = random
+        self._attempts = _attempts.Attempts(
+            clock, random, due, metrics, back_ends, steward, self._end
+        )
+        self._keyed = _keyed.KeyedRequests(
+            home, clock, due, peers, claims, self._begin, self._end
+        )
+        self._exchanges: dict[int, _exchange.Exchange] = {}
+        self._waiting: dict[_exchange.ReplyTo, _exchange.Exchange] = {}
         self._is_fresh = True
-        self._vms: dict[str, vms.Vm] = {}
-        self._live: list[str] = []
-        self._adopters: dict[keys.Home, str] = {}
-        self._deferred: list[_exchange.Exchange] | None = None
-        self._frozen_books: asyncio.Future[list[records.Book]] | None = None
-        self._successor: vms.Vm | None = None
         self._handlers = self._handler_table()
 
     @property
     def estate(self) -> estate.Estate[_exchange.Exchange]:
         """The services, for reports on the daemon's state."""
-        return self._estate
+        return self._attempts.estate
 
     @property
     def books(self) -> books.Books:
         """The kept records, for reports on the daemon's state."""
-        return self._books
+        return self._keyed.books
 
     @property
     def in_flight(self) -> int:
@@ -150,7 +116,7 @@
         """Handles one message.
 
         Args:
-            message: A message of tasks.messages.
+            message: A message of tasks.messages or tasks.events.
         """
         self._handlers[type(message)](message)
 
@@ -160,19 +126,14 @@
         Args:
             message: The request and its receiver.
         """
-        now_s = self._clock.now_s()
-        work = _exchange.Exchange(message, now_s)
+        work = _exchange.Exchange(message, self._clock.now_s())
         self._exchanges[work.id] = work
-        if now_s >= self._next_expiry_s:
-            self._next_expiry_s = now_s + EXPIRE_S
-            self._books.expire(now_s)
-        try:
-            if _answers.needs_record(work.request):
-                self._place(work)
-            else:
-                self._begin(work)
-        except errors.DotterelpathError as error:
-            self._fail(work, error)
+        if work.reply_to is not None:
+            self._waiting[work.reply_to] = work
+        if _answers.needs_record(work.request):
+            self._guard(work, self._place)
+        else:
+            self._guard(work, self._begin)
 
     def on_caller_gone(self, message: messages.CallerGone) -> None:
         """Cancels work that nobody waits for, if it is safe to.
@@ -180,14 +141,14 @@
         Args:
             message: The caller.
         """
-        for work in self._exchanges.values():
-            for reply in work.replies:
-                if reply.token == message.token and (
-                    reply.inbox is message.reply_to
-                ):
-                    work.replies.remove(reply)
-                    self._abandon(work)
-                    return
+        reply_to = _exchange.ReplyTo(message.reply_to, message.token)
+        work = self._waiting.pop(reply_to, None)
+        if work is None:
+            return
+        work.reply_to = None
+        # What runs under a key goes on: its outcome is kept for a retry.
+        if work.book is None and self._attempts.abandon(work):
+            self._exchanges.pop(work.id, None)
 
     def on_try_ended(self, message: messages.TryEnded) -> None:
         """Takes in the end of a try.
@@ -195,38 +156,7 @@
         Args:
             message: How it ended.
         """
-        attempt = self._tries.pop(message.exchange_id, None)
-        if attempt is None:
-            return
-        work = attempt.exchange
-        answer = message.answer
-        end = message.end
-        if answer is not None and work.state is not None:
-            refusal = work.state.pool.service.refusal_header
-            if _answers.is_refusal(answer, refusal):
-                end = tries.TryEnd.REFUSED
-        self._settle_instance(work, attempt, end, answer)
-        if end is tries.TryEnd.ANSWERED and answer is not None:
-            if self._retries_failure(work, message, answer):
-                return
-            if not message.is_whole:
-                work.stream_id = message.exchange_id
-                self._streams[message.exchange_id] = work
-            self._cancel_tries(work, message.exchange_id)
-            outcome = exchange.Outcome(
-                errors.ResultCode.ANSWERED,
-                answer=answer,
-                instance=attempt.instance_id,
-                stream_id=work.stream_id,
-            )
-            self._end(work, outcome)
-        else:
-            if not message.is_whole:
-                self._back_ends.force(
-                    messages.CancelTry(message.exchange_id, False)
-                )
-            self._on_failed_try(work, message, end)
-        self._pump(work)
+        self._attempts.on_try_ended(message)
 
     def on_answer_part(self, message: messages.AnswerPart) -> None:
         """Passes on a part of a long answer.
@@ -234,9 +164,7 @@
         Args:
             message: The part.
         """
-        work = self._streams.get(message.exchange_id)
-        if work is not None and work.replies:
-            work.replies[0].inbox.force(message)
+        self._attempts.on_answer_part(message)
 
     def on_answer_done(self, message: messages.AnswerDone) -> None:
         """Passes on the end of a long answer.
@@ -244,56 +172,50 @@
         Args:
             message: Whether it is whole.
         """
-        work = self._streams.pop(message.exchange_id, None)
-        if work is None:
-            return
-        self._exchanges.pop(work.id, None)
-        if work.replies:
-            work.replies[0].inbox.force(message)
+        work = self._attempts.on_answer_done(message)
+        if work is not None:
+            self._forget(work)
 
-    def on_document_changed(self, message: messages.DocumentChanged) -> None:
+    def on_document_changed(self, message: events.DocumentChanged) -> None:
         """Puts a newer document into force.
 
         Args:
             message: The document.
         """
-        self._estate.set_document(message.document, self._clock.now_s())
+        self.estate.set_document(message.document, self._clock.now_s())
 
-    def on_vms_changed(self, message: messages.VmsChanged) -> None:
+    def on_vms_changed(self, message: events.VmsChanged) -> None:
         """Takes in the platform's list.
 
         Args:
             message: The list.
         """
-        self._vms = message.listed
-        self._estate.set_vms(message.listed.values(), self._clock.now_s())
+        self._keyed.on_vms_changed(message)
+        self.estate.set_vms(message.table, self._clock.now_s())
 
-    def on_ledger_changed(self, message: messages.LedgerChanged) -> None:
+    def on_ledger_changed(self, message: events.LedgerChanged) -> None:
         """Takes in a service's ejections.
 
         Args:
             message: The ledger.
         """
-        if self._estate.set_ledger(message.ledger):
-            count = len(message.ledger.ejected)
-            self._metrics.ejected(message.ledger.service, count)
+        self._attempts.on_ledger_changed(message)
 
-    def on_members_changed(self, message: messages.MembersChanged) -> None:
+    def on_members_changed(self, message: events.MembersChanged) -> None:
         """Takes in the live daemons.
 
         Args:
             message: The daemons.
         """
-        self._live = message.live
-        self._adopters = message.adopters
-        self._estate.set_places(
+        self._keyed.on_members_changed(message)
+        self.estate.set_places(
             [
                 addresses.Place(daemon_id, message.data_centres[daemon_id])
                 for daemon_id in message.live
             ]
         )
 
-    def on_freshness_changed(self, message: messages.FreshnessChanged) -> None:
+    def on_freshness_changed(self, message: events.FreshnessChanged) -> None:
         """Notes whether the document may be taken as current.
 
         Args:
@@ -310,10 +232,7 @@
         work = self._exchanges.get(message.exchange_id)
         if work is None or work.is_ended:
             return
-        try:
-            self._on_claim(work, message)
-        except errors.DotterelpathError as error:
-            self._fail(work, error)
+        self._guard(work, lambda w: self._keyed.on_key_claimed(w, message))
 
     def on_forward_ended(self, message: messages.ForwardEnded) -> None:
         """Passes on what a key's home said.
@@ -325,44 +244,35 @@
         if work is not None:
             self._end(work, message.outcome)
 
-    def on_book_adopted(self, message: messages.BookAdopted) -> None:
+    def on_book_adopted(self, message: events.BookAdopted) -> None:
         """Begins to answer for a home that stopped.
 
         Args:
             message: Its records.
         """
-        self._books.adopt(message.book)
+        self._keyed.books.adopt(message.book)
 
-    def on_freeze_began(self, message: messages.FreezeBegan) -> None:
-        """Holds back new keys, and gives the books when none is running.
+    def on_freeze_began(self, message: events.FreezeBegan) -> None:
+        """Holds back new keys while the records become final.
 
         Args:
             message: Gets the books.
         """
-        self._deferred = []
-        self._frozen_books = message.books
-        self._check_frozen()
+        self._keyed.on_freeze_began(message)
 
-    def on_handed_off(self, message: messages.HandedOff) -> None:
+    def on_handed_off(self, message: events.HandedOff) -> None:
         """Sends held-back keys to the successor.
 
         Args:
             message: The successor, if there is one.
         """
-        self._successor = message.successor
-        for work in self._deferred or []:
-            if work.is_ended:
-                continue
-            try:
-                self._forward(work, self._books.own.home)
-            except errors.DotterelpathError as error:
-                self._fail(work, error)
+        self._keyed.on_handed_off(message)
 
     def on_tick(self, message: messages.Tick) -> None:
         """Ends requests whose deadline has passed, and hedges late ones.
 
         Args:
-            message: Says that a timer has come.
+            message: Says that a due time has come.
         """
         now_s = self._clock.now_s()
         for work in self._timers.due(now_s):
@@ -371,8 +281,7 @@
             if now_s >= work.deadline_s:
                 self._time_out(work)
             elif work.is_hedge_due:
-                work.is_hedge_due = False
-                self._hedge(work)
+                self._attempts.hedge(work)
 
     def _handler_table(
         self,
@@ -383,361 +292,54 @@
             messages.TryEnded: self.on_try_ended,
             messages.AnswerPart: self.on_answer_part,
             messages.AnswerDone: self.on_answer_done,
-            messages.DocumentChanged: self.on_document_changed,
-            messages.VmsChanged: self.on_vms_changed,
-            messages.LedgerChanged: self.on_ledger_changed,
-            messages.MembersChanged: self.on_members_changed,
-            messages.FreshnessChanged: self.on_freshness_changed,
             messages.KeyClaimed: self.on_key_claimed,
             messages.ForwardEnded: self.on_forward_ended,
-            messages.BookAdopted: self.on_book_adopted,
-            messages.FreezeBegan: self.on_freeze_began,
-            messages.HandedOff: self.on_handed_off,
             messages.Tick: self.on_tick,
+            events.DocumentChanged: self.on_document_changed,
+            events.VmsChanged: self.on_vms_changed,
+            events.LedgerChanged: self.on_ledger_changed,
+            events.MembersChanged: self.on_members_changed,
+            events.FreshnessChanged: self.on_freshness_changed,
+            events.BookAdopted: self.on_book_adopted,
+            events.FreezeBegan: self.on_freeze_began,
+            events.HandedOff: self.on_handed_off,
         }
 
+    def _guard(
+        self,
+        work: _exchange.Exchange,
+        step: typing.Callable[[_exchange.Exchange], None],
+    ) -> None:
+        """Ends a request with the error that a step raises."""
+        try:
+            step(work)
+        except errors.DotterelpathError as error:
+            self._end(work, exchange.Outcome(error.code, error.detail))
+
     def _place(self, work: _exchange.Exchange) -> None:
-        """Finds the home of a keyed request and decides there."""
-        request = work.request
-        assert request.key is not None
-        placement = self._books.place(request.key, work.claimed_home)
-        if placement.book is None:
-            assert placement.home is not None
-            if work.is_forwarded:
-                raise errors.DotterelpathError(errors.ResultCode.HOME_REPLACED)
-            self._forward(work, placement.home)
-            return
-        if self._deferred is not None:
-            self._defer(work)
-            return
-        work.scoped_key = books.scoped(request)
-        work.book = placement.book
-        verdict = self._admit(work, placement)
-        if verdict.decision is records.Decision.REPLAY:
-            assert verdict.outcome is not None
-            work.book = None
-            self._end(work, verdict.outcome)
-        elif verdict.decision is records.Decision.JOIN:
-            self._join(work)
-        else:
-            self._running[(placement.book.home, work.scoped_key)] = work
-            if placement.needs_claim:
-                self._claims.force(messages.ClaimKey(work.id, work.scoped_key))
-                self._timers.add(work.deadline_s, work)
-            else:
-                self._begin(work)
-
-    def _admit(
-        self, work: _exchange.Exchange, placement: books.Placement
-    ) -> records.Verdict:
-        assert work.book is not None
         try:
-            return work.book.admit(
-                work.scoped_key,
-                placement.epoch,
-                books.fingerprint(work.request),
-                work.request.attempt,
-                self._clock.now_s(),
-                placement.may_start,
-            )
+            route, _ = self.estate.find(work.request)
+            work.limit_time(route.timeout_s)
         except errors.DotterelpathError:
-            work.book = None
-            raise
-
-    def _defer(self, work: _exchange.Exchange) -> None:
-        if self._successor is not None:
-            self._forward(work, self._books.own.home)
-        elif self._deferred is not None:
-            self._deferred.append(work)
-            self._timers.add(work.deadline_s, work)
-
-    def _join(self, work: _exchange.Exchange) -> None:
-        """Lets an attempt wait for the one that runs."""
-        assert work.book is not None
-        running = self._running[(work.book.home, work.scoped_key)]
-        running.replies.extend(work.replies)
-        del self._exchanges[work.id]
-
-    def _on_claim(
-        self, work: _exchange.Exchange, message: messages.KeyClaimed
-    ) -> None:
-        if message.is_new:
-            self._begin(work)
-            return
-        assert work.book is not None
-        self._running.pop((work.book.home, work.scoped_key), None)
-        work.book.retract(work.scoped_key)
-        work.book = None
-        if message.home is None:
-            raise errors.DotterelpathError(
-                errors.ResultCode.KEY_STORE_UNAVAILABLE
-            )
-        if message.home == self._books.own.home:
-            raise errors.DotterelpathError(errors.ResultCode.KEY_EXPIRED)
-        work.claimed_home = message.home
-        placement = self._books.place(work.request.key or "", message.home)
-        if placement.book is not None:
-            self._place(work)
-            return
-        self._forward(work, message.home)
-
-    def _forward(self, work: _exchange.Exchange, home: keys.Home) -> None:
-        candidates = []
-        if self._successor is not None and home == self._books.own.home:
-            candidates = [self._successor]
-        else:
-            candidates = _answers.home_candidates(
-                home, self._vms, self._live, self._adopters
-            )
-        candidates = [
-            vm for vm in candidates if vm.id != self._books.own.home.daemon_id
-        ]
-        if not candidates:
-            raise errors.DotterelpathError(errors.ResultCode.HOME_UNREACHABLE)
-        self._timers.add(work.deadline_s, work)
-        self._peers.force(
-            messages.ForwardRequest(
-                work.id,
-                candidates,
-                work.request,
-                work.deadline_s - self._clock.now_s(),
-                work.claimed_home,
-            )
-        )
+            # The home may have the route, or have run the request before.
+            pass
+        self._keyed.place(work)
 
     def _begin(self, work: _exchange.Exchange) -> None:
-        """Routes a request and sends it, or lets it wait for an instance."""
         if not self._is_fresh:
             raise errors.DotterelpathError(errors.ResultCode.DAEMON_STALE)
         if len(self._exchanges) > MAX_EXCHANGES:
             raise errors.DotterelpathError(errors.ResultCode.OVERLOADED)
-        request = work.request
-        route, state = self._estate.find(request)
-        work.route = route
-        work.state = state
-        timeout_s = min(route.timeout_s, request.timeout_s or route.timeout_s)
-        work.deadline_s = work.arrived_s + timeout_s
-        work.tries = tries.Tries(route.is_idempotent(request.method))
-        self._estate.workspaces.enter(
-            request.workspace,
-            self._estate.workspace_concurrency(request.workspace),
-        )
-        work.workspace_entered = True
-        state.retries.earn()
-        if not state.pool.rotation:
-            raise errors.DotterelpathError(
-                errors.ResultCode.NO_BACKEND, f"service {route.service}"
-            )
-        self._timers.add(work.deadline_s, work)
-        if not state.admission.queued and self._try(work):
-            return
-        self._wait(work)
-
-    def _wait(self, work: _exchange.Exchange) -> None:
-        assert work.route is not None and work.state is not None
-        now_s = self._clock.now_s()
-        work.waiter = admission.Waiter(
-            work, work.route.traffic_class, now_s, work.deadline_s
-        )
-        work.state.admission.enqueue(work.waiter, now_s)
-
-    def _try(self, work: _exchange.Exchange) -> bool:
-        """Sends a request to an instance if one may take it."""
-        state = work.state
-        assert state is not None
-        if not state.admission.has_room():
-            return False
-        now_s = self._clock.now_s()
-        idempotent = work.tries.is_idempotent
-        instance = state.pool.choose(
-            self._random, now_s, idempotent, work.tries.tried
-        )
-        if instance is None:
-            return False
-        try_id = _exchange.next_try_id()
-        work.try_ids.append(try_id)
-        work.tries.start(instance.id)
-        self._tries[try_id] = _exchange.OpenTry(work, instance.id, now_s)
-        state.pool.started(instance)
-        state.admission.started()
-        limit = FORWARDED_BUFFER_BYTES if work.book else BUFFER_BYTES
-        self._back_ends.force(
-            messages.SendTry(
-                try_id,
-                instance.vm,
-                work.request,
-                work.deadline_s - now_s,
-                not idempotent,
-                limit,
-            )
-        )
-        self._plan_hedge(work, now_s)
-        return True
-
-    def _plan_hedge(self, work: _exchange.Exchange, now_s: float) -> None:
-        assert work.state is not None
-        if not work.tries.is_idempotent or len(work.tries.tried) > 1:
-            return
-        usual_s = work.state.admission.limit.latency_s
-        delay_s = max(
-            tries.MIN_HEDGE_DELAY_S, usual_s * tries.HEDGE_LATENCY_FACTOR
-        )
-        if now_s + delay_s < work.deadline_s:
-            work.is_hedge_due = True
-            self._timers.add(now_s + delay_s, work)
-
-    def _hedge(self, work: _exchange.Exchange) -> None:
-        assert work.state is not None and work.route is not None
-        if work.stream_id is not None:
-            return
-        if not work.state.admission.has_room():
-            return
-        if work.tries.may_hedge(work.state.retries) and self._try(work):
-            self._metrics.retried(work.route.service, True)
-
-    def _retries_failure(
-        self,
-        work: _exchange.Exchange,
-        message: messages.TryEnded,
-        answer: exchange.Answer,
-    ) -> bool:
-        """Has another instance try where one answered with a failure."""
-        assert work.state is not None and work.route is not None
-        if answer.status < _answers.FAILURE_STATUS or not message.is_whole:
-            return False
-        if work.is_ended or not work.tries.may_replace(work.state.retries):
-            return False
-        if not self._try(work):
-            return False
-        work.tries.open -= 1
-        self._metrics.retried(work.route.service, False)
-        return True
-
-    def _on_failed_try(
-        self,
-        work: _exchange.Exchange,
-        message: messages.TryEnded,
-        end: tries.TryEnd,
-    ) -> None:
-        assert work.state is not None and work.route is not None
-        if work.is_ended:
-            return
-        work.tries.last_detail = message.detail
-        may_retry = work.tries.may_retry(end, work.state.retries)
-        if work.tries.open > 0:
-            return
-        if may_retry and self._try(work):
-            self._metrics.retried(work.route.service, False)
-            return
-        self._end(work, work.tries.failure(end))
-
-    def _settle_instance(
-        self,
-        work: _exchange.Exchange,
-        attempt: _exchange.OpenTry,
-        end: tries.TryEnd,
-        answer: exchange.Answer | None,
-    ) -> None:
-        assert work.state is not None and work.route is not None
-        now_s = self._clock.now_s()
-        took_s = now_s - attempt.started_s
-        work.backend_s = max(work.backend_s, took_s)
-        pool = work.state.pool
-        if answer is not None:
-            signs = _answers.read_signs(answer)
-            if signs.load is not None:
-                pool.report_load(attempt.instance_id, signs.load, now_s)
-            if signs.is_draining:
-                pool.mark_leaving(attempt.instance_id, now_s)
-        ok = _answers.did_work(end, answer)
-        before = pool.avoided
-        pool.ended(attempt.instance_id, ok, took_s, now_s)
-        if end in _NO_WORK:
-            pool.back_off(attempt.instance_id, now_s)
-        service = work.route.service
-        if pool.avoided != before:
-            self._metrics.avoided(service, len(pool.avoided))
-            _log.info("avoided changed", service=service, ids=pool.avoided)
-        self._tell_suspicions(service, pool.suspicions)
-        refused = end is tries.TryEnd.REFUSED
-        ceiling = work.state.ceiling
-        work.state.admission.ended(took_s, refused, ceiling)
-
-    def _tell_suspicions(self, service: str, scores: dict[str, float]) -> None:
-        """Tells the steward's task of suspicions when they move."""
-        told = self._told.get(service, {})
-        if scores.keys() == told.keys() and all(
-            abs(score - told[instance]) < TOLD_STEP
-            for instance, score in scores.items()
-        ):
-            return
-        self._told[service] = scores
-        self._steward.force(messages.SuspicionsChanged(service, scores))
-
-    def _cancel_tries(self, work: _exchange.Exchange, kept: int) -> None:
-        """Cancels the tries that lost against another one."""
-        for try_id in work.try_ids:
-            attempt = self._tries.get(try_id)
-            if try_id == kept or attempt is None:
-                continue
-            del self._tries[try_id]
-            self._back_ends.force(messages.CancelTry(try_id, False))
-            self._unload(work, attempt, None)
-
-    def _unload(
-        self,
-        work: _exchange.Exchange,
-        attempt: _exchange.OpenTry,
-        ok: bool | None,
-    ) -> None:
-        assert work.state is not None
-        now_s = self._clock.now_s()
-        took_s = now_s - attempt.started_s
-        work.state.pool.ended(attempt.instance_id, ok, took_s, now_s)
-        work.state.admission.ended(took_s, False, work.state.ceiling)
+        self._attempts.begin(work)
 
     def _time_out(self, work: _exchange.Exchange) -> None:
-        open_ids = [t for t in work.try_ids if t in self._tries]
-        if work.state is not None and not work.try_ids:
-            work.state.admission.drop(work)
-            self._fail(
-                work,
-                errors.DotterelpathError(errors.ResultCode.DEADLINE_TOO_SHORT),
-            )
-            return
-        for try_id in open_ids:
-            attempt = self._tries.pop(try_id)
-            self._back_ends.force(messages.CancelTry(try_id, True))
-            self._unload(work, attempt, False)
-        if work.state is None:
-            code = errors.ResultCode.HOME_UNREACHABLE
-            self._end(work, exchange.Outcome(code))
+        if work.state is not None:
+            self._attempts.time_out(work)
             return
-        work.tries.last_detail = "no answer before the deadline"
-        self._end(work, work.tries.failure(tries.TryEnd.TIMED_OUT))
-        self._pump(work)
-
-    def _abandon(self, work: _exchange.Exchange) -> None:
-        """Gives up work whose caller is gone, where that loses nothing."""
-        if work.replies or work.book is not None:
-            return
-        if work.stream_id is not None:
-            self._streams.pop(work.stream_id, None)
-        if work.stream_id is not None or work.state is None:
-            self._exchanges.pop(work.id, None)
-            return
-        if work.tries.open and not work.tries.is_idempotent:
-            return
-        work.state.admission.drop(work)
-        self._cancel_tries(work, 0)
-        code = errors.ResultCode.CALLER_GONE
-        self._end(work, exchange.Outcome(code))
-        self._pump(work)
-
-    def _fail(
-        self, work: _exchange.Exchange, error: errors.DotterelpathError
-    ) -> None:
-        self._end(work, exchange.Outcome(error.code, error.detail))
+        # It waits for a home, a claim or another attempt, which may run it.
+        code = errors.ResultCode.HOME_UNREACHABLE
+        detail = "no outcome before the deadline"
+        self._end(work, exchange.Outcome(code, detail))
 
     def _end(self, work: _exchange.Exchange, outcome: exchange.Outcome) -> None:
         """Records an outcome and tells all who wait for it."""
@@ -745,15 +347,22 @@
             return
         work.is_ended = True
         if work.workspace_entered:
-            self._estate.workspaces.leave(work.request.workspace)
-        if work.book is not None:
-            self._running.pop((work.book.home, work.scoped_key), None)
-            work.book.finish(work.scoped_key, outcome)
+            self.estate.workspaces.leave(work.request.workspace)
+        self._keyed.finish(work, outcome)
+        if work.reply_to is not None:
+            work.reply_to.inbox.force(
+                messages.RequestEnded(work.reply_to.token, outcome)
+            )
         if outcome.stream_id is None:
-            self._exchanges.pop(work.id, None)
-        _answers.reply(work.replies, outcome)
+            self._forget(work)
+        for joined in work.joined:
+            self._end(joined, _answers.for_joined(outcome))
         self._measure(work, outcome)
-        self._check_frozen()
+
+    def _forget(self, work: _exchange.Exchange) -> None:
+        self._exchanges.pop(work.id, None)
+        if work.reply_to is not None:
+            self._waiting.pop(work.reply_to, None)
 
     def _measure(
         self, work: _exchange.Exchange, outcome: exchange.Outcome
@@ -780,27 +389,3 @@
             took_ms=round(took_s * 1000.0, 3),
             detail=outcome.detail,
         )
-
-    def _pump(self, work: _exchange.Exchange) -> None:
-        """Sends waiting requests while instances may take them."""
-        state = work.state
-        if state is None:
-            return
-        while state.admission.queued and state.admission.has_room():
-            waiter = state.admission.next_waiter()
-            if waiter is None:
-                return
-            if waiter.item.is_ended:
-                continue
-            if not self._try(waiter.item):
-                state.admission.put_back(waiter)
-                return
-
-    def _check_frozen(self) -> None:
-        """Gives up the books once nothing that they record is running."""
-        waiting = self._frozen_books
-        if waiting is None or waiting.done() or self._running:
-            return
-        for book in self._books.all:
-            book.freeze()
-        waiting.set_result(self._books.all)
--- a/src/dotterelpath/tasks/document_keeper.py
+++ b/src/dotterelpath/tasks/document_keeper.py
@@ -14,8 +14,8 @@
 from dotterelpath.ports import codec as codec_port
 from dotterelpath.ports import peers as peers_port
 from dotterelpath.ports import store as store_port
+from dotterelpath.tasks import events
 from dotterelpath.tasks import mailbox
-from dotterelpath.tasks import messages
 
 BLOB_PREFIX = "blobs/"
 RETRY_S = 0.5
@@ -74,7 +74,7 @@
         self._texts: dict[str, str] = {}
         self._sections: dict[tuple[str, str], document.Section] = {}
         self._wanted: document.Head | None = None
-        self._vms: dict[str, vms.Vm] = {}
+        self._vms: list[vms.Vm] = []
 
     @property
     def head(self) -> document.Head | None:
@@ -90,16 +90,16 @@
         """Handles messages until cancelled."""
         while True:
             message = await self._mailbox.receive()
-            if isinstance(message, messages.HeadSeen):
+            if isinstance(message, events.HeadSeen):
                 await self.on_head_seen(message)
-            elif isinstance(message, messages.PeerAhead):
+            elif isinstance(message, events.PeerAhead):
                 await self.on_peer_ahead(message)
-            elif isinstance(message, messages.VmsChanged):
-                self._vms = message.listed
-            elif isinstance(message, messages.RoundDue):
+            elif isinstance(message, events.VmsChanged):
+                self._vms = message.table.entry
+            elif isinstance(message, events.RoundDue):
                 await self.on_round_due()
 
-    async def on_head_seen(self, message: messages.HeadSeen) -> None:
+    async def on_head_seen(self, message: events.HeadSeen) -> None:
         """Applies a head if it is newer.
 
         Args:
@@ -112,7 +112,7 @@
             self._wanted = head
         await self._apply(head, message.source)
 
-    async def on_peer_ahead(self, message: messages.PeerAhead) -> None:
+    async def on_peer_ahead(self, message: events.PeerAhead) -> None:
         """Fetches a newer head from a peer.
 
         Args:
@@ -128,11 +128,9 @@
             return
         for ledger in snapshot.ledgers:
             for reader in self._readers:
-                reader.force(messages.LedgerChanged(ledger))
+                reader.force(events.LedgerChanged(ledger))
         if snapshot.head is not None:
-            await self.on_head_seen(
-                messages.HeadSeen(snapshot.head, message.vm)
-            )
+            await self.on_head_seen(events.HeadSeen(snapshot.head, message.vm))
 
     async def on_round_due(self) -> None:
         """Tries again to fetch what could not be fetched."""
@@ -159,7 +157,7 @@
         self._wanted = None
         in_force = document.Document(head.version, tuple(sections))
         for reader in self._readers:
-            reader.force(messages.DocumentChanged(in_force))
+            reader.force(events.DocumentChanged(in_force))
         _log.info("document in force", version=head.version)
 
     def _parse(
@@ -190,11 +188,7 @@
     async def _text_from_peers(
         self, digest: str, source: vms.Vm | None
     ) -> str | None:
-        entry_vms = [
-            vm
-            for vm in self._vms.values()
-            if vm.role is vms.VmRole.ENTRY and vm.id != self.own_id
-        ]
+        entry_vms = [vm for vm in self._vms if vm.id != self.own_id]
         asked = random.sample(entry_vms, min(MAX_PEERS_ASKED, len(entry_vms)))
         for vm in [source, *asked] if source else asked:
             try:
--- a/src/dotterelpath/tasks/editor.py
+++ b/src/dotterelpath/tasks/editor.py
@@ -12,8 +12,8 @@
 from dotterelpath.ports import codec as codec_port
 from dotterelpath.ports import store as store_port
 from dotterelpath.tasks import document_keeper
+from dotterelpath.tasks import events
 from dotterelpath.tasks import mailbox
-from dotterelpath.tasks import messages
 from dotterelpath.tasks import store_watcher
 
 MAX_SWAPS = 8
@@ -172,7 +172,7 @@
         return parsed
 
     def _landed(self, head: document.Head) -> document.Head:
-        self._keeper.force(messages.HeadSeen(head))
+        self._keeper.force(events.HeadSeen(head))
         return head
 
 
--- a/src/dotterelpath/tasks/front_end.py
+++ b/src/dotterelpath/tasks/front_end.py
@@ -11,6 +11,7 @@
 from dotterelpath import errors
 from dotterelpath.domain import exchange
 from dotterelpath.ports import frontend
+from dotterelpath.tasks import events
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import messages
 
@@ -192,7 +193,7 @@
             self.on_answer_part(message)
         elif isinstance(message, messages.AnswerDone):
             self.on_answer_done(message)
-        elif isinstance(message, messages.DrainBegan):
+        elif isinstance(message, events.DrainBegan):
             self.on_drain_began()
 
     def _end(self, token: int, outcome: exchange.Outcome) -> None:
--- a/src/dotterelpath/tasks/gossip.py
+++ b/src/dotterelpath/tasks/gossip.py
@@ -14,8 +14,8 @@
 from dotterelpath.domain import vms
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import peers as peers_port
+from dotterelpath.tasks import events
 from dotterelpath.tasks import mailbox
-from dotterelpath.tasks import messages
 
 ROUND_S = 1.0
 STALE_AFTER_S = 5.0
@@ -105,7 +105,7 @@
         self._check_fresh()
         self._tell_members()
 
-    def on_heartbeat_arrived(self, message: messages.HeartbeatArrived) -> None:
+    def on_heartbeat_arrived(self, message: events.HeartbeatArrived) -> None:
         """Takes in a peer's heartbeat and answers it.
 
         Args:
@@ -115,9 +115,7 @@
         if not message.reply.done():
             message.reply.set_result(self._own_heartbeat())
 
-    def on_heartbeat_answered(
-        self, message: messages.HeartbeatAnswered
-    ) -> None:
+    def on_heartbeat_answered(self, message: events.HeartbeatAnswered) -> None:
         """Takes in a peer's answer or its silence.
 
         Args:
@@ -131,17 +129,14 @@
             self._take_in(message.heartbeat)
         self._tell_members()
 
-    def on_vms_changed(self, message: messages.VmsChanged) -> None:
+    def on_vms_changed(self, message: events.VmsChanged) -> None:
         """Takes in the platform's list.
 
         Args:
             message: The list.
         """
-        self._listed = message.listed
-        entry = [
-            vm for vm in message.listed.values() if vm.role is vms.VmRole.ENTRY
-        ]
-        self._membership.set_vms(entry, self._clock.now_s())
+        self._listed = message.table.listed
+        self._membership.set_vms(message.table.entry, self._clock.now_s())
         if not self._vms_known:
             # A daemon that just started asks at once what is in force.
             self._vms_known = True
@@ -159,7 +154,7 @@
         count = min(PUSH_FANOUT, len(ids))
         self._push(self._random.sample(ids, count))
 
-    def on_book_adopted(self, message: messages.BookAdopted) -> None:
+    def on_book_adopted(self, message: events.BookAdopted) -> None:
         """Tells peers that this daemon answers for a stopped home.
 
         Args:
@@ -176,22 +171,22 @@
         self._tell_members()
 
     def _handle(self, message: typing.Any) -> None:
-        if isinstance(message, messages.RoundDue):
+        if isinstance(message, events.RoundDue):
             self.on_round_due()
-        elif isinstance(message, messages.HeartbeatArrived):
+        elif isinstance(message, events.HeartbeatArrived):
             self.on_heartbeat_arrived(message)
-        elif isinstance(message, messages.HeartbeatAnswered):
+        elif isinstance(message, events.HeartbeatAnswered):
             self.on_heartbeat_answered(message)
-        elif isinstance(message, messages.VmsChanged):
+        elif isinstance(message, events.VmsChanged):
             self.on_vms_changed(message)
-        elif isinstance(message, messages.StoreHeard):
+        elif isinstance(message, events.StoreHeard):
             self._store_s = message.at_s
             self._check_fresh()
-        elif isinstance(message, messages.DocumentChanged):
+        elif isinstance(message, events.DocumentChanged):
             self.on_document_changed(message.document)
-        elif isinstance(message, messages.BookAdopted):
+        elif isinstance(message, events.BookAdopted):
             self.on_book_adopted(message)
-        elif isinstance(message, messages.LeaveBegan):
+        elif isinstance(message, events.LeaveBegan):
             self.on_leave_began()
 
     def _take_in(self, heartbeat: members.Heartbeat) -> None:
@@ -201,7 +196,7 @@
             return
         vm = self._listed.get(heartbeat.home.daemon_id)
         if vm is not None:
-            self._keeper.force(messages.PeerAhead(vm))
+            self._keeper.force(events.PeerAhead(vm))
 
     def _own_heartbeat(self) -> members.Heartbeat:
         return members.Heartbeat(
@@ -231,7 +226,7 @@
             peers_port.PeerSilentError,
         ) as error:
             _log.debug("peer silent", peer=vm.id, error=str(error))
-        self._mailbox.force(messages.HeartbeatAnswered(vm.id, answer))
+        self._mailbox.force(events.HeartbeatAnswered(vm.id, answer))
 
     def _check_fresh(self) -> None:
         """Judges whether an accepted edit would have been heard of."""
@@ -243,7 +238,7 @@
         self._is_fresh = is_fresh
         _log.warning("freshness changed", is_fresh=is_fresh)
         for reader in self._readers:
-            reader.force(messages.FreshnessChanged(is_fresh))
+            reader.force(events.FreshnessChanged(is_fresh))
 
     def _tell_members(self) -> None:
         live = sorted(self._membership.live())
@@ -256,5 +251,5 @@
         places[self._membership.own.daemon_id] = self._data_centre
         for reader in self._readers:
             reader.force(
-                messages.MembersChanged(live, places, self._membership.adopters)
+                events.MembersChanged(live, places, self._membership.adopters)
             )
--- a/src/dotterelpath/tasks/shutdown.py
+++ b/src/dotterelpath/tasks/shutdown.py
@@ -11,10 +11,10 @@
 from dotterelpath.domain import vms
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import peers as peers_port
+from dotterelpath.tasks import events
 from dotterelpath.tasks import front_end as front_end_task
 from dotterelpath.tasks import gossip as gossip_task
 from dotterelpath.tasks import mailbox
-from dotterelpath.tasks import messages
 
 HAND_OFF_TRIES = 3
 LINGER_S = 1.0
@@ -75,20 +75,20 @@
     async def run(self) -> None:
         """Leaves the fleet, drains, and hands the records to a successor."""
         _log.info("stop began")
-        self._gossip_inbox.force(messages.LeaveBegan())
+        self._gossip_inbox.force(events.LeaveBegan())
         # Callers keep an address answer for a while; peers learn at once.
         await asyncio.sleep(self._grace_s)
-        self._front_end_inbox.force(messages.DrainBegan())
+        self._front_end_inbox.force(events.DrainBegan())
         await self._wait_for(self._front_end.drained.wait(), "callers")
         books: asyncio.Future[list[records.Book]] = (
             asyncio.get_running_loop().create_future()
         )
-        self._dispatcher.force(messages.FreezeBegan(books))
+        self._dispatcher.force(events.FreezeBegan(books))
         await self._wait_for(asyncio.shield(books), "records")
         successor = None
         if books.done():
             successor = await self._hand_off(books.result())
-        self._dispatcher.force(messages.HandedOff(successor))
+        self._dispatcher.force(events.HandedOff(successor))
         if successor is not None:
             await asyncio.sleep(LINGER_S)
         _log.info("stop ended", successor=successor.id if successor else None)
--- a/src/dotterelpath/tasks/steward.py
+++ b/src/dotterelpath/tasks/steward.py
@@ -15,8 +15,8 @@
 from dotterelpath.ports import codec as codec_port
 from dotterelpath.ports import peers as peers_port
 from dotterelpath.ports import store as store_port
+from dotterelpath.tasks import events
 from dotterelpath.tasks import mailbox
-from dotterelpath.tasks import messages
 from dotterelpath.tasks import store_watcher
 
 ROUND_S = 0.25
@@ -39,9 +39,7 @@
         "_data_centres",
         "_dispatcher",
         "_document",
-        "_entry",
         "_ledgers",
-        "_listed",
         "_live",
         "_mailbox",
         "_next_report_s",
@@ -50,6 +48,7 @@
         "_peers",
         "_reports",
         "_store",
+        "_table",
         "_to_report",
     )
 
@@ -83,8 +82,7 @@
         self._dispatcher = dispatcher
         self._document: document.Document | None = None
         self._ledgers: dict[str, ledger.Ledger] = {}
-        self._listed: dict[str, list[vms.Vm]] = {}
-        self._entry: dict[str, vms.Vm] = {}
+        self._table = vms.EMPTY_TABLE
         self._live: list[str] = []
         self._data_centres: dict[str, str] = {}
         self._own_scores: dict[str, dict[str, float]] = {}
@@ -101,7 +99,7 @@
         """Handles messages until cancelled."""
         while True:
             message = await self._mailbox.receive()
-            if isinstance(message, messages.RoundDue):
+            if isinstance(message, events.RoundDue):
                 await self.on_round_due()
             else:
                 self._handle(message)
@@ -118,9 +116,7 @@
         for service in self._to_decide():
             await self._decide(service)
 
-    def on_suspicions_changed(
-        self, message: messages.SuspicionsChanged
-    ) -> None:
+    def on_suspicions_changed(self, message: events.SuspicionsChanged) -> None:
         """Notes what this daemon suspects, to be reported next round.
 
         Args:
@@ -129,7 +125,7 @@
         self._own_scores[message.service] = message.scores
         self._to_report.add(message.service)
 
-    def on_reports_arrived(self, message: messages.ReportsArrived) -> None:
+    def on_reports_arrived(self, message: events.ReportsArrived) -> None:
         """Takes in a daemon's reports on a service.
 
         Args:
@@ -143,7 +139,7 @@
             self._clock.now_s(),
         )
 
-    def on_ledger_changed(self, message: messages.LedgerChanged) -> None:
+    def on_ledger_changed(self, message: events.LedgerChanged) -> None:
         """Takes in a ledger from the store, never an older one.
 
         Args:
@@ -154,33 +150,27 @@
         if known is None or newer.revision > known.revision:
             self._ledgers[newer.service] = newer
 
-    def on_vms_changed(self, message: messages.VmsChanged) -> None:
+    def on_vms_changed(self, message: events.VmsChanged) -> None:
         """Takes in the platform's list.
 
         Args:
             message: The list.
         """
-        self._listed = {}
-        self._entry = {}
-        for vm in message.listed.values():
-            if vm.role is vms.VmRole.ENTRY:
-                self._entry[vm.id] = vm
-            else:
-                self._listed.setdefault(vm.service, []).append(vm)
+        self._table = message.table
 
     def _handle(self, message: typing.Any) -> None:
-        if isinstance(message, messages.SuspicionsChanged):
+        if isinstance(message, events.SuspicionsChanged):
             self.on_suspicions_changed(message)
-        elif isinstance(message, messages.ReportsArrived):
+        elif isinstance(message, events.ReportsArrived):
             self.on_reports_arrived(message)
-        elif isinstance(message, messages.LedgerChanged):
+        elif isinstance(message, events.LedgerChanged):
             self.on_ledger_changed(message)
-        elif isinstance(message, messages.VmsChanged):
+        elif isinstance(message, events.VmsChanged):
             self.on_vms_changed(message)
-        elif isinstance(message, messages.MembersChanged):
+        elif isinstance(message, events.MembersChanged):
             self._live = message.live
             self._data_centres = message.data_centres
-        elif isinstance(message, messages.DocumentChanged):
+        elif isinstance(message, events.DocumentChanged):
             self._document = message.document
 
     def _steward_of(self, service: str) -> str | None:
@@ -200,7 +190,7 @@
         steward = self._steward_of(service)
         if steward == self._own_id:
             self.on_reports_arrived(
-                messages.ReportsArrived(
+                events.ReportsArrived(
                     service,
                     self._own_id,
                     self._data_centres.get(self._own_id, ""),
@@ -208,7 +198,7 @@
                 )
             )
             return
-        vm = self._entry.get(steward or "")
+        vm = self._table.listed.get(steward or "")
         if vm is None:
             return
         try:
@@ -235,7 +225,7 @@
         current = self._ledgers.get(service, ledger.Ledger(service))
         newer = ledger.next_ledger(
             current,
-            ledger.usable(self._listed.get(service, ())),
+            ledger.usable(self._table.by_service.get(service, ())),
             declared.floor,
             confirmed,
             self._clock.wall_s(),
@@ -262,7 +252,7 @@
             return
         newer.revision = revision
         self._ledgers[newer.service] = newer
-        self._dispatcher.force(messages.LedgerChanged(newer))
+        self._dispatcher.force(events.LedgerChanged(newer))
         _log.warning(
             "ejections changed",
             service=newer.service,
--- a/src/dotterelpath/tasks/store_watcher.py
+++ b/src/dotterelpath/tasks/store_watcher.py
@@ -12,8 +12,8 @@
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import codec as codec_port
 from dotterelpath.ports import store as store_port
+from dotterelpath.tasks import events
 from dotterelpath.tasks import mailbox
-from dotterelpath.tasks import messages
 
 PREFIX = "fleet/"
 HEAD_KEY = "fleet/head"
@@ -84,7 +84,7 @@
                 retry_s = min(MAX_RETRY_S, retry_s * 2.0)
                 continue
             retry_s = FIRST_RETRY_S
-            self._gossip.force(messages.StoreHeard(self._clock.now_s()))
+            self._gossip.force(events.StoreHeard(self._clock.now_s()))
             self._on_changes(changes)
 
     def _on_changes(self, changes: store_port.Changes) -> None:
@@ -103,13 +103,13 @@
         try:
             if entry.key == HEAD_KEY and entry.value is not None:
                 head = self._codec.decode_head(entry.value)
-                self._keeper.force(messages.HeadSeen(head))
+                self._keeper.force(events.HeadSeen(head))
             elif entry.key.startswith(LEDGER_PREFIX):
                 service = entry.key[len(LEDGER_PREFIX) :]
                 ledger = self._codec.decode_ledger(
                     service, entry.value or "{}", entry.revision
                 )
                 for reader in self._ledger_readers:
-                    reader.force(messages.LedgerChanged(ledger))
+                    reader.force(events.LedgerChanged(ledger))
         except ValueError as error:
             _log.error("invalid value in the store", key=entry.key, error=error)
--- a/src/dotterelpath/tasks/ticker.py
+++ b/src/dotterelpath/tasks/ticker.py
@@ -5,8 +5,8 @@
 import asyncio
 import typing
 
+from dotterelpath.tasks import events
 from dotterelpath.tasks import mailbox
-from dotterelpath.tasks import messages
 
 
 async def tick(inbox: mailbox.Mailbox[typing.Any], period_s: float) -> None:
@@ -18,4 +18,4 @@
     """
     while True:
         await asyncio.sleep(period_s)
-        inbox.force(messages.RoundDue())
+        inbox.force(events.RoundDue())
--- a/src/dotterelpath/tasks/vm_watcher.py
+++ b/src/dotterelpath/tasks/vm_watcher.py
@@ -11,8 +11,8 @@
 from dotterelpath import errors
 from dotterelpath.domain import vms
 from dotterelpath.ports import vm_list as vm_list_port
+from dotterelpath.tasks import events
 from dotterelpath.tasks import mailbox
-from dotterelpath.tasks import messages
 
 WAIT_S = 2.0
 RETRY_S = 1.0
@@ -23,7 +23,7 @@
 class VmWatcher:
     """Passes on the list of VMs when it changes."""
 
-    __slots__ = ("_known", "_readers", "_revision", "_vm_list")
+    __slots__ = ("_readers", "_revision", "_table", "_vm_list")
 
     def __init__(
         self,
@@ -38,7 +38,7 @@
         """
         self._vm_list = vm_list
         self._readers = readers
-        self._known: dict[str, vms.Vm] = {}
+        self._table = vms.EMPTY_TABLE
         self._revision = 0
 
     async def run(self) -> None:
@@ -57,11 +57,11 @@
         self._revision = changes.revision
         if not is_news:
             return
-        listed = {} if changes.is_full else dict(self._known)
-        for vm in changes.changed:
-            listed[vm.id] = vm
-        for vm_id in changes.removed:
-            listed.pop(vm_id, None)
-        self._known = listed
+        if changes.is_full:
+            self._table = vms.VmTable.of(changes.changed)
+        else:
+            self._table = self._table.changed_by(
+                changes.changed, changes.removed
+            )
         for reader in self._readers:
-            reader.force(messages.VmsChanged(listed))
+            reader.force(events.VmsChanged(self._table))
--- a/standins/load.py
+++ b/standins/load.py
@@ -6,6 +6,7 @@
 import collections
 import itertools
 import json
+import math
 import pathlib
 import random
 import time
@@ -13,9 +14,9 @@
 import uuid
 
 import click
+import hdrh.histogram
 import orjson
 import uvloop
-from hdrh import histogram
 
 from dotterelpath.adapters import clock as clock_adapter
 from dotterelpath.adapters import http_client
@@ -66,7 +67,7 @@
         self.outcomes: collections.Counter[str] = collections.Counter()
         self.codes: collections.Counter[str] = collections.Counter()
         self.mixed_up = 0
-        self.latency = histogram.HdrHistogram(1, MAX_US, 3)
+        self.latency = hdrh.histogram.HdrHistogram(1, MAX_US, 3)
 
     def summary(self) -> dict[str, typing.Any]:
         """Builds the tally's part of the report; latencies are in ms."""
@@ -88,11 +89,13 @@
     __slots__ = (
         "_addresses",
         "_client",
+        "_attempts_most",
         "_direct",
         "_entries",
         "_ids",
         "_operations",
         "_run_id",
+        "_within_s",
         "ends",
         "tallies",
         "timeline",
@@ -103,6 +106,8 @@
         entries: list[tuple[str, int]],
         operations: list[Operation],
         direct: bool,
+        attempts: int = MAX_ATTEMPTS,
+        within_s: float = math.inf,
     ) -> None:
         """Creates a generator.
 
@@ -110,7 +115,11 @@
             entries: Addresses of some daemons, or of servers if direct.
             operations: The mix.
             direct: Whether to skip addresses and keys.
+            attempts: The most attempts at one request.
+            within_s: A later answer counts as late, in seconds.
         """
+        self._attempts_most = attempts
+        self._within_s = within_s
         self._entries = entries
         self._operations = operations
         self._direct = direct
@@ -154,9 +163,12 @@
         workspace = f"ws-{random.randrange(WORKSPACES)}"
         end = await self._attempts(operation, unique, workspace)
         tally = self.tallies[operation.name]
+        took_s = time.monotonic() - due_s
+        if end == "answered" and took_s > self._within_s:
+            end = "late"
         tally.outcomes[end] += 1
         self.timeline[(second, operation.name, end)] += 1
-        took_us = int((time.monotonic() - due_s) * 1e6)
+        took_us = int(took_s * 1e6)
         if end == "answered":
             tally.latency.record_value(min(max(took_us, 1), MAX_US))
 
@@ -169,7 +181,7 @@
         key = prefix + unique if is_keyed else ""
         end = "unknown"
         attempt = 1
-        for number in range(MAX_ATTEMPTS):
+        for number in range(self._attempts_most):
             host, port = places[number % len(places)]
             request = self._build(operation, unique, workspace, key, attempt)
             tally = self.tallies[operation.name]
@@ -266,6 +278,8 @@
 @click.option("--rate", type=float, required=True)
 @click.option("--seconds", type=float, required=True)
 @click.option("--direct", is_flag=True)
+@click.option("--once", is_flag=True, help="Make one attempt only.")
+@click.option("--within-ms", type=float, default=math.inf)
 @click.option("--out", type=click.Path(path_type=pathlib.Path), required=True)
 def main(
     entries: tuple[str, ...],
@@ -273,13 +287,21 @@
     rate: float,
     seconds: float,
     direct: bool,
+    once: bool,
+    within_ms: float,
     out: pathlib.Path,
 ) -> None:
     """Sends load and writes a report in JSON."""
     operations = [Operation(data) for data in json.loads(mix)]
 
     async def work() -> Load:
-        load = Load([_entry(e) for e in entries], operations, direct)
+        load = Load(
+            [_entry(e) for e in entries],
+            operations,
+            direct,
+            1 if once else MAX_ATTEMPTS,
+            within_ms / 1000.0,
+        )
         await load.run(rate, seconds)
         return load
 
--- /dev/null
+++ b/standins/round_robin.py
@@ -0,0 +1,67 @@
+"""The baseline that benchmarks compare with: a relay without decisions.
+
+It passes each request to the next server in turn, without limits, deadlines,
+retries or any judgement of the servers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+import click
+import uvloop
+
+from dotterelpath.adapters import clock as clock_adapter
+from dotterelpath.adapters import http_client
+from dotterelpath.domain import exchange
+from dotterelpath.ports import frontend
+from standins import http
+
+TIMEOUT_S = 4.0
+
+
+class RoundRobin:
+    """Relays requests to servers in turn."""
+
+    __slots__ = ("_client", "_turns")
+
+    def __init__(self, servers: list[tuple[str, int]]) -> None:
+        """Creates a relay.
+
+        Args:
+            servers: Host and port of each server.
+        """
+        self._client = http_client.HttpClient(clock_adapter.SystemClock())
+        self._turns = itertools.cycle(servers)
+
+    async def handle(
+        self, request: exchange.Request, connection: frontend.Connection
+    ) -> exchange.Answer | None:
+        """Relays a request."""
+        host, port = next(self._turns)
+        try:
+            return await self._client.call(host, port, request, TIMEOUT_S)
+        except http_client.NotSentError:
+            return http.answer({"error": "not sent"}, 502)
+        except http_client.NoAnswerError:
+            return http.answer({"error": "no answer"}, 504)
+
+
+@click.command()
+@click.option("--port", type=int, required=True)
+@click.option("--server", "servers", multiple=True, required=True)
+def main(port: int, servers: tuple[str, ...]) -> None:
+    """Runs the relay before servers given as HOST:PORT."""
+    pairs = [server.rpartition(":") for server in servers]
+    relay = RoundRobin([(host, int(number)) for host, _, number in pairs])
+
+    async def work() -> None:
+        await http.Server(relay.handle).listen("127.0.0.1", port)
+        await asyncio.Event().wait()
+
+    uvloop.run(work())
+
+
+if __name__ == "__main__":
+    main()
