Issue keys of the first daemon, and trim the request path

Cause: an address answer named the asked daemon as the home of its keys while callers send to the first address, so most keyed requests were forwarded once. Change: the directory asks the first daemon for its prefix and keeps it 5 s; its own is the fallback. Histograms are found once for each series, the poll object once for each connection, header sets are built once; collections leave out the document and the VM list once they are settled. Ruled out: replacing h11's writers by our own (HTTP goes by the library).

--- a/features/path.feature
+++ b/features/path.feature
@@ -41,7 +41,7 @@
   Scenario: An address answer names live daemons, the nearest data centre first
     When a caller asks entry-2 for the addresses of bookings
     Then 3 addresses are named and the first stands in data centre b
-    And a key prefix of entry-2 is issued
+    And a key prefix of the first daemon is issued
 
   Scenario: The metrics have histograms for each class and workspace
     When a caller of workspace orchard sends GET /catalogue/x to entry-1
--- a/src/dotterelpath/adapters/h11_backend.py
+++ b/src/dotterelpath/adapters/h11_backend.py
@@ -31,6 +31,7 @@
         "_is_streaming",
         "_listener",
         "_method",
+        "_poller",
         "_proven_s",
         "_size",
         "_transport",
@@ -64,6 +65,7 @@
         self._is_streaming = False
         self._method = ""
         self._proven_s = clock.now_s()
+        self._poller = select.poll()
 
     @property
     def proven_s(self) -> float:
@@ -79,13 +81,12 @@
             return False
         # Bytes or an end of stream that the loop has not read yet would be
         # taken for the answer to the next request.
-        poller = select.poll()
-        poller.register(self._transport.get_extra_info("socket"), select.POLLIN)
-        return not poller.poll(0)
+        return not self._poller.poll(0)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Notes that the connection is open."""
         self._transport = typing.cast(asyncio.Transport, transport)
+        self._poller.register(transport.get_extra_info("socket"), select.POLLIN)
         self._proven_s = self._clock.now_s()
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/src/dotterelpath/adapters/headers.py
+++ b/src/dotterelpath/adapters/headers.py
@@ -38,6 +38,7 @@
     ATTEMPT,
     REQUEST_ID,
 }
+_NOT_PASSED_ON = _HOP_BY_HOP | {b"content-length", RESULT, REQUEST_ID}
 
 
 class CallerHead:
@@ -67,7 +68,7 @@
         DotterelpathError: One of our headers is invalid or stands twice.
     """
     head = CallerHead()
-    dropped = _CONSUMED | _named_by_connection(headers)
+    dropped = _with_named_by_connection(_CONSUMED, headers)
     seen: set[bytes] = set()
     for name, value in headers:
         if name not in dropped:
@@ -89,23 +90,18 @@
     Returns:
         Those that go on to the caller.
     """
-    dropped = _HOP_BY_HOP | _named_by_connection(headers)
-    return [
-        (name, value)
-        for name, value in headers
-        if name not in dropped
-        and name != b"content-length"
-        and name != RESULT
-        and name != REQUEST_ID
-    ]
-
-
-def _named_by_connection(headers: exchange.Headers) -> frozenset[bytes]:
+    dropped = _with_named_by_connection(_NOT_PASSED_ON, headers)
+    return [item for item in headers if item[0] not in dropped]
+
+
+def _with_named_by_connection(
+    dropped: frozenset[bytes], headers: exchange.Headers
+) -> frozenset[bytes]:
     named = [value for name, value in headers if name == b"connection"]
     if not named:
-        return frozenset()
+        return dropped
     tokens = b",".join(named).lower().split(b",")
-    return frozenset(token.strip() for token in tokens)
+    return dropped | {token.strip() for token in tokens}
 
 
 def _read_own(head: CallerHead, name: bytes, value: bytes) -> None:
--- a/src/dotterelpath/adapters/metrics.py
+++ b/src/dotterelpath/adapters/metrics.py
@@ -6,6 +6,7 @@
 import typing
 
 import aioprometheus
+import aioprometheus.histogram
 
 from dotterelpath import errors
 from dotterelpath.domain import exchange
@@ -15,6 +16,16 @@
 BUCKETS_S = (0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1.0, 5.0)
 
 
+class _Series:
+    """The histograms of one service and class, found once."""
+
+    __slots__ = ("duration", "overhead")
+
+    def __init__(self, duration: typing.Any, overhead: typing.Any) -> None:
+        self.duration = duration
+        self.overhead = overhead
+
+
 class Metrics:
     """Counts and histograms of this daemon; see metrics.Metrics.
 
@@ -27,20 +38,22 @@
         "_avoided",
         "_duration",
         "_ejected",
+        "_of_workspace",
         "_outcomes",
         "_overhead",
         "_registry",
         "_requests",
         "_retries",
+        "_series",
         "_store_calls",
         "_workspace_duration",
-        "_workspaces",
     )
 
     def __init__(self) -> None:
         """Creates empty metrics."""
         self._registry = aioprometheus.Registry()
-        self._workspaces: dict[str, dict[str, str]] = {}
+        self._series: dict[tuple[str, str], _Series] = {}
+        self._of_workspace: dict[str, typing.Any] = {}
         self._outcomes: collections.Counter[tuple[str, int]] = (
             collections.Counter()
         )
@@ -69,14 +82,16 @@
         overhead_s: float,
     ) -> None:
         """Counts a request; see metrics.Metrics."""
-        labels = {"service": service, "class": traffic_class}
         self._outcomes[(service, int(code))] += 1
-        self._requests.inc({"service": service, "code": str(int(code))})
-        self._duration.observe(labels, duration_s)
-        self._overhead.observe(labels, overhead_s)
-        self._workspace_duration.observe(
-            self._workspace_labels(workspace), duration_s
-        )
+        series = self._series.get((service, traffic_class))
+        if series is None:
+            series = self._new_series(service, traffic_class)
+        series.duration.observe(duration_s)
+        series.overhead.observe(overhead_s)
+        of_workspace = self._of_workspace.get(workspace)
+        if of_workspace is None:
+            of_workspace = self._new_workspace(workspace)
+        of_workspace.observe(duration_s)
 
     def retried(self, service: str, is_hedge: bool) -> None:
         """Counts a further try; see metrics.Metrics."""
@@ -108,6 +123,8 @@
         Returns:
             The headers and the body of an answer.
         """
+        for (service, code), count in self._outcomes.items():
+            self._requests.set({"service": service, "code": str(code)}, count)
         content, headers = aioprometheus.render(self._registry, [])
         fields = [
             (name.lower().encode(), value.encode())
@@ -115,14 +132,22 @@
         ]
         return fields, content
 
-    def _workspace_labels(self, workspace: str) -> dict[str, str]:
-        labels = self._workspaces.get(workspace)
-        if labels is None:
-            if len(self._workspaces) >= MAX_WORKSPACES:
-                workspace = OTHER
-            labels = {"workspace": workspace}
-            self._workspaces[workspace] = labels
-        return labels
+    def _new_series(self, service: str, traffic_class: str) -> _Series:
+        labels = {"service": service, "class": traffic_class}
+        series = _Series(
+            _at(self._duration, labels), _at(self._overhead, labels)
+        )
+        self._series[(service, traffic_class)] = series
+        return series
+
+    def _new_workspace(self, workspace: str) -> typing.Any:
+        if len(self._of_workspace) >= MAX_WORKSPACES:
+            # What is not kept apart is looked up each time, since keeping
+            # all names would need memory for each workspace.
+            return _at(self._workspace_duration, {"workspace": OTHER})
+        found = _at(self._workspace_duration, {"workspace": workspace})
+        self._of_workspace[workspace] = found
+        return found
 
     def _counter(self, name: str, doc: str) -> typing.Any:
         return aioprometheus.Counter(
@@ -141,3 +166,13 @@
             buckets=list(BUCKETS_S),
             registry=self._registry,
         )
+
+
+def _at(collector: typing.Any, labels: dict[str, str]) -> typing.Any:
+    """Finds the histogram of some labels, which is made if it is new."""
+    try:
+        return collector.get_value(labels)
+    except KeyError:
+        made = aioprometheus.histogram.Histogram(*collector.upper_bounds)
+        collector.set_value(labels, made)
+        return made
--- a/src/dotterelpath/adapters/peer_api.py
+++ b/src/dotterelpath/adapters/peer_api.py
@@ -11,7 +11,9 @@
 from dotterelpath import errors
 from dotterelpath.adapters import api
 from dotterelpath.adapters import peer_codec
+from dotterelpath.domain import books
 from dotterelpath.domain import exchange
+from dotterelpath.domain import keys
 from dotterelpath.domain import records
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import codec as codec_port
@@ -26,6 +28,7 @@
     """Turns peers' calls into messages to the daemon's tasks."""
 
     __slots__ = (
+        "_books",
         "_clock",
         "_codec",
         "_dispatcher",
@@ -44,6 +47,7 @@
         codec: codec_port.Codec,
         keeper: document_keeper.DocumentKeeper,
         steward: steward_task.Steward,
+        kept: books.Books,
         replies: mailbox.Mailbox[typing.Any],
         dispatcher: mailbox.Mailbox[typing.Any],
         gossip: mailbox.Mailbox[typing.Any],
@@ -56,6 +60,7 @@
             codec: Writes heads and ledgers.
             keeper: Has the document in force.
             steward: Has the ledgers.
+            kept: The records of keys.
             replies: Gets the outcomes of forwarded requests.
             dispatcher: Gets forwarded requests and handed-off records.
             gossip: Gets heartbeats.
@@ -65,6 +70,7 @@
         self._codec = codec
         self._keeper = keeper
         self._steward = steward
+        self._books = kept
         self._replies = replies
         self._dispatcher = dispatcher
         self._gossip = gossip
@@ -82,6 +88,7 @@
             ("POST", "/peer/reports"): self.reports,
             ("GET", "/peer/snapshot"): self.snapshot,
             ("GET", "/peer/blobs/"): self.blob,
+            ("GET", "/peer/key-prefix"): self.key_prefix,
         }
 
     async def run(self) -> None:
@@ -192,6 +199,16 @@
             }
         )
 
+    async def key_prefix(self, request: exchange.Request) -> exchange.Answer:
+        """Issues a prefix of keys whose outcomes are kept here.
+
+        Args:
+            request: The call.
+        """
+        own = self._books.own
+        uptime_s = self._clock.now_s() - own.started_at_s
+        return api.json_answer({"prefix": keys.mint_prefix(own.home, uptime_s)})
+
     async def blob(self, request: exchange.Request) -> exchange.Answer:
         """Gives the text of a section.
 
--- a/src/dotterelpath/adapters/peer_client.py
+++ b/src/dotterelpath/adapters/peer_client.py
@@ -107,6 +107,14 @@
         target = "/peer/blobs/" + urllib.parse.quote(digest, safe="")
         return (await self._get(vm, target)).get("text")
 
+    async def key_prefix(self, vm: vms.Vm) -> str:
+        """Asks for a key prefix; see peers.Peers."""
+        data = await self._get(vm, "/peer/key-prefix")
+        try:
+            return str(data["prefix"])
+        except KeyError as error:
+            raise peers.PeerSilentError("no prefix") from error
+
     async def report(
         self, vm: vms.Vm, service: str, scores: dict[str, float]
     ) -> None:
--- a/src/dotterelpath/daemon.py
+++ b/src/dotterelpath/daemon.py
@@ -50,6 +50,7 @@
 
 PEER_BODY_BYTES = 64 * 1024 * 1024
 CONTROL_BODY_BYTES = 1024 * 1024
+SETTLE_S = 1.0
 
 _log = structlog.get_logger()
 
@@ -218,6 +219,7 @@
             self._codec,
             self._keeper,
             self._steward,
+            self._dispatcher.books,
             boxes.peer_replies,
             boxes.dispatcher,
             boxes.gossip,
@@ -262,6 +264,7 @@
         start("peer link", peers.run())
         start("store watcher", self._store_watcher().run())
         start("vm watcher", self._vm_watcher().run())
+        start("memory", self._settle_memory())
         for box, period_s in (
             (boxes.gossip, gossip.ROUND_S),
             (boxes.steward, steward.ROUND_S),
@@ -289,6 +292,7 @@
         return directory.Directory(
             self._home,
             self._settings.data_centre,
+            self._peers,
             self._clock,
             self._inboxes.directory,
         )
@@ -322,6 +326,18 @@
             ),
         )
 
+    async def _settle_memory(self) -> None:
+        """Leaves what lives as long as the process out of collections.
+
+        The document and the VM list are large, and a collection that walks
+        them would delay requests.
+        """
+        while self._keeper.head is None:  # noqa: ASYNC110
+            await asyncio.sleep(SETTLE_S)
+        await asyncio.sleep(SETTLE_S)
+        gc.collect()
+        gc.freeze()
+
     def _on_signal(self) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -355,9 +371,6 @@
         The process's exit code.
     """
     logs.configure(settings.log_level)
-    # Objects made at start live as long as the process; leaving them out of
-    # collections keeps those short.
-    gc.freeze()
 
     async def work() -> None:
         await Daemon(settings).run()
--- a/src/dotterelpath/domain/pool.py
+++ b/src/dotterelpath/domain/pool.py
@@ -278,7 +278,7 @@
         ok: bool | None,
         latency_s: float,
         now_s: float,
-    ) -> None:
+    ) -> bool:
         """Takes in how a request at an instance ended.
 
         Args:
@@ -287,21 +287,27 @@
                 nothing about it.
             latency_s: How long it took, in seconds.
             now_s: A monotonic clock, in seconds.
+
+        Returns:
+            Whether other instances are avoided now than before.
         """
         instance = self._instances.get(instance_id)
         if instance is None:
-            return
+            return False
         instance.in_flight = max(0, instance.in_flight - 1)
         if ok is None:
-            return
+            return False
         if ok and instance.backoff_s:
             instance.backoff_s = 0.0
             self._backing_off.pop(instance_id, None)
         self._detector.observe(instance_id, ok, latency_s, now_s)
         sick = self._detector.sick()
-        if sick != self._sick:
-            self._sick = sick
-            self._spare()
+        if sick == self._sick:
+            return False
+        before = self._spared
+        self._sick = sick
+        self._spare()
+        return self._spared != before
 
     def back_off(self, instance_id: str, now_s: float) -> None:
         """Leaves an instance alone for a while after it did no work.
--- a/src/dotterelpath/ports/peers.py
+++ b/src/dotterelpath/ports/peers.py
@@ -137,6 +137,16 @@
             The text, or None where the peer does not have it.
         """
 
+    async def key_prefix(self, vm: vms.Vm) -> str:
+        """Asks a peer for a prefix of keys whose outcomes it keeps.
+
+        Args:
+            vm: The peer.
+
+        Returns:
+            The prefix.
+        """
+
     async def report(
         self, vm: vms.Vm, service: str, scores: dict[str, float]
     ) -> None:
--- a/src/dotterelpath/tasks/_attempts.py
+++ b/src/dotterelpath/tasks/_attempts.py
@@ -26,6 +26,7 @@
 TOLD_STEP = 1.0
 
 _NO_WORK = (tries.TryEnd.REFUSED, tries.TryEnd.UNREACHABLE, tries.TryEnd.BROKEN)
+_NOTHING_TOLD: dict[str, float] = {}
 _log = structlog.get_logger()
 
 
@@ -366,13 +367,12 @@
                 pool.report_load(attempt.instance_id, signs.load, now_s)
             if signs.is_draining:
                 pool.mark_leaving(attempt.instance_id, now_s)
-        before = pool.avoided
         ok = _answers.did_work(end, answer)
-        pool.ended(attempt.instance_id, ok, took_s, now_s)
+        is_news = pool.ended(attempt.instance_id, ok, took_s, now_s)
         if end in _NO_WORK:
             pool.back_off(attempt.instance_id, now_s)
         service = work.route.service
-        if pool.avoided != before:
+        if is_news:
             self._metrics.avoided(service, len(pool.avoided))
             _log.info("avoided changed", service=service, ids=pool.avoided)
         self._tell_suspicions(service, pool.suspicions)
@@ -381,7 +381,9 @@
 
     def _tell_suspicions(self, service: str, scores: dict[str, float]) -> None:
         """Tells the steward's task of suspicions when they move."""
-        told = self._told.get(service, {})
+        told = self._told.get(service, _NOTHING_TOLD)
+        if not scores and not told:
+            return
         if scores.keys() == told.keys() and all(
             abs(score - told[instance]) < TOLD_STEP
             for instance, score in scores.items()
--- a/src/dotterelpath/tasks/directory.py
+++ b/src/dotterelpath/tasks/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import typing
 import urllib.parse
 
@@ -14,16 +15,32 @@
 from dotterelpath.domain import keys
 from dotterelpath.domain import vms
 from dotterelpath.ports import clock as clock_port
+from dotterelpath.ports import peers as peers_port
 from dotterelpath.tasks import events
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import messages
 
 ADDRESSES_PATH = "/-/addresses"
 MAX_CACHED_SUBSETS = 1024
+PREFIX_KEPT_S = 5.0
+
+
+class _KeptPrefix:
+    """A peer's key prefix, asked for a while ago."""
+
+    __slots__ = ("asked_s", "prefix")
+
+    def __init__(self, prefix: str, asked_s: float) -> None:
+        self.prefix = prefix
+        self.asked_s = asked_s
 
 
 class Directory:
-    """Answers requests for addresses with live daemons and a key prefix."""
+    """Answers requests for addresses with live daemons and a key prefix.
+
+    The prefix names the first of the daemons as the home, since callers send
+    their keyed requests there: a request then needs no forwarding.
+    """
 
     __slots__ = (
         "_clock",
@@ -32,7 +49,10 @@
         "_home",
         "_listed",
         "_mailbox",
+        "_open",
+        "_peers",
         "_places",
+        "_prefixes",
         "_started_s",
         "_subsets",
     )
@@ -41,6 +61,7 @@
         self,
         home: keys.Home,
         data_centre: str,
+        peers: peers_port.Peers,
         clock: clock_port.Clock,
         inbox: mailbox.Mailbox[typing.Any],
     ) -> None:
@@ -49,12 +70,16 @@
         Args:
             home: This daemon, the home of the prefixes that it issues.
             data_centre: Where it stands.
+            peers: The other daemons.
             clock: Tells the time.
             inbox: This task's mailbox.
         """
         self._home = home
         self._data_centre = data_centre
+        self._peers = peers
         self._clock = clock
+        self._prefixes: dict[str, _KeptPrefix] = {}
+        self._open: set[asyncio.Task[None]] = set()
         self._mailbox = inbox
         self._started_s = clock.now_s()
         self._places: list[addresses.Place] = []
@@ -82,10 +107,21 @@
             message: The request and its receiver.
         """
         try:
-            outcome = self._answer(message.request)
+            chosen = self._chosen(message.request)
         except errors.DotterelpathError as error:
             outcome = exchange.Outcome(error.code, error.detail)
-        message.reply_to.force(messages.RequestEnded(message.token, outcome))
+            self._reply(message, outcome)
+            return
+        first = chosen[0].id if chosen else self._home.daemon_id
+        prefix = self._known_prefix(first)
+        if prefix is not None:
+            self._reply(message, _encode(chosen, prefix))
+            return
+        task = asyncio.get_running_loop().create_task(
+            self._ask_prefix(message, chosen)
+        )
+        self._open.add(task)
+        task.add_done_callback(self._open.discard)
 
     def on_members_changed(self, message: events.MembersChanged) -> None:
         """Takes in the live daemons.
@@ -99,7 +135,8 @@
             for daemon_id in message.live
         ]
 
-    def _answer(self, request: exchange.Request) -> exchange.Outcome:
+    def _chosen(self, request: exchange.Request) -> list[vms.Vm]:
+        """Finds the daemons that a caller should use, the best first."""
         if request.path != ADDRESSES_PATH:
             raise errors.DotterelpathError(
                 errors.ResultCode.NO_ROUTE, f"no route for {request.path}"
@@ -116,8 +153,40 @@
                 errors.ResultCode.NO_ROUTE, f"there is no service {service!r}"
             )
         near = _one(query, "data_centre") or self._data_centre
-        chosen = addresses.ordered(self._subset(service), workspace, near)
-        return self._encode(chosen)
+        ordered = addresses.ordered(self._subset(service), workspace, near)
+        found = (self._listed.get(place.daemon_id) for place in ordered)
+        return [vm for vm in found if vm is not None]
+
+    def _known_prefix(self, daemon_id: str) -> str | None:
+        now_s = self._clock.now_s()
+        if daemon_id == self._home.daemon_id:
+            return keys.mint_prefix(self._home, now_s - self._started_s)
+        kept = self._prefixes.get(daemon_id)
+        if kept is None or now_s - kept.asked_s > PREFIX_KEPT_S:
+            return None
+        return kept.prefix
+
+    async def _ask_prefix(
+        self, message: messages.RequestArrived, chosen: list[vms.Vm]
+    ) -> None:
+        """Asks the first daemon for its prefix; its own is the fallback."""
+        first = chosen[0]
+        try:
+            prefix = await self._peers.key_prefix(first)
+            self._prefixes[first.id] = _KeptPrefix(prefix, self._clock.now_s())
+        except (
+            peers_port.PeerUnreachableError,
+            peers_port.PeerSilentError,
+        ):
+            own = self._known_prefix(self._home.daemon_id)
+            assert own is not None
+            prefix = own
+        self._reply(message, _encode(chosen, prefix))
+
+    def _reply(
+        self, message: messages.RequestArrived, outcome: exchange.Outcome
+    ) -> None:
+        message.reply_to.force(messages.RequestEnded(message.token, outcome))
 
     def _subset(self, service: str) -> list[addresses.Place]:
         found = self._subsets.get(service)
@@ -128,27 +197,22 @@
             self._subsets[service] = found
         return found
 
-    def _encode(self, chosen: list[addresses.Place]) -> exchange.Outcome:
-        uptime_s = self._clock.now_s() - self._started_s
-        listed = [
-            {
-                "host": vm.host,
-                "port": vm.port,
-                "data_centre": vm.data_centre,
-            }
-            for vm in (self._listed.get(place.daemon_id) for place in chosen)
-            if vm is not None
-        ]
-        body = orjson.dumps(
-            {
-                "addresses": listed,
-                "ttl_s": addresses.ADDRESS_TTL_S,
-                "key_prefix": keys.mint_prefix(self._home, uptime_s),
-            }
-        )
-        fields = [(b"content-type", b"application/json")]
-        answer = exchange.Answer(200, fields, body)
-        return exchange.Outcome(errors.ResultCode.ANSWERED, answer=answer)
+
+def _encode(chosen: list[vms.Vm], prefix: str) -> exchange.Outcome:
+    listed = [
+        {"host": vm.host, "port": vm.port, "data_centre": vm.data_centre}
+        for vm in chosen
+    ]
+    body = orjson.dumps(
+        {
+            "addresses": listed,
+            "ttl_s": addresses.ADDRESS_TTL_S,
+            "key_prefix": prefix,
+        }
+    )
+    fields = [(b"content-type", b"application/json")]
+    answer = exchange.Answer(200, fields, body)
+    return exchange.Outcome(errors.ResultCode.ANSWERED, answer=answer)
 
 
 def _one(query: dict[str, list[str]], name: str) -> str:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -236,9 +236,11 @@
 
         def is_complete(node: Node) -> bool:
             shown = status(node.control)
+            services = shown["services"]
             rotation = {
-                name: len(shown["services"][name]["rotation"])
+                name: len(services[name]["rotation"])
                 for name in counts
+                if name in services
             }
             alive = [
                 m for m in shown["members"].values() if m["state"] == "alive"
