Let only some daemons watch the store, and spread ledgers by heartbeats

Cause: each daemon held a watch of its own. Ruled out: longer waits (a watch that went silent would be noticed later, and the burst at an edit stays). Change: 64 daemons watch, found by rendezvous hashing; the others learn heads and ledgers from heartbeats, which now carry the ledger's revision, and read the store every 30 s or so. Ejections are pushed to four peers at once, as documents were. Ports of the stand-ins lie below the ephemeral range: a daemon of a benchmark had failed to start because its port was taken meanwhile. Found on the way: the new task died of a message that it does not handle; the scenario on an isolated daemon failed with it. Figures: the scenario with one watcher of three daemons: at most 4 watch calls in 4 s, an edit in force within 7 s and an ejection within 10 s everywhere.

--- a/benchmarks/main.py
+++ b/benchmarks/main.py
@@ -10,13 +10,14 @@
 
 from benchmarks import added_latency
 from benchmarks import detection
+from benchmarks import idle
 from benchmarks import overload
 from benchmarks import report
 from benchmarks import slopes
 from standins import fleet
 
 OUT = fleet.ROOT / "out"
-NAMES = ("detection", "overload", "latency", "slopes")
+NAMES = ("detection", "overload", "latency", "slopes", "idle")
 
 
 @click.command()
@@ -46,6 +47,8 @@
         return [overload.run()]
     if name == "latency":
         return [added_latency.run()]
+    if name == "idle":
+        return [idle.run()]
     return [slopes.run()]
 
 
--- a/features/document.feature
+++ b/features/document.feature
@@ -81,3 +81,12 @@
     Given the owner has saved section extra with prefix /extra-f
     When the store answers watches with the state before that
     Then entry-1 still routes /extra-f after 3 s
+
+  @fixture.one_watcher
+  Scenario: Edits and ejections reach daemons that do not watch the store
+    When the owner saves section extra with prefix /extra-g
+    Then all daemons route /extra-g within 7 s
+    And the store is watched by one daemon
+    Given catalogue-5 fails 70 % of its work
+    When callers read the catalogue through all daemons
+    Then all daemons eject catalogue-5 within 10 s
--- a/features/environment.py
+++ b/features/environment.py
@@ -48,15 +48,16 @@
 
 
 @behave.fixture
-def estate(context, daemons=3):
+def estate(context, **options):
     """Starts daemons before bookings and catalogue, with a document."""
     OUT.mkdir(exist_ok=True)
     context.fleet = fleet_harness.Fleet(OUT / "features.log")
     try:
+        context.fleet.options = options
         context.fleet.start_platform()
         context.fleet.start_backends("bookings", 6)
         context.fleet.start_backends("catalogue", 8)
-        context.fleet.add_nodes(daemons)
+        context.fleet.add_nodes(3)
         context.fleet.in_force(0)
         for name, text in SECTIONS.items():
             saved = context.fleet.put(name, fleet_harness.owners_line() + text)
@@ -75,6 +76,8 @@
 def before_tag(context, tag):
     if tag == "fixture.estate":
         behave.use_fixture(estate, context)
+    elif tag == "fixture.one_watcher":
+        behave.use_fixture(estate, context, **{"store-watchers": 1})
 
 
 def before_scenario(context, scenario):
--- a/features/steps/document_steps.py
+++ b/features/steps/document_steps.py
@@ -106,6 +106,18 @@
     assert len(set(context.before.values())) == 1, context.before
 
 
+@behave.then("the store is watched by one daemon")
+def step_one_watches(context):
+    def watches():
+        counts = fleet_harness.call(context.fleet.store, "GET", "/counts")
+        return counts.json().get("watch", 0)
+
+    before = watches()
+    time.sleep(4.0)
+    # One daemon waits 2 s each time; three would have made 6 calls.
+    assert watches() - before <= 4, watches() - before
+
+
 @behave.when("{count:d} operators save sections of their own at once")
 def step_race_different(context, count):
     nodes = list(context.fleet.nodes)
--- a/src/dotterelpath/adapters/peer_codec.py
+++ b/src/dotterelpath/adapters/peer_codec.py
@@ -27,6 +27,7 @@
         "n": heartbeat.counter,
         "state": heartbeat.state.value,
         "doc": heartbeat.document_version,
+        "ledger": heartbeat.ledger_revision,
         "store_age_s": round(heartbeat.store_age_s, 1),
         "adopted": [home_to_json(home) for home in heartbeat.adopted],
         "rumours": [
@@ -51,6 +52,7 @@
             int(data["n"]),
             members.MemberState(data["state"]),
             int(data["doc"]),
+            int(data["ledger"]),
             float(data["store_age_s"]),
             tuple(home_from_json(item) for item in data["adopted"]),
             tuple(
--- a/src/dotterelpath/adapters/settings.py
+++ b/src/dotterelpath/adapters/settings.py
@@ -87,6 +87,7 @@
         "log_level",
         "peer_listen",
         "store",
+        "store_watchers",
         "vm_list",
     )
 
@@ -98,6 +99,7 @@
         peer_listen: Address,
         control_listen: Address,
         store: Address,
+        store_watchers: int,
         vm_list: Address,
         drain_grace_s: float,
         drain_timeout_s: float,
@@ -112,6 +114,7 @@
             peer_listen: The address for other daemons.
             control_listen: The address for operators.
             store: The configuration store's address.
+            store_watchers: How many daemons of the fleet watch the store.
             vm_list: The VM list's address.
             drain_grace_s: How long a stopping daemon goes on to accept
                 callers, in seconds.
@@ -124,6 +127,7 @@
         self.peer_listen = peer_listen
         self.control_listen = control_listen
         self.store = store
+        self.store_watchers = store_watchers
         self.vm_list = vm_list
         self.drain_grace_s = drain_grace_s
         self.drain_timeout_s = drain_timeout_s
--- a/src/dotterelpath/daemon.py
+++ b/src/dotterelpath/daemon.py
@@ -69,6 +69,7 @@
         "peer_link",
         "peer_replies",
         "steward",
+        "store_watcher",
     )
 
     def __init__(self) -> None:
@@ -199,7 +200,12 @@
             self._clock,
             boxes.gossip,
             boxes.keeper,
-            (boxes.dispatcher, boxes.directory, boxes.steward),
+            (
+                boxes.dispatcher,
+                boxes.directory,
+                boxes.steward,
+                boxes.store_watcher,
+            ),
         )
         self._steward = steward.Steward(
             settings.daemon_id,
@@ -208,7 +214,7 @@
             self._codec,
             self._clock,
             boxes.steward,
-            boxes.dispatcher,
+            (boxes.dispatcher, boxes.gossip),
         )
 
     def _create_servers(self) -> None:
@@ -300,12 +306,15 @@
     def _store_watcher(self) -> store_watcher.StoreWatcher:
         boxes = self._inboxes
         return store_watcher.StoreWatcher(
+            self._settings.daemon_id,
+            self._settings.store_watchers,
             self._store,
             self._codec,
             self._clock,
+            boxes.store_watcher,
             boxes.keeper,
             boxes.gossip,
-            (boxes.dispatcher, boxes.steward),
+            (boxes.dispatcher, boxes.gossip, boxes.steward),
         )
 
     def _vm_watcher(self) -> vm_watcher.VmWatcher:
@@ -406,6 +415,13 @@
 @click.option(
     "--store", type=_address, required=True, help="The configuration store."
 )
+@click.option(
+    "--store-watchers",
+    type=click.IntRange(1, 10_000),
+    default=64,
+    show_default=True,
+    help="How many daemons of the fleet watch the store.",
+)
 @click.option("--vm-list", type=_address, required=True, help="The VM list.")
 @click.option(
     "--drain-grace-s",
--- a/src/dotterelpath/domain/members.py
+++ b/src/dotterelpath/domain/members.py
@@ -70,6 +70,7 @@
         "counter",
         "document_version",
         "home",
+        "ledger_revision",
         "rumours",
         "state",
         "store_age_s",
@@ -81,6 +82,7 @@
         counter: int,
         state: MemberState,
         document_version: int,
+        ledger_revision: int,
         store_age_s: float,
         adopted: tuple[keys.Home, ...],
         rumours: tuple[Rumour, ...],
@@ -92,6 +94,8 @@
             counter: The sender's counter.
             state: ALIVE or LEAVING.
             document_version: The document version in force at the sender.
+            ledger_revision: The store's newest revision of any ledger that
+                the sender knows.
             store_age_s: Seconds since the sender last heard from the store.
             adopted: Homes for which the sender answers.
             rumours: News about other daemons.
@@ -100,6 +104,7 @@
         self.counter = counter
         self.state = state
         self.document_version = document_version
+        self.ledger_revision = ledger_revision
         self.store_age_s = store_age_s
         self.adopted = adopted
         self.rumours = rumours
--- a/src/dotterelpath/tasks/gossip.py
+++ b/src/dotterelpath/tasks/gossip.py
@@ -20,6 +20,7 @@
 ROUND_S = 1.0
 STALE_AFTER_S = 5.0
 PUSH_FANOUT = 4
+ASK_EVERY_S = 0.2
 
 _log = structlog.get_logger()
 
@@ -34,9 +35,11 @@
         "_document_version",
         "_is_fresh",
         "_keeper",
+        "_ledger_revision",
         "_listed",
         "_mailbox",
         "_membership",
+        "_next_ask_s",
         "_peers",
         "_random",
         "_readers",
@@ -76,6 +79,8 @@
         self._membership = members.Membership(home, clock.now_s())
         self._random = random.Random()
         self._document_version = 0
+        self._ledger_revision = 0
+        self._next_ask_s = 0.0
         self._store_s = clock.now_s()
         self._is_fresh = True
         self._adopted: tuple[keys.Home, ...] = ()
@@ -150,9 +155,17 @@
             document_in_force: The document.
         """
         self._document_version = document_in_force.version
-        ids = list(self._membership.members)
-        count = min(PUSH_FANOUT, len(ids))
-        self._push(self._random.sample(ids, count))
+        self._push_news()
+
+    def on_ledger_changed(self, message: events.LedgerChanged) -> None:
+        """Tells a few peers at once that ejections changed.
+
+        Args:
+            message: The ledger.
+        """
+        if message.ledger.revision > self._ledger_revision:
+            self._ledger_revision = message.ledger.revision
+            self._push_news()
 
     def on_book_adopted(self, message: events.BookAdopted) -> None:
         """Tells peers that this daemon answers for a stopped home.
@@ -184,6 +197,8 @@
             self._check_fresh()
         elif isinstance(message, events.DocumentChanged):
             self.on_document_changed(message.document)
+        elif isinstance(message, events.LedgerChanged):
+            self.on_ledger_changed(message)
         elif isinstance(message, events.BookAdopted):
             self.on_book_adopted(message)
         elif isinstance(message, events.LeaveBegan):
@@ -192,11 +207,22 @@
     def _take_in(self, heartbeat: members.Heartbeat) -> None:
         self._membership.on_heartbeat(heartbeat, self._clock.now_s())
         self._check_fresh()
-        if heartbeat.document_version <= self._document_version:
-            return
+        is_ahead = (
+            heartbeat.document_version > self._document_version
+            or heartbeat.ledger_revision > self._ledger_revision
+        )
+        now_s = self._clock.now_s()
         vm = self._listed.get(heartbeat.home.daemon_id)
-        if vm is not None:
-            self._keeper.force(events.PeerAhead(vm))
+        if not is_ahead or vm is None or now_s < self._next_ask_s:
+            return
+        # Many peers are ahead at once after a change; one is enough to ask.
+        self._next_ask_s = now_s + ASK_EVERY_S
+        self._keeper.force(events.PeerAhead(vm))
+
+    def _push_news(self) -> None:
+        ids = list(self._membership.members)
+        count = min(PUSH_FANOUT, len(ids))
+        self._push(self._random.sample(ids, count))
 
     def _own_heartbeat(self) -> members.Heartbeat:
         return members.Heartbeat(
@@ -204,6 +230,7 @@
             self._membership.counter,
             self._membership.own_state,
             self._document_version,
+            self._ledger_revision,
             self._clock.now_s() - self._store_s,
             self._adopted,
             self._membership.take_rumours(),
--- a/src/dotterelpath/tasks/mailbox.py
+++ b/src/dotterelpath/tasks/mailbox.py
@@ -65,6 +65,14 @@
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
 
+    def poll(self) -> M | None:
+        """Takes the next message if there is one.
+
+        Returns:
+            The oldest message, or None.
+        """
+        return self._messages.popleft() if self._messages else None
+
     async def receive(self) -> M:
         """Takes the next message, waiting for one.
 
--- a/src/dotterelpath/tasks/steward.py
+++ b/src/dotterelpath/tasks/steward.py
@@ -37,7 +37,6 @@
         "_clock",
         "_codec",
         "_data_centres",
-        "_dispatcher",
         "_document",
         "_ledgers",
         "_live",
@@ -46,6 +45,7 @@
         "_own_id",
         "_own_scores",
         "_peers",
+        "_readers",
         "_reports",
         "_store",
         "_table",
@@ -60,7 +60,7 @@
         codec: codec_port.Codec,
         clock: clock_port.Clock,
         inbox: mailbox.Mailbox[typing.Any],
-        dispatcher: mailbox.Mailbox[typing.Any],
+        readers: tuple[mailbox.Mailbox[typing.Any], ...],
     ) -> None:
         """Creates the task's state.
 
@@ -71,7 +71,7 @@
             codec: Writes ledgers.
             clock: Tells the time.
             inbox: This task's mailbox.
-            dispatcher: Gets ledgers that this task changed.
+            readers: Get the ledgers that this task changed.
         """
         self._own_id = own_id
         self._store = store
@@ -79,7 +79,7 @@
         self._codec = codec
         self._clock = clock
         self._mailbox = inbox
-        self._dispatcher = dispatcher
+        self._readers = readers
         self._document: document.Document | None = None
         self._ledgers: dict[str, ledger.Ledger] = {}
         self._table = vms.EMPTY_TABLE
@@ -252,7 +252,8 @@
             return
         newer.revision = revision
         self._ledgers[newer.service] = newer
-        self._dispatcher.force(events.LedgerChanged(newer))
+        for reader in self._readers:
+            reader.force(events.LedgerChanged(newer))
         _log.warning(
             "ejections changed",
             service=newer.service,
--- a/src/dotterelpath/tasks/store_watcher.py
+++ b/src/dotterelpath/tasks/store_watcher.py
@@ -9,6 +9,7 @@
 import structlog
 
 from dotterelpath import errors
+from dotterelpath.domain import hashing
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import codec as codec_port
 from dotterelpath.ports import store as store_port
@@ -19,6 +20,7 @@
 HEAD_KEY = "fleet/head"
 LEDGER_PREFIX = "fleet/ledger/"
 WAIT_S = 2.0
+SELDOM_S = 30.0
 FIRST_RETRY_S = 0.2
 MAX_RETRY_S = 2.0
 
@@ -29,24 +31,33 @@
     """Waits for changes in the store and passes them on.
 
     Each wait is short, so that a watch that went silent is noticed and the
-    daemon knows how lately it heard the store.
+    daemon knows how lately it heard the store. In a large fleet only some
+    daemons watch, found by rendezvous hashing, so that the store's load does
+    not grow with the fleet; the others hear from peers, and read seldom.
     """
 
     __slots__ = (
         "_clock",
         "_codec",
         "_gossip",
+        "_inbox",
+        "_is_watching",
         "_keeper",
         "_ledger_readers",
+        "_own_id",
         "_revision",
         "_store",
+        "_watchers",
     )
 
     def __init__(
         self,
+        own_id: str,
+        watchers: int,
         store: store_port.Store,
         codec: codec_port.Codec,
         clock: clock_port.Clock,
+        inbox: mailbox.Mailbox[typing.Any],
         keeper: mailbox.Mailbox[typing.Any],
         gossip: mailbox.Mailbox[typing.Any],
         ledger_readers: tuple[mailbox.Mailbox[typing.Any], ...],
@@ -54,13 +65,20 @@
         """Creates the task's state.
 
         Args:
+            own_id: This daemon's id.
+            watchers: How many daemons of the fleet watch the store.
             store: The store.
             codec: Reads heads and ledgers.
             clock: Tells the time.
+            inbox: Hears who is live.
             keeper: Gets heads.
             gossip: Hears when the store answered.
             ledger_readers: Get ledgers.
         """
+        self._own_id = own_id
+        self._watchers = watchers
+        self._inbox = inbox
+        self._is_watching = True
         self._store = store
         self._codec = codec
         self._clock = clock
@@ -70,12 +88,17 @@
         self._revision = 0
 
     async def run(self) -> None:
-        """Watches until cancelled."""
+        """Watches, or reads seldom, until cancelled."""
         retry_s = FIRST_RETRY_S
         while True:
+            while (message := self._inbox.poll()) is not None:
+                self._handle(message)
+            if not self._is_watching:
+                await self._rest()
             try:
+                wait_s = WAIT_S if self._is_watching else 0.0
                 changes = await self._store.watch(
-                    PREFIX, self._revision, WAIT_S
+                    PREFIX, self._revision, wait_s
                 )
             except errors.StoreError as error:
                 _log.debug("store watch failed", error=str(error))
@@ -87,6 +110,30 @@
             self._gossip.force(events.StoreHeard(self._clock.now_s()))
             self._on_changes(changes)
 
+    def on_members_changed(self, message: events.MembersChanged) -> None:
+        """Finds whether this daemon is one of those that watch.
+
+        Args:
+            message: The live daemons.
+        """
+        ranked = hashing.ranked("store watch", message.live)
+        is_one = self._own_id in ranked[: self._watchers]
+        # A daemon that the others do not count as live decides for itself.
+        self._is_watching = is_one or self._own_id not in ranked
+
+    def _handle(self, message: typing.Any) -> None:
+        if isinstance(message, events.MembersChanged):
+            self.on_members_changed(message)
+
+    async def _rest(self) -> None:
+        """Waits until it is time to read, or the daemon is to watch."""
+        try:
+            async with asyncio.timeout(SELDOM_S * random.uniform(0.5, 1.5)):
+                while not self._is_watching:
+                    self._handle(await self._inbox.receive())
+        except TimeoutError:
+            return
+
     def _on_changes(self, changes: store_port.Changes) -> None:
         if changes.revision < self._revision:
             _log.warning(
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import http.client
+import itertools
 import json
 import os
 import pathlib
@@ -17,9 +18,12 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
 READY_S = 30.0
+FIRST_PORT = 10_000
+PORTS = 20_000
 TOKEN = "owner-token"
 
 Json = typing.Any
+_port_numbers = itertools.count(os.getpid() * 101)
 
 
 class Response:
@@ -66,6 +70,7 @@
         "backends",
         "nodes",
         "processes",
+        "options",
         "slots",
         "store",
         "vm_list",
@@ -90,6 +95,7 @@
         self.nodes: dict[str, Node] = {}
         self.backends: dict[str, int] = {}
         self.vms: dict[str, Json] = {}
+        self.options: dict[str, typing.Any] = {}
         self.store, self.vm_list = free_ports(2)
 
     def start_platform(self, lag_s: float = 0.0) -> None:
@@ -185,6 +191,7 @@
             "store": f"{HOST}:{self.store}",
             "vm-list": f"{HOST}:{self.vm_list}",
             "drain-grace-s": 1.0,
+            **self.options,
             **options,
         }
         args: list[typing.Any] = ["-m", "dotterelpath.daemon"]
@@ -285,14 +292,22 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Finds free ports."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind((HOST, 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
+    """Finds free ports, each given once.
+
+    They lie below the range from which the system takes the ports of outgoing
+    connections, so that none is taken between this call and the listening.
+    """
+    found = []
+    while len(found) < count:
+        port = FIRST_PORT + next(_port_numbers) % PORTS
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        found.append(port)
+    return found
 
 
 def call(
