--- a/benchmarks/detection.py
+++ b/benchmarks/detection.py
@@ -187,8 +187,17 @@
     return avoided_s, limit_s
 
 
-def _false_a_day(kind: str, fault: Fault, seed: int) -> tuple[int, float]:
-    """Counts false ejections, and the instance-days that were simulated."""
+def false_ejections(kind: str, fault: Fault, seed: int) -> tuple[int, float]:
+    """Counts the false ejections of one run.
+
+    Args:
+        kind: The detector's name.
+        fault: What healthy instances meet.
+        seed: Makes the run reproducible.
+
+    Returns:
+        The count, and the instance-days that were simulated.
+    """
     trial = Trial(kind, fault, seed)
     trial.advance(WARM_S, False)
     count = 0
@@ -224,7 +233,7 @@
             for fault in SICK_FAULTS
         }
         days = {
-            (kind, fault.name): pool.submit(_false_a_day, kind, fault, 1)
+            (kind, fault.name): pool.submit(false_ejections, kind, fault, 1)
             for kind in KINDS
             for fault in (() if is_short else HEALTHY_FAULTS)
         }
--- a/features/answers.feature
+++ b/features/answers.feature
@@ -43,8 +43,14 @@
     Given the catalogue servers take 300 ms
     When 20 callers send a request to entry-1 and close
     Then entry-1 has nothing in flight
+    And servers were told to cancel work
     And entry-1 still answers
 
+  Scenario: A connection with bytes that were not read yet is not used again
+    Given a connection whose server has answered one request
+    When the server sends more bytes and the daemon has not read them
+    Then the connection may not be used again
+
   Scenario: A slow reader gets a long answer whole
     When a caller slowly reads GET /catalogue/long?bytes=6000000 from entry-1
     Then the raw answer has 6000000 bytes of body and a last chunk
--- a/features/document.feature
+++ b/features/document.feature
@@ -1,5 +1,10 @@
 Feature: An edit takes effect everywhere or nowhere, and never reverts
 
+  Scenario: An older document never replaces a newer one
+    Given a daemon's decisions with version 7 in force
+    When a document of version 6 comes late
+    Then version 7 is in force
+
   @fixture.estate
   Scenario: An accepted edit is in force at all daemons within 7 s
     When the owner saves section extra with prefix /extra-a
--- a/features/floor.feature
+++ b/features/floor.feature
@@ -26,6 +26,14 @@
     When 2 daemons of one data centre call 1 of them sick
     Then 0 are ejected
 
+  Scenario: One daemon's word ejects nobody in a single data centre either
+    Given a service of 6 instances with a floor of 4
+    And all daemons stand in one data centre
+    When 1 daemon calls 1 of them sick
+    Then 0 are ejected
+    When 2 daemons of one data centre call 1 of them sick
+    Then 1 are ejected
+
   Scenario: A raised floor brings instances back
     Given a service of 6 instances with a floor of 4
     When all daemons call 2 of them sick
--- a/features/health.feature
+++ b/features/health.feature
@@ -5,6 +5,10 @@
     When all instances fail half of 200 outcomes each
     Then no instance is sick
 
+  Scenario: Overload of a whole service that comes and goes ejects nobody
+    When daemons watch 24 minutes in which the overload comes and goes
+    Then nobody was ejected
+
   Scenario: One instance that fails half its work is sick
     Given a detector over 6 instances with 300 healthy outcomes each
     When instance i0 fails half of 20 outcomes
--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 import concurrent.futures
 import re
+import select
 import socket
 import time
 
 import behave
 
+from dotterelpath.adapters import clock as clock_adapter
+from dotterelpath.adapters import h11_backend
+from dotterelpath.domain import exchange
 from features.support import calls
 from standins import fleet as fleet_harness
 
@@ -199,6 +204,64 @@
             )
 
 
+@behave.then("servers were told to cancel work")
+def step_cancelled(context):
+    ports = context.fleet.backends.values()
+    served = [
+        fleet_harness.call(port, "GET", "/_runs").json()["served"]
+        for port in ports
+    ]
+    assert sum(counts.get("cancelled", 0) for counts in served), served
+
+
+@behave.given("a connection whose server has answered one request")
+def step_one_answer(context):
+    listening = socket.create_server(("127.0.0.1", 0))
+    context.add_cleanup(listening.close)
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.answered = context.loop.create_future()
+    context.connection = context.loop.run_until_complete(
+        h11_backend.H11Connector(clock_adapter.SystemClock()).connect(
+            *listening.getsockname(), _Listener(context.answered)
+        )
+    )
+    context.server, _ = listening.accept()
+    request = exchange.Request("GET", "/", [])
+    context.connection.send(1, request, 1.0, 1000)
+    context.server.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+    answer = context.loop.run_until_complete(context.answered)
+    assert answer.body == b"ok" and context.connection.is_reusable
+
+
+@behave.when("the server sends more bytes and the daemon has not read them")
+def step_more_bytes(context):
+    context.server.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nevil")
+    arrived = context.connection._transport.get_extra_info("socket")
+    select.select([arrived], [], [])
+
+
+@behave.then("the connection may not be used again")
+def step_not_reusable(context):
+    assert not context.connection.is_reusable
+    context.server.close()
+
+
+class _Listener:
+    """Keeps the first answer of a connection."""
+
+    __slots__ = ("_answered",)
+
+    def __init__(self, answered):
+        self._answered = answered
+
+    def on_answer(self, connection, exchange_id, answer, is_whole):
+        self._answered.set_result(answer)
+
+    def on_closed(self, connection):
+        pass
+
+
 @behave.then("{node} has nothing in flight")
 def step_nothing(context, node):
     control = context.fleet.nodes[node].control
--- a/features/steps/document_steps.py
+++ b/features/steps/document_steps.py
@@ -8,6 +8,8 @@
 
 import behave
 
+from dotterelpath.domain import document
+from dotterelpath.domain import estate
 from features.support import calls
 from standins import fleet as fleet_harness
 
@@ -46,6 +48,24 @@
     }
 
 
+@behave.given("a daemon's decisions with version {version:d} in force")
+def step_in_force(context, version):
+    context.estate = estate.Estate()
+    newer = document.Document(version, ())
+    assert context.estate.set_document(newer, 0.0)
+
+
+@behave.when("a document of version {version:d} comes late")
+def step_late(context, version):
+    older = document.Document(version, ())
+    assert not context.estate.set_document(older, 0.0)
+
+
+@behave.then("version {version:d} is in force")
+def step_is_in_force(context, version):
+    assert context.estate.document.version == version
+
+
 @behave.given("the owner has saved section extra with prefix {prefix}")
 @behave.when("the owner saves section extra with prefix {prefix}")
 def step_save(context, prefix):
--- a/features/steps/floor_steps.py
+++ b/features/steps/floor_steps.py
@@ -38,7 +38,7 @@
     for number in range(daemons):
         place = places[number % len(places)]
         context.reports.update(f"d{number}", place, scores, 0.0)
-    decide(context, context.reports.confirmed(0.0, 3, 3, WEIGH))
+    decide(context, context.reports.confirmed(0.0, 3, context.centres, WEIGH))
 
 
 @behave.given("a service of {count:d} instances with a floor of {floor:d}")
@@ -48,6 +48,12 @@
     context.wall_s = 0.0
     context.ledger = ledger.Ledger("s")
     context.reports = ledger.Reports()
+    context.centres = 3
+
+
+@behave.given("all daemons stand in one data centre")
+def step_one_place(context):
+    context.centres = 1
 
 
 @behave.given("{count:d} of its healthy instances are {state}")
--- a/features/steps/health_steps.py
+++ b/features/steps/health_steps.py
@@ -6,6 +6,7 @@
 
 import behave
 
+from benchmarks import detection
 from dotterelpath.domain import health
 
 RATE = 20.0
@@ -59,6 +60,20 @@
         observe(context, name, True, latency_s)
 
 
+@behave.when("daemons watch 24 minutes in which the overload comes and goes")
+def step_overloads(context):
+    overload = detection.HEALTHY_FAULTS[1]
+    assert overload.is_everywhere
+    kind = "ratio, detection"
+    context.count, days = detection.false_ejections(kind, overload, 1)
+    assert round(days * 24 * 60 / detection.INSTANCES) == 24, days
+
+
+@behave.then("nobody was ejected")
+def step_nobody(context):
+    assert context.count == 0, context.count
+
+
 @behave.then("no instance is sick")
 def step_none(context):
     assert not context.detector.sick(), context.detector.scores()
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -84,6 +84,9 @@
         try:
             async with self._slots:
                 return await self._work(request, connection)
+        except asyncio.CancelledError:
+            self._served["cancelled"] += 1
+            raise
         finally:
             self._running -= 1
 
