Make rumours reach a large fleet, and share the store's rates

Cause: a scenario with 900 memberships that only exchange heartbeats showed that a silent daemon was not suspected by all within 30 rounds. A daemon that had never heard the subject itself knew no incarnation and dropped the rumour; after a restart it dropped it because the counter began anew. Ruled out: more rumours on each heartbeat (they were not the limit). Change: words on a daemon are ordered by incarnation, which grows with the time of the start, and counter. Each daemon holds itself to its part of 1,000 reads and 200 writes a second of the whole fleet; before, 900 could have made 18,000 calls.

--- /dev/null
+++ b/features/steps/capacity_steps.py
@@ -0,0 +1,213 @@
+"""Steps on the load that a large fleet makes, without processes."""
+
+from __future__ import annotations
+
+import random
+
+import behave
+
+from dotterelpath import errors
+from dotterelpath.adapters import store_client
+from dotterelpath.domain import addresses
+from dotterelpath.domain import hashing
+from dotterelpath.domain import keys
+from dotterelpath.domain import members
+from dotterelpath.domain import vms
+from features.support import world as world_module
+
+WINDOW_S = 100.0
+TICK_S = 0.05
+
+
+@behave.given("{count:d} daemons that call the store as often as they can")
+def step_callers(context, count):
+    context.count = count
+
+
+@behave.then("after the bursts they make at most {rate:d} {kind} a second")
+def step_rate(context, rate, kind):
+    clock = world_module.FakeClock()
+    total = {
+        "reads": store_client.FLEET_READS_PER_S,
+        "writes": store_client.FLEET_WRITES_PER_S,
+    }[kind]
+    budget = store_client.CallBudget(clock, total, 20.0)
+    budget.share(context.count)
+    spend_all(budget)
+    calls = 0
+    for _ in range(int(WINDOW_S / TICK_S)):
+        clock.time_s += TICK_S
+        calls += spend_all(budget)
+    assert calls * context.count / WINDOW_S <= rate * 1.01, calls
+
+
+def spend_all(budget):
+    calls = 0
+    while True:
+        try:
+            budget.spend()
+        except errors.StoreError:
+            return calls
+        calls += 1
+
+
+@behave.given(
+    "{count:d} live daemons of which {watchers:d} may watch the store"
+)
+def step_watchers(context, count, watchers):
+    live = [f"entry-{n}" for n in range(count)]
+    context.watching = [
+        name
+        for name in live
+        if name in hashing.ranked("store watch", live)[:watchers]
+    ]
+
+
+@behave.then("{count:d} of them watch")
+def step_watch(context, count):
+    assert len(context.watching) == count
+
+
+@behave.given("{count:d} live daemons in {centres:d} data centres")
+def step_places(context, count, centres):
+    context.centres = centres
+    context.places = [
+        addresses.Place(f"entry-{n}", "abcdef"[n % centres])
+        for n in range(count)
+    ]
+
+
+@behave.then(
+    "each service is served by at most {most:d} of them, in all data centres"
+)
+def step_subset(context, most):
+    context.sizes = set()
+    for number in range(20):
+        chosen = addresses.subset(f"s{number}", context.places)
+        context.sizes.add(len(chosen))
+        assert len(chosen) <= most, len(chosen)
+        assert len({p.data_centre for p in chosen}) == context.centres
+
+
+@behave.then("the size of a subset is known without ranking")
+def step_sharing(context):
+    assert context.sizes == {addresses.sharing(context.places)}
+
+
+class Fleet:
+    """Memberships that exchange heartbeats in rounds."""
+
+    __slots__ = ("now_s", "random", "silent", "views")
+
+    def __init__(self, count):
+        self.random = random.Random(5)
+        self.now_s = 0.0
+        self.silent = None
+        listed = [
+            vms.Vm(f"entry-{n:03}", vms.VmRole.ENTRY, "h", 1, "a")
+            for n in range(count)
+        ]
+        self.views = {}
+        for vm in listed:
+            view = members.Membership(keys.Home(vm.id, "1"), 0.0)
+            view.set_vms(listed, 0.0)
+            self.views[vm.id] = view
+
+    def round(self):
+        self.now_s += 1.0
+        for name, view in self.views.items():
+            if name == self.silent:
+                continue
+            for target in view.targets(self.random):
+                self.exchange(view, target)
+
+    def exchange(self, view, target):
+        view.asked(target, self.now_s)
+        if target == self.silent:
+            view.on_silence(target, self.now_s)
+            return
+        other = self.views[target]
+        other.on_heartbeat(beat(view), self.now_s)
+        view.on_reply(target)
+        view.on_heartbeat(beat(other), self.now_s)
+
+    def rounds_until(self, name, state, most):
+        for number in range(most):
+            self.round()
+            states = {
+                view.members[name].state
+                for own, view in self.views.items()
+                if own != name
+            }
+            if states == {state}:
+                return number + 1
+        return None
+
+
+def beat(view):
+    return members.Heartbeat(
+        view.own,
+        view.counter,
+        view.own_state,
+        1,
+        1,
+        0.0,
+        (),
+        view.take_rumours(),
+    )
+
+
+@behave.given("{count:d} daemons that only exchange heartbeats")
+def step_fleet(context, count):
+    context.gossip = Fleet(count)
+    for _ in range(2):
+        context.gossip.round()
+
+
+@behave.when("one of them leaves")
+def step_leaves(context):
+    context.name = "entry-123"
+    context.gossip.views[context.name].leave()
+
+
+@behave.then("all others know within {most:d} rounds")
+def step_know(context, most):
+    leaving = members.MemberState.LEAVING
+    rounds = context.gossip.rounds_until(context.name, leaving, most)
+    assert rounds is not None
+
+
+@behave.when("one of them falls silent")
+def step_silent(context):
+    context.name = context.gossip.silent = "entry-123"
+
+
+@behave.when("it starts again and falls silent after {count:d} rounds")
+def step_restart(context, count):
+    old = context.gossip.views[context.name]
+    new = members.Membership(keys.Home(context.name, "2"), 0.0)
+    listed = [member.vm for member in old.members.values()]
+    new.set_vms(listed, 0.0)
+    context.gossip.views[context.name] = new
+    for _ in range(count):
+        context.gossip.round()
+    context.gossip.silent = context.name
+
+
+@behave.then("all others suspect it within {most:d} rounds")
+def step_suspect(context, most):
+    suspected = members.MemberState.SUSPECTED
+    rounds = context.gossip.rounds_until(context.name, suspected, most)
+    assert rounds is not None
+
+
+@behave.then("no other daemon is suspected")
+def step_no_other(context):
+    for own, view in context.gossip.views.items():
+        wrong = [
+            name
+            for name, member in view.members.items()
+            if member.state is members.MemberState.SUSPECTED
+            and name != context.name
+        ]
+        assert own == context.name or not wrong, wrong
--- a/src/dotterelpath/adapters/store_client.py
+++ b/src/dotterelpath/adapters/store_client.py
@@ -15,26 +15,46 @@
 from dotterelpath.ports import store
 
 CALL_TIMEOUT_S = 2.0
-CALLS_PER_S = 20.0
-BURST_CALLS = 200.0
+# What the whole fleet allows itself of the store's rates.
+FLEET_READS_PER_S = 1000.0
+FLEET_WRITES_PER_S = 200.0
+MAX_CALLS_PER_S = 20.0
+BURST_READS = 200.0
+BURST_WRITES = 20.0
 WATCH_MARGIN_S = 2.0
 
 
 class CallBudget:
-    """Holds a daemon to its share of the store's rate."""
+    """Holds a daemon to its part of one of the store's rates."""
 
-    __slots__ = ("_at_s", "_clock", "_left")
+    __slots__ = ("_at_s", "_burst", "_clock", "_left", "_rate", "_total_rate")
 
-    def __init__(self, clock: clock_port.Clock) -> None:
-        """Creates a full budget.
+    def __init__(
+        self, clock: clock_port.Clock, total_rate: float, burst: float
+    ) -> None:
+        """Creates a full budget for a daemon that shares with nobody.
 
         Args:
             clock: Tells the time.
+            total_rate: Calls a second that the fleet allows itself.
+            burst: Calls that may be saved up.
         """
         self._clock = clock
-        self._left = BURST_CALLS
+        self._total_rate = total_rate
+        self._burst = burst
+        self._rate = min(MAX_CALLS_PER_S, total_rate)
+        self._left = burst
         self._at_s = clock.now_s()
 
+    def share(self, daemons: int) -> None:
+        """Sets this daemon's part.
+
+        Args:
+            daemons: How many daemons share the rate.
+        """
+        part = self._total_rate / max(1, daemons)
+        self._rate = min(MAX_CALLS_PER_S, part)
+
     def spend(self) -> None:
         """Takes one call out of the budget.
 
@@ -42,8 +62,8 @@
             StoreError: The budget is spent.
         """
         now_s = self._clock.now_s()
-        earned = (now_s - self._at_s) * CALLS_PER_S
-        self._left = min(BURST_CALLS, self._left + earned)
+        earned = (now_s - self._at_s) * self._rate
+        self._left = min(self._burst, self._left + earned)
         self._at_s = now_s
         if self._left < 1.0:
             raise errors.StoreError("this daemon's call budget is spent")
@@ -53,7 +73,7 @@
 class StoreClient:
     """Calls the store; see store.Store."""
 
-    __slots__ = ("_budget", "_client", "_host", "_metrics", "_port")
+    __slots__ = ("_client", "_host", "_metrics", "_port", "_reads", "_writes")
 
     def __init__(
         self,
@@ -76,7 +96,13 @@
         self._port = port
         self._client = client
         self._metrics = metrics
-        self._budget = CallBudget(clock)
+        self._reads = CallBudget(clock, FLEET_READS_PER_S, BURST_READS)
+        self._writes = CallBudget(clock, FLEET_WRITES_PER_S, BURST_WRITES)
+
+    def share(self, daemons: int) -> None:
+        """Sets this daemon's part of the rates; see store.Store."""
+        self._reads.share(daemons)
+        self._writes.share(daemons)
 
     async def get(self, key: str) -> store.Versioned:
         """Reads a key; see store.Store."""
@@ -123,7 +149,7 @@
     async def _read(
         self, call: str, request: exchange.Request, timeout_s: float
     ) -> dict[str, typing.Any]:
-        self._budget.spend()
+        self._reads.spend()
         try:
             answer = await self._client.call(
                 self._host, self._port, request, timeout_s
@@ -142,7 +168,7 @@
     async def _write(
         self, call: str, body: dict[str, typing.Any]
     ) -> dict[str, typing.Any]:
-        self._budget.spend()
+        self._writes.spend()
         request = http_client.post(f"/v1/{call}", orjson.dumps(body))
         try:
             answer = await self._client.call(
--- a/src/dotterelpath/daemon.py
+++ b/src/dotterelpath/daemon.py
@@ -109,8 +109,11 @@
             settings: Its settings.
         """
         self._settings = settings
-        self._home = keys.Home(settings.daemon_id, secrets.token_hex(4))
         self._clock = clock_adapter.SystemClock()
+        incarnation = keys.new_incarnation(
+            self._clock.wall_s(), secrets.randbelow(65536)
+        )
+        self._home = keys.Home(settings.daemon_id, incarnation)
         self._codec = codec_adapter.Codec()
         self._metrics = metrics_adapter.Metrics()
         self._inboxes = Inboxes()
--- a/src/dotterelpath/domain/keys.py
+++ b/src/dotterelpath/domain/keys.py
@@ -32,7 +32,8 @@
 
         Args:
             daemon_id: The daemon's id.
-            incarnation: A value, in hexadecimal, that is new at each start.
+            incarnation: A value, in hexadecimal, that is new and greater at
+                each start.
         """
         self.daemon_id = daemon_id
         self.incarnation = incarnation
@@ -73,6 +74,19 @@
         self.unique = unique
 
 
+def new_incarnation(wall_s: float, nonce: int) -> str:
+    """Names one life of a daemon.
+
+    Args:
+        wall_s: When it starts, in seconds of wall-clock time.
+        nonce: A random number below 65536, should two starts coincide.
+
+    Returns:
+        Hexadecimal digits that grow from start to start.
+    """
+    return f"{int(wall_s * 1000.0):011x}{nonce:04x}"
+
+
 def mint_prefix(home: Home, uptime_s: float) -> str:
     """Issues a key prefix.
 
--- a/src/dotterelpath/domain/members.py
+++ b/src/dotterelpath/domain/members.py
@@ -61,6 +61,11 @@
         self.state = state
         self.witness = witness
 
+    @property
+    def age(self) -> tuple[str, int]:
+        """Orders words on one subject: a later one is greater."""
+        return self.incarnation, self.counter
+
 
 class Heartbeat:
     """What a daemon tells a peer of itself."""
@@ -140,6 +145,11 @@
         self.witnesses: set[str] = set()
         self.document_version = 0
 
+    @property
+    def age(self) -> tuple[str, int]:
+        """The newest incarnation and counter that were heard of."""
+        return self.incarnation, self.counter
+
 
 class _Pending:
     """A rumour with the sendings that it has left."""
@@ -281,7 +291,12 @@
         member = self._members.get(heartbeat.home.daemon_id)
         if member is None:
             return
-        changed = member.state is not heartbeat.state
+        # A first hearing is no news to others: they take any incarnation.
+        is_restart = member.incarnation not in (
+            "",
+            heartbeat.home.incarnation,
+        )
+        changed = is_restart or member.state is not heartbeat.state
         member.heard_s = now_s
         member.incarnation = heartbeat.home.incarnation
         member.counter = heartbeat.counter
@@ -365,23 +380,21 @@
             self._refute(rumour)
             return
         member = self._members.get(rumour.subject)
-        if member is None or rumour.counter < member.counter:
+        if member is None or rumour.age < member.age:
             return
+        is_newer = rumour.age > member.age
+        if is_newer:
+            member.incarnation, member.counter = rumour.age
+            member.witnesses.clear()
         if rumour.state is MemberState.SUSPECTED:
             self._suspect(member, rumour)
-            return
-        if rumour.counter > member.counter:
-            member.counter = rumour.counter
-            member.incarnation = rumour.incarnation
+        elif is_newer:
             member.state = rumour.state
-            member.witnesses.clear()
             self._spread(rumour)
 
     def _suspect(self, member: Member, rumour: Rumour) -> None:
         if rumour.witness in member.witnesses:
             return
-        if rumour.incarnation != member.incarnation:
-            return
         member.witnesses.add(rumour.witness)
         self._spread(rumour)
         if len(member.witnesses) >= min(WITNESSES, len(self._members)):
--- a/src/dotterelpath/ports/store.py
+++ b/src/dotterelpath/ports/store.py
@@ -47,6 +47,13 @@
     UnknownOutcomeError where a write may have taken effect.
     """
 
+    def share(self, daemons: int) -> None:
+        """Sets this daemon's part of the store's rates.
+
+        Args:
+            daemons: How many daemons share them.
+        """
+
     async def get(self, key: str) -> Versioned:
         """Reads a key.
 
--- a/src/dotterelpath/tasks/store_watcher.py
+++ b/src/dotterelpath/tasks/store_watcher.py
@@ -116,6 +116,7 @@
         Args:
             message: The live daemons.
         """
+        self._store.share(len(message.live))
         ranked = hashing.ranked("store watch", message.live)
         is_one = self._own_id in ranked[: self._watchers]
         # A daemon that the others do not count as live decides for itself.
