Hold the rule that a trial is not full capacity by a scenario of its own

Change: a scenario with two on trial at the floor. On the mutant it fails with one more ejected; on the tree it passes.

--- a/features/floor.feature
+++ b/features/floor.feature
@@ -66,6 +66,12 @@
     Then it is still ejected after 15 s
     And on trial after 20 s
 
+  Scenario: Instances on trial do not count as full capacity
+    Given a service of 6 instances with a floor of 4
+    When all daemons call 2 of them sick
+    And the trials of both begin and another is called sick
+    Then 0 are ejected
+
   Scenario: A stateful machine of daemons, stewards and owners keeps the floor
     When the ledger machine runs 150 examples of 40 steps
     Then no promise was broken
--- a/features/steps/floor_steps.py
+++ b/features/steps/floor_steps.py
@@ -144,6 +144,14 @@
     assert context.ledger.trial == ("i0",), context.ledger.entries
 
 
+@behave.when("the trials of both begin and another is called sick")
+def step_both_on_trial(context):
+    context.wall_s += ledger.FIRST_BACKOFF_S
+    decide(context, [])
+    assert len(context.ledger.trial) == 2, context.ledger.entries
+    decide(context, ["i4"])
+
+
 @behave.then("in full use after another {seconds:d} s")
 def step_full_use(context, seconds):
     context.wall_s += seconds
