Let several pipelined requests run at once, and give codecs the headers

The front end worked on one request of a connection at a time, since h11 parses a request only after the one before it has been answered. Each pipelined request now has an h11 connection of its own; answers go out in order. Headers towards callers and backend servers are read and written by codecs behind Protocol types, so that another interface can share both adapters. Limits on head, body and time stand in one object. A late answer to another request is skipped where the codec can tell. Requests with two lengths are refused. Connections have keep-alive probes.

--- /dev/null
+++ b/src/dotterelpath/adapters/caller_codec.py
@@ -0,0 +1,85 @@
+"""This fleet's own headers and errors towards callers."""
+
+from __future__ import annotations
+
+import itertools
+
+import orjson
+
+from dotterelpath import errors
+from dotterelpath.adapters import headers as header_names
+from dotterelpath.domain import exchange
+from dotterelpath.ports import frontend
+
+_request_numbers = itertools.count(1)
+
+
+class CallerCodec:
+    """Reads and writes the fleet's own interface; see frontend.CallerCodec."""
+
+    __slots__ = ("_id_prefix",)
+
+    def __init__(self, id_prefix: str) -> None:
+        """Creates a codec.
+
+        Args:
+            id_prefix: Begins the ids of this daemon's requests.
+        """
+        self._id_prefix = id_prefix
+
+    def read(self, head: frontend.Head, body: bytes) -> exchange.Request:
+        """Reads a request; see frontend.CallerCodec."""
+        own = header_names.read_caller_head(head.headers)
+        if not head.target.startswith("/"):
+            raise errors.DotterelpathError(
+                errors.ResultCode.MALFORMED_REQUEST,
+                "the target is not a path",
+            )
+        return exchange.Request(
+            head.method,
+            head.target,
+            own.forwarded,
+            body,
+            workspace=own.workspace,
+            key=own.key,
+            attempt=own.attempt,
+            timeout_s=own.timeout_s,
+            request_id=f"{self._id_prefix}-{next(_request_numbers)}",
+            received_s=head.received_s,
+        )
+
+    def write(
+        self, outcome: exchange.Outcome, request: exchange.Request | None
+    ) -> frontend.Encoded:
+        """Writes an answer; see frontend.CallerCodec."""
+        own: exchange.Headers = [
+            (header_names.RESULT, str(int(outcome.code)).encode())
+        ]
+        if request is not None:
+            own.append((header_names.REQUEST_ID, request.request_id.encode()))
+        answer = outcome.answer
+        if answer is not None and outcome.is_answered:
+            fields = header_names.end_to_end(answer.headers)
+            return frontend.Encoded(answer.status, fields + own, answer.body)
+        own.append((b"content-type", b"application/json"))
+        return frontend.Encoded(
+            outcome.code.http_status, own, error_body(outcome)
+        )
+
+
+def error_body(outcome: exchange.Outcome) -> bytes:
+    """Writes the fleet's own error as JSON.
+
+    Args:
+        outcome: How a request ended without an answer.
+
+    Returns:
+        The numbered result, its class and a sentence.
+    """
+    return orjson.dumps(
+        {
+            "code": int(outcome.code),
+            "class": outcome.code.outcome_class.value,
+            "text": outcome.detail or outcome.code.text,
+        }
+    )
--- a/src/dotterelpath/adapters/h11_backend.py
+++ b/src/dotterelpath/adapters/h11_backend.py
@@ -9,6 +9,7 @@
 import h11
 
 from dotterelpath.adapters import headers as header_names
+from dotterelpath.adapters import sockets
 from dotterelpath.domain import exchange
 from dotterelpath.ports import backend
 from dotterelpath.ports import clock as clock_port
@@ -17,45 +18,87 @@
 _BODILESS_STATUSES = frozenset({204, 304})
 
 
+class OwnServerCodec:
+    """The fleet's own headers; see backend.ServerCodec."""
+
+    __slots__ = ()
+
+    @property
+    def takes_unframed(self) -> bool:
+        """Never: the end of such an answer looks like a break."""
+        return False
+
+    def fields(
+        self,
+        request: exchange.Request,
+        address: str,
+        instance_id: str,
+        timeout_s: float,
+    ) -> exchange.Headers:
+        """Writes a request's headers; see backend.ServerCodec."""
+        timeout_ms = max(1, int(timeout_s * 1000.0))
+        fields = [item for item in request.headers if item[0] != b"host"]
+        fields.append((b"host", address.encode()))
+        fields.append((header_names.TIMEOUT_MS, str(timeout_ms).encode()))
+        fields.append((header_names.REQUEST_ID, request.request_id.encode()))
+        return fields
+
+    def belongs(
+        self, request: exchange.Request, answer: exchange.Answer
+    ) -> bool:
+        """Takes each answer for the request's; see backend.ServerCodec."""
+        return True
+
+    def idle_s(self, answer: exchange.Answer) -> float | None:
+        """Reads nothing; see backend.ServerCodec."""
+        return None
+
+
 class H11Connection(asyncio.Protocol):
     """One connection to a backend server."""
 
     __slots__ = (
+        "_address",
         "_answer",
         "_body",
         "_buffer_limit",
         "_clock",
+        "_codec",
         "_conn",
         "_exchange_id",
-        "_host",
+        "_idle_limit_s",
+        "_instance_id",
+        "_is_foreign",
         "_is_streaming",
         "_listener",
-        "_method",
         "_poller",
         "_proven_s",
+        "_request",
         "_size",
+        "_timeout_s",
         "_transport",
     )
 
     def __init__(
         self,
-        host: str,
+        address: str,
         listener: backend.Listener,
         clock: clock_port.Clock,
+        codec: backend.ServerCodec,
     ) -> None:
         """Creates a connection that is not yet open.
 
         Args:
-            host: The value of the Host header.
+            address: The server's host and port.
             listener: Hears what happens.
             clock: Tells when bytes came in.
+            codec: Translates headers.
         """
-        self._host = host.encode()
+        self._address = address
+        self._codec = codec
         self._listener = listener
         self._clock = clock
-        self._conn = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
+        self._conn = _new_conn()
         self._transport: asyncio.Transport | None = None
         self._exchange_id: int | None = None
         self._answer: exchange.Answer | None = None
@@ -63,7 +106,11 @@
         self._size = 0
         self._buffer_limit = 0
         self._is_streaming = False
-        self._method = ""
+        self._is_foreign = False
+        self._request: exchange.Request | None = None
+        self._instance_id = ""
+        self._timeout_s = 0.0
+        self._idle_limit_s: float | None = None
         self._proven_s = clock.now_s()
         self._poller = select.poll()
 
@@ -72,6 +119,11 @@
         """When bytes last came in; see backend.Connection."""
         return self._proven_s
 
+    @property
+    def idle_limit_s(self) -> float | None:
+        """The server's own limit; see backend.Connection."""
+        return self._idle_limit_s
+
     @property
     def is_reusable(self) -> bool:
         """Whether a request may be written; see backend.Connection."""
@@ -110,7 +162,13 @@
             self._break(str(error), True)
 
     def eof_received(self) -> bool:
-        """Ends the connection; an answer must not end by its close."""
+        """Ends the connection, and an answer that may end with it."""
+        if self._exchange_id is not None:
+            try:
+                self._conn.receive_data(b"")
+                self._read_events()
+            except h11.RemoteProtocolError as error:
+                self._break(f"the answer broke off: {error}", False)
         return False
 
     def send(
@@ -119,20 +177,31 @@
         request: exchange.Request,
         timeout_s: float,
         buffer_limit: int,
+        instance_id: str = "",
     ) -> None:
         """Writes a request; see backend.Connection."""
         assert self._transport is not None
         self._exchange_id = exchange_id
         self._buffer_limit = buffer_limit
-        self._method = request.method
+        self._request = request
+        self._instance_id = instance_id
+        self._timeout_s = timeout_s
+        self._expect_answer()
+        self._transport.write(self._encode())
+
+    def _expect_answer(self) -> None:
         self._answer = None
         self._body = []
         self._size = 0
-        timeout_ms = max(1, int(timeout_s * 1000.0))
-        fields = [item for item in request.headers if item[0] not in (b"host",)]
-        fields.append((b"host", self._host))
-        fields.append((header_names.TIMEOUT_MS, str(timeout_ms).encode()))
-        fields.append((header_names.REQUEST_ID, request.request_id.encode()))
+        self._is_foreign = False
+
+    def _encode(self) -> bytes:
+        """Writes the request through h11, which then expects its answer."""
+        request = self._request
+        assert request is not None
+        fields = self._codec.fields(
+            request, self._address, self._instance_id, self._timeout_s
+        )
         if request.body or request.method in ("POST", "PUT", "PATCH"):
             length = str(len(request.body)).encode()
             fields.append((b"content-length", length))
@@ -143,7 +212,7 @@
         if request.body:
             parts.append(self._conn.send(h11.Data(data=request.body)) or b"")
         parts.append(self._conn.send(h11.EndOfMessage()) or b"")
-        self._transport.write(b"".join(parts))
+        return b"".join(parts)
 
     def pause(self) -> None:
         """Stops reading; see backend.Connection."""
@@ -177,16 +246,22 @@
                 return
 
     def _on_head(self, head: h11.Response) -> bool:
+        assert self._request is not None
         self._answer = exchange.Answer(
             head.status_code, list(head.headers), b""
         )
-        if self._has_bounded_body(head):
+        self._is_foreign = not self._codec.belongs(self._request, self._answer)
+        is_bounded = self._has_bounded_body(head)
+        if is_bounded or (self._codec.takes_unframed and not self._is_foreign):
             return True
         self._break("the answer has neither a length nor chunks", True)
         return False
 
     def _has_bounded_body(self, head: h11.Response) -> bool:
-        if self._method == "HEAD" or head.status_code in _BODILESS_STATUSES:
+        assert self._request is not None
+        if self._request.method == "HEAD":
+            return True
+        if head.status_code in _BODILESS_STATUSES:
             return True
         return any(
             name in (b"content-length", b"transfer-encoding")
@@ -196,6 +271,8 @@
     def _on_data(self, data: bytes) -> None:
         exchange_id = self._exchange_id
         assert exchange_id is not None
+        if self._is_foreign:
+            return
         if self._is_streaming:
             self._listener.on_part(exchange_id, data)
             return
@@ -208,6 +285,9 @@
     def _on_complete(self) -> None:
         exchange_id = self._exchange_id
         assert exchange_id is not None
+        if self._is_foreign:
+            self._skip()
+            return
         was_streaming = self._is_streaming
         answer = None if was_streaming else self._whole()
         self._exchange_id = None
@@ -220,7 +300,15 @@
 
     def _renew(self) -> None:
         """Makes the connection ready for another request, or closes it."""
+        assert self._answer is not None and self._transport is not None
+        idle_s = self._codec.idle_s(self._answer)
+        if idle_s is not None:
+            self._idle_limit_s = idle_s
         extra, _ = self._conn.trailing_data
+        if self._transport.get_write_buffer_size():
+            # The server answered before it had read the whole request.
+            self.close()
+            return
         is_done = (
             self._conn.our_state is h11.DONE
             and self._conn.their_state is h11.DONE
@@ -230,6 +318,18 @@
             return
         self._conn.start_next_cycle()
 
+    def _skip(self) -> None:
+        """Goes on to the answer behind a late one to another request."""
+        extra, is_closed = self._conn.trailing_data
+        if self._conn.their_state is not h11.DONE or is_closed:
+            self._break("an answer to another request came last", True)
+            return
+        self._conn = _new_conn()
+        self._expect_answer()
+        self._encode()
+        if extra:
+            self._conn.receive_data(extra)
+
     def _whole(self) -> exchange.Answer:
         assert self._answer is not None
         self._answer.body = b"".join(self._body)
@@ -246,24 +346,37 @@
 class H11Connector:
     """Opens connections to backend servers over HTTP/1.1."""
 
-    __slots__ = ("_clock",)
+    __slots__ = ("_clock", "_codec")
 
-    def __init__(self, clock: clock_port.Clock) -> None:
+    def __init__(
+        self,
+        clock: clock_port.Clock,
+        codec: backend.ServerCodec | None = None,
+    ) -> None:
         """Creates a connector.
 
         Args:
             clock: Tells when bytes came in.
+            codec: Translates headers; by default the fleet's own.
         """
         self._clock = clock
+        self._codec = codec or OwnServerCodec()
 
     async def connect(
         self, host: str, port: int, listener: backend.Listener
     ) -> H11Connection:
         """Opens a connection; see backend.Connector."""
         loop = asyncio.get_running_loop()
-        _, connection = await loop.create_connection(
-            lambda: H11Connection(f"{host}:{port}", listener, self._clock),
+        transport, connection = await loop.create_connection(
+            lambda: H11Connection(
+                f"{host}:{port}", listener, self._clock, self._codec
+            ),
             host,
             port,
         )
+        sockets.detect_silence(transport)
         return connection
+
+
+def _new_conn() -> h11.Connection:
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
--- a/src/dotterelpath/adapters/h11_frontend.py
+++ b/src/dotterelpath/adapters/h11_frontend.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import errno
-import itertools
+import time
 import typing
 
 import h11
-import orjson
 
 from dotterelpath import errors
-from dotterelpath.adapters import headers as header_names
+from dotterelpath.adapters import caller_codec
 from dotterelpath.domain import exchange
 from dotterelpath.ports import frontend
 
@@ -21,63 +21,95 @@
 LISTEN_BACKLOG = 1024
 
 _REASONS = {431: b"Request Header Fields Too Large"}
-_request_numbers = itertools.count(1)
+
+
+class _Cycle:
+    """One request of a connection, with its answer as far as it is known.
+
+    Each pipelined request has an h11 connection of its own, since h11 parses
+    a request only after the one before it has been answered.
+    """
+
+    __slots__ = (
+        "body",
+        "conn",
+        "head",
+        "is_answered",
+        "is_read",
+        "is_refused",
+        "is_streaming",
+        "method",
+        "pending",
+        "request",
+        "size",
+    )
+
+    def __init__(self, max_head_bytes: int) -> None:
+        self.conn = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=max_head_bytes
+        )
+        self.reset()
+
+    def reset(self) -> None:
+        self.head: frontend.Head | None = None
+        self.body: list[bytes] = []
+        self.size = 0
+        self.method = b""
+        self.request: exchange.Request | None = None
+        self.is_read = False
+        self.is_answered = False
+        self.is_refused = False
+        self.is_streaming = False
+        self.pending: list[bytes] = []
+
+    @property
+    def is_done(self) -> bool:
+        """Whether another request may follow on the h11 connection."""
+        return (
+            self.conn.our_state is h11.DONE
+            and self.conn.their_state is h11.DONE
+        )
 
 
 class H11Connection(asyncio.Protocol):
-    """One caller's connection; requests are read whole, one at a time."""
+    """One caller's connection; requests are read whole."""
 
     __slots__ = (
-        "_body",
-        "_close_after",
-        "_closes_on_eof",
-        "_conn",
-        "_head",
-        "_id_prefix",
-        "_is_busy",
+        "_codec",
+        "_cycle",
+        "_due",
+        "_is_finishing",
         "_is_reading",
-        "_is_streaming",
+        "_limits",
         "_listener",
-        "_max_body_bytes",
-        "_method",
-        "_request",
-        "_size",
+        "_quiet_since_s",
         "_transport",
+        "_unread",
     )
 
     def __init__(
         self,
         listener: frontend.Listener,
-        id_prefix: str,
-        max_body_bytes: int = MAX_BODY_BYTES,
-        closes_on_eof: bool = False,
+        codec: frontend.CallerCodec,
+        limits: frontend.Limits,
     ) -> None:
         """Creates a connection that is not yet open.
 
         Args:
             listener: Hears what the caller sends.
-            id_prefix: Begins the ids of this daemon's requests.
-            max_body_bytes: A longer body is refused.
-            closes_on_eof: Whether an end of the caller's stream means that
-                it waits for no answer.
+            codec: Translates headers.
+            limits: What the caller may send, as they stand now.
         """
-        self._max_body_bytes = max_body_bytes
-        self._closes_on_eof = closes_on_eof
         self._listener = listener
-        self._id_prefix = id_prefix
-        self._conn = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
+        self._codec = codec
+        self._limits = limits
+        self._cycle = _Cycle(limits.max_head_bytes)
+        self._due: collections.deque[_Cycle] = collections.deque()
         self._transport: asyncio.Transport | None = None
-        self._head: h11.Request | None = None
-        self._body: list[bytes] = []
-        self._size = 0
-        self._method = b""
-        self._request: exchange.Request | None = None
-        self._is_busy = False
+        self._unread: list[bytes] = []
         self._is_reading = False
-        self._is_streaming = False
-        self._close_after = False
+        self._is_finishing = False
+        self._quiet_since_s = time.monotonic()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begins to read."""
@@ -91,19 +123,17 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses what the caller sent."""
-        try:
-            self._conn.receive_data(data)
-        except h11.RemoteProtocolError as error:
-            self._reject(error)
-            return
-        if self._is_busy:
-            self._hold_pipelined()
-            return
+        if self._cycle.head is not None or not self._has_begun:
+            # The time for a head counts from its first byte.
+            self._quiet_since_s = time.monotonic()
+        self._unread.append(data)
         self._read_events()
+        if sum(map(len, self._unread)) > MAX_UNREAD_BYTES and self._transport:
+            self._transport.pause_reading()
 
     def eof_received(self) -> bool:
         """Keeps a half-closed connection open until its answer is out."""
-        return self._is_busy and not self._closes_on_eof
+        return bool(self._due) and not self._limits.closes_on_eof
 
     def pause_writing(self) -> None:
         """Tells the listener that the caller reads slowly."""
@@ -113,45 +143,56 @@
         """Tells the listener that the caller has caught up."""
         self._listener.on_resumed(self)
 
-    def answer(self, outcome: exchange.Outcome) -> None:
+    def answer(
+        self,
+        outcome: exchange.Outcome,
+        request: exchange.Request | None = None,
+    ) -> None:
         """Writes an answer; see frontend.Connection."""
-        if self._transport is None or not self._is_busy:
+        cycle = self._find(request)
+        if self._transport is None or cycle is None:
             return
-        status, fields, body = _encode(outcome, self._request)
+        encoded = self._codec.write(outcome, cycle.request)
+        fields = list(encoded.headers)
         is_long = outcome.stream_id is not None
         if not is_long:
-            fields.append(_length_field(outcome, body, self._method))
-        if self._close_after:
+            fields.append(_length_field(outcome, encoded.body, cycle.method))
+        if self._closes_after(cycle):
             fields.append((b"connection", b"close"))
         head = h11.Response(
-            status_code=status,
+            status_code=encoded.status,
             headers=fields,
-            reason=_REASONS.get(status, b""),
+            reason=_REASONS.get(encoded.status, b""),
         )
-        parts = [self._conn.send(head) or b""]
-        if body and self._method != b"HEAD":
-            parts.append(self._conn.send(h11.Data(data=body)) or b"")
-        if is_long:
-            self._is_streaming = True
-            self._transport.write(b"".join(parts))
-            return
-        parts.append(self._conn.send(h11.EndOfMessage()) or b"")
-        self._transport.write(b"".join(parts))
-        self._next()
+        cycle.pending.append(cycle.conn.send(head) or b"")
+        if encoded.body and cycle.method != b"HEAD":
+            data = h11.Data(data=encoded.body)
+            cycle.pending.append(cycle.conn.send(data) or b"")
+        cycle.is_streaming = is_long
+        if not is_long:
+            cycle.pending.append(cycle.conn.send(h11.EndOfMessage()) or b"")
+            cycle.is_answered = True
+        self._flush()
 
-    def part(self, data: bytes) -> None:
+    def part(
+        self, data: bytes, request: exchange.Request | None = None
+    ) -> None:
         """Writes a further part; see frontend.Connection."""
-        if self._transport is None or not self._is_streaming:
+        cycle = self._find_stream(request)
+        if self._transport is None or cycle is None:
             return
-        self._transport.write(self._conn.send(h11.Data(data=data)) or b"")
+        cycle.pending.append(cycle.conn.send(h11.Data(data=data)) or b"")
+        self._flush()
 
-    def end(self) -> None:
+    def end(self, request: exchange.Request | None = None) -> None:
         """Completes a long answer; see frontend.Connection."""
-        if self._transport is None or not self._is_streaming:
+        cycle = self._find_stream(request)
+        if self._transport is None or cycle is None:
             return
-        self._transport.write(self._conn.send(h11.EndOfMessage()) or b"")
-        self._is_streaming = False
-        self._next()
+        cycle.pending.append(cycle.conn.send(h11.EndOfMessage()) or b"")
+        cycle.is_streaming = False
+        cycle.is_answered = True
+        self._flush()
 
     def abort(self) -> None:
         """Closes without the end of the answer; see frontend.Connection."""
@@ -161,103 +202,208 @@
 
     def drain(self) -> None:
         """Closes when nothing is due; see frontend.Connection."""
-        self._close_after = True
-        if self._transport is not None and not self._is_busy:
+        self._is_finishing = True
+        if self._transport is not None and not self._due:
             self._transport.close()
 
-    def _hold_pipelined(self) -> None:
-        unread, _ = self._conn.trailing_data
-        if len(unread) > MAX_UNREAD_BYTES and self._transport is not None:
-            self._transport.pause_reading()
+    def finish_requests(self) -> None:
+        """Closes after the next answer; see frontend.Connection."""
+        self._is_finishing = True
+
+    def expire(self, now_s: float) -> None:
+        """Closes where the caller is too slow; see frontend.Connection."""
+        if self._due or self._transport is None:
+            return
+        quiet_s = now_s - self._quiet_since_s
+        limits = self._limits
+        if self._has_begun and self._cycle.head is None:
+            if limits.head_timeout_s and quiet_s > limits.head_timeout_s:
+                self._refuse(errors.ResultCode.REQUEST_TIMEOUT)
+        elif limits.idle_timeout_s and quiet_s > limits.idle_timeout_s:
+            if self._cycle.head is not None:
+                self._refuse(errors.ResultCode.REQUEST_TIMEOUT)
+            else:
+                self._transport.close()
+
+    @property
+    def _has_begun(self) -> bool:
+        """Whether a part of a request has come in."""
+        cycle = self._cycle
+        unparsed, _ = cycle.conn.trailing_data
+        is_inside = cycle.head is not None and not cycle.is_read
+        return is_inside or bool(unparsed) or bool(self._unread)
+
+    def _find(self, request: exchange.Request | None) -> _Cycle | None:
+        """Finds the request that an answer belongs to."""
+        for cycle in self._due:
+            if cycle.is_answered or cycle.is_streaming:
+                continue
+            if request is None or cycle.request is request:
+                return cycle
+        return None
+
+    def _find_stream(self, request: exchange.Request | None) -> _Cycle | None:
+        for cycle in self._due:
+            if cycle.is_streaming and request in (None, cycle.request):
+                return cycle
+        return None
+
+    def _closes_after(self, cycle: _Cycle) -> bool:
+        """Whether the connection is to be closed after an answer.
+
+        Requests behind such an answer would be lost, so that only the last
+        of several announces it.
+        """
+        if cycle.is_refused:
+            return True
+        is_last = self._due[-1] is cycle and not self._has_begun
+        return self._is_finishing and is_last
+
+    def _flush(self) -> None:
+        """Writes the answers that are due, in order."""
+        written: list[bytes] = []
+        is_over = False
+        while self._due and not is_over:
+            cycle = self._due[0]
+            written.extend(cycle.pending)
+            cycle.pending = []
+            if not cycle.is_answered:
+                break
+            self._due.popleft()
+            is_over = not cycle.is_done
+        if self._transport is None:
+            return
+        if written:
+            self._transport.write(b"".join(written))
+        if is_over or (self._is_finishing and not self._due):
+            self._transport.close()
+            return
+        if not self._due:
+            self._quiet_since_s = time.monotonic()
+        self._transport.resume_reading()
+        self._read_events()
 
     def _read_events(self) -> None:
-        """Reads requests until one is due an answer or bytes are missing."""
+        """Reads requests while the caller may have more of them worked on."""
         if self._is_reading:
             # A request that is answered at once leads back here; the loop
             # below goes on with the next one.
             return
         self._is_reading = True
         try:
-            self._read_available()
+            while self._transport is not None and self._renew():
+                self._feed()
+                if not self._read_available():
+                    return
+        except h11.RemoteProtocolError as error:
+            self._reject(error)
         finally:
             self._is_reading = False
 
-    def _read_available(self) -> None:
-        while self._transport is not None and not self._is_busy:
-            try:
-                event = self._conn.next_event()
-            except h11.RemoteProtocolError as error:
-                self._reject(error)
-                return
+    def _renew(self) -> bool:
+        """Prepares for the next request, if one may be read.
+
+        Returns:
+            Whether the current cycle takes bytes.
+        """
+        cycle = self._cycle
+        if not cycle.is_read:
+            return True
+        if self._due and self._due[-1].is_refused:
+            return False
+        if len(self._due) >= self._limits.max_pipelined:
+            return False
+        unparsed, _ = cycle.conn.trailing_data
+        if not unparsed and not self._unread:
+            return False
+        if cycle.is_answered and cycle.is_done and not self._due:
+            cycle.conn.start_next_cycle()
+            cycle.reset()
+            return True
+        self._cycle = _Cycle(self._limits.max_head_bytes)
+        if unparsed:
+            self._cycle.conn.receive_data(unparsed)
+        return True
+
+    def _feed(self) -> None:
+        if self._unread:
+            data = b"".join(self._unread)
+            self._unread = []
+            self._cycle.conn.receive_data(data)
+
+    def _read_available(self) -> bool:
+        """Reads events of the current request.
+
+        Returns:
+            Whether the request is complete.
+        """
+        cycle = self._cycle
+        while self._transport is not None and not cycle.is_refused:
+            event = cycle.conn.next_event()
             if event is h11.NEED_DATA:
-                self._continue_if_asked()
-                return
+                self._continue_if_asked(cycle)
+                return False
             if isinstance(event, h11.Request):
-                self._on_head(event)
+                self._on_head(cycle, event)
             elif isinstance(event, h11.Data):
-                self._on_data(event)
+                self._on_data(cycle, event)
             elif isinstance(event, h11.EndOfMessage):
-                self._on_complete()
+                self._on_complete(cycle)
+                return True
             else:
-                return
+                return False
+        return False
 
-    def _continue_if_asked(self) -> None:
-        if self._conn.they_are_waiting_for_100_continue and self._transport:
+    def _continue_if_asked(self, cycle: _Cycle) -> None:
+        waits = cycle.conn.they_are_waiting_for_100_continue
+        if waits and self._transport and not self._due:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
-            self._transport.write(self._conn.send(go_on) or b"")
-
-    def _on_head(self, head: h11.Request) -> None:
-        self._head = head
-        self._method = head.method
-        self._body = []
-        self._size = 0
-        if head.method == b"CONNECT":
+            self._transport.write(cycle.conn.send(go_on) or b"")
+
+    def _on_head(self, cycle: _Cycle, event: h11.Request) -> None:
+        cycle.method = event.method
+        cycle.head = frontend.Head(
+            event.method.decode("ascii"),
+            event.target.decode("latin-1"),
+            list(event.headers),
+            time.monotonic(),
+        )
+        if event.method == b"CONNECT":
             self._refuse(errors.ResultCode.METHOD_NOT_ALLOWED)
+        elif _has_two_lengths(cycle.head.headers):
+            self._refuse(
+                errors.ResultCode.MALFORMED_REQUEST,
+                "both content-length and transfer-encoding are given",
+            )
 
-    def _on_data(self, event: h11.Data) -> None:
-        self._size += len(event.data)
-        if self._size > self._max_body_bytes:
+    def _on_data(self, cycle: _Cycle, event: h11.Data) -> None:
+        cycle.size += len(event.data)
+        if cycle.size > self._limits.max_body_bytes:
             self._refuse(errors.ResultCode.BODY_TOO_LARGE)
             return
-        self._body.append(bytes(event.data))
+        cycle.body.append(bytes(event.data))
 
-    def _on_complete(self) -> None:
-        head = self._head
-        assert head is not None
-        self._is_busy = True
-        request_id = f"{self._id_prefix}-{next(_request_numbers)}"
+    def _on_complete(self, cycle: _Cycle) -> None:
+        assert cycle.head is not None
+        cycle.is_read = True
+        self._due.append(cycle)
         try:
-            self._request = _request(head, b"".join(self._body), request_id)
+            cycle.request = self._codec.read(cycle.head, b"".join(cycle.body))
         except errors.DotterelpathError as error:
             self._listener.on_rejected(self, error)
-            self._answer_error(error)
-            return
-        self._listener.on_request(self, self._request)
-
-    def _next(self) -> None:
-        """Goes on with the next request, or closes."""
-        self._is_busy = False
-        self._request = None
-        is_done = (
-            self._conn.our_state is h11.DONE
-            and self._conn.their_state is h11.DONE
-        )
-        if not is_done or self._close_after:
-            if self._transport is not None:
-                self._transport.close()
+            self._answer_error(cycle, error)
             return
-        self._conn.start_next_cycle()
-        if self._transport is not None:
-            self._transport.resume_reading()
-        self._read_events()
+        self._listener.on_request(self, cycle.request)
 
-    def _refuse(self, code: errors.ResultCode) -> None:
+    def _refuse(self, code: errors.ResultCode, detail: str = "") -> None:
         """Answers a request that is not read to its end, and closes."""
-        error = errors.DotterelpathError(code)
-        self._is_busy = True
-        self._close_after = True
+        cycle = self._cycle
+        error = errors.DotterelpathError(code, detail)
+        cycle.is_read = True
+        cycle.is_refused = True
+        self._due.append(cycle)
         self._listener.on_rejected(self, error)
-        self._answer_error(error)
+        self._answer_error(cycle, error)
 
     def _reject(self, error: h11.RemoteProtocolError) -> None:
         code = errors.ResultCode.MALFORMED_REQUEST
@@ -265,7 +411,8 @@
             code = errors.ResultCode.HEAD_TOO_LARGE
         if self._transport is None:
             return
-        if self._is_busy or self._conn.our_state not in (
+        cycle = self._cycle
+        if cycle.is_read or cycle.conn.our_state not in (
             h11.IDLE,
             h11.SEND_RESPONSE,
         ):
@@ -275,32 +422,29 @@
             return
         self._refuse(code)
 
-    def _answer_error(self, error: errors.DotterelpathError) -> None:
-        self.answer(exchange.Outcome(error.code, error.detail))
+    def _answer_error(
+        self, cycle: _Cycle, error: errors.DotterelpathError
+    ) -> None:
+        self.answer(exchange.Outcome(error.code, error.detail), cycle.request)
 
 
 class H11Binder:
     """Listens for callers over HTTP/1.1."""
 
-    __slots__ = ("_closes_on_eof", "_id_prefix", "_max_body_bytes")
+    __slots__ = ("_codec", "_limits")
 
     def __init__(
-        self,
-        id_prefix: str,
-        max_body_bytes: int = MAX_BODY_BYTES,
-        closes_on_eof: bool = False,
+        self, codec: frontend.CallerCodec, limits: frontend.Limits
     ) -> None:
         """Creates a binder.
 
         Args:
-            id_prefix: Begins the ids of this daemon's requests.
-            max_body_bytes: A longer body is refused.
-            closes_on_eof: Whether an end of the caller's stream means that
-                it waits for no answer.
+            codec: Translates headers.
+            limits: What each caller may send; changes of the object hold for
+                open connections too.
         """
-        self._closes_on_eof = closes_on_eof
-        self._id_prefix = id_prefix
-        self._max_body_bytes = max_body_bytes
+        self._codec = codec
+        self._limits = limits
 
     async def listen(
         self, host: str, port: int, listener: frontend.Listener
@@ -309,12 +453,7 @@
         loop = asyncio.get_running_loop()
         try:
             return await loop.create_server(
-                lambda: H11Connection(
-                    listener,
-                    self._id_prefix,
-                    self._max_body_bytes,
-                    self._closes_on_eof,
-                ),
+                lambda: H11Connection(listener, self._codec, self._limits),
                 host,
                 port,
                 backlog=LISTEN_BACKLOG,
@@ -327,48 +466,34 @@
             raise
 
 
-def _request(
-    head: h11.Request, body: bytes, request_id: str
-) -> exchange.Request:
-    own = header_names.read_caller_head(list(head.headers))
-    target = head.target.decode("latin-1")
-    if not target.startswith("/"):
-        raise errors.DotterelpathError(
-            errors.ResultCode.MALFORMED_REQUEST, "the target is not a path"
-        )
-    return exchange.Request(
-        head.method.decode("ascii"),
-        target,
-        own.forwarded,
-        body,
-        workspace=own.workspace,
-        key=own.key,
-        attempt=own.attempt,
-        timeout_s=own.timeout_s,
-        request_id=request_id,
+def own_binder(
+    id_prefix: str,
+    max_body_bytes: int = MAX_BODY_BYTES,
+    closes_on_eof: bool = False,
+) -> H11Binder:
+    """Creates a binder for the fleet's own interface.
+
+    Args:
+        id_prefix: Begins the ids of this daemon's requests.
+        max_body_bytes: A longer body is refused.
+        closes_on_eof: Whether an end of the caller's stream means that it
+            waits for no answer.
+
+    Returns:
+        The binder.
+    """
+    return H11Binder(
+        caller_codec.CallerCodec(id_prefix),
+        frontend.Limits(
+            MAX_HEAD_BYTES, max_body_bytes, closes_on_eof=closes_on_eof
+        ),
     )
 
 
-def _encode(
-    outcome: exchange.Outcome, request: exchange.Request | None
-) -> tuple[int, exchange.Headers, bytes]:
-    own: exchange.Headers = [
-        (header_names.RESULT, str(int(outcome.code)).encode())
-    ]
-    if request is not None:
-        own.append((header_names.REQUEST_ID, request.request_id.encode()))
-    if outcome.answer is not None and outcome.is_answered:
-        fields = header_names.end_to_end(outcome.answer.headers)
-        return outcome.answer.status, fields + own, outcome.answer.body
-    body = orjson.dumps(
-        {
-            "code": int(outcome.code),
-            "class": outcome.code.outcome_class.value,
-            "text": outcome.detail or outcome.code.text,
-        }
-    )
-    own.append((b"content-type", b"application/json"))
-    return outcome.code.http_status, own, body
+def _has_two_lengths(headers: exchange.Headers) -> bool:
+    """Whether two readers could disagree on where the body ends."""
+    names = {name for name, _ in headers}
+    return b"content-length" in names and b"transfer-encoding" in names
 
 
 def _length_field(
--- a/src/dotterelpath/domain/exchange.py
+++ b/src/dotterelpath/domain/exchange.py
@@ -15,7 +15,9 @@
         "body",
         "headers",
         "key",
+        "host",
         "method",
+        "received_s",
         "request_id",
         "target",
         "timeout_s",
@@ -34,6 +36,8 @@
         attempt: int = 1,
         timeout_s: float | None = None,
         request_id: str = "",
+        host: str = "",
+        received_s: float | None = None,
     ) -> None:
         """Creates a request.
 
@@ -47,7 +51,13 @@
             attempt: The caller's attempt number, from 1.
             timeout_s: Time the caller gives the request, in seconds.
             request_id: Names the request in logs.
+            host: The host that the caller asked for, in lower case and
+                without a port.
+            received_s: When its head was complete, on the monotonic clock,
+                in seconds.
         """
+        self.host = host
+        self.received_s = received_s
         self.method = method
         self.target = target
         self.headers = headers
@@ -99,7 +109,14 @@
 class Outcome:
     """How a request ended, as the caller is told."""
 
-    __slots__ = ("answer", "code", "detail", "instance", "stream_id")
+    __slots__ = (
+        "answer",
+        "code",
+        "detail",
+        "instance",
+        "retry_after_s",
+        "stream_id",
+    )
 
     def __init__(
         self,
@@ -108,6 +125,7 @@
         answer: Answer | None = None,
         instance: str | None = None,
         stream_id: int | None = None,
+        retry_after_s: float | None = None,
     ) -> None:
         """Creates an outcome.
 
@@ -117,7 +135,10 @@
             answer: The backend server's answer, if there is one.
             instance: The instance that answered or failed.
             stream_id: The exchange whose remaining body follows in parts.
+            retry_after_s: When a new attempt is likely to be served, in
+                seconds from now.
         """
+        self.retry_after_s = retry_after_s
         self.code = code
         self.detail = detail
         self.answer = answer
--- a/src/dotterelpath/errors.py
+++ b/src/dotterelpath/errors.py
@@ -36,6 +36,7 @@
     BAD_HEADER = 2015
     NO_DOCUMENT = 2016
     CALLER_GONE = 2017
+    REQUEST_TIMEOUT = 2018
 
     BACKEND_BROKEN = 3001
     BACKEND_TIMEOUT = 3002
@@ -112,6 +113,7 @@
     ResultCode.BAD_HEADER: (400, "A Dotterelpath header is invalid."),
     ResultCode.NO_DOCUMENT: (503, "The daemon has no document yet."),
     ResultCode.CALLER_GONE: (499, "The caller closed before the request ran."),
+    ResultCode.REQUEST_TIMEOUT: (408, "The request came in too slowly."),
     ResultCode.BACKEND_BROKEN: (502, "The backend server's connection broke."),
     ResultCode.BACKEND_TIMEOUT: (504, "The backend server did not answer."),
     ResultCode.HOME_UNREACHABLE: (503, "The key's home cannot be reached."),
--- a/src/dotterelpath/ports/backend.py
+++ b/src/dotterelpath/ports/backend.py
@@ -7,6 +7,50 @@
 from dotterelpath.domain import exchange
 
 
+class ServerCodec(typing.Protocol):
+    """Translates between the fleet's types and backend servers' headers."""
+
+    @property
+    def takes_unframed(self) -> bool:
+        """Whether an answer may end with its connection."""
+
+    def fields(
+        self,
+        request: exchange.Request,
+        address: str,
+        instance_id: str,
+        timeout_s: float,
+    ) -> exchange.Headers:
+        """Writes the headers of a request, without those that frame it.
+
+        Args:
+            request: The request.
+            address: The backend server's host and port.
+            instance_id: The instance that is meant to run it.
+            timeout_s: What remains until the deadline, in seconds.
+        """
+
+    def belongs(
+        self, request: exchange.Request, answer: exchange.Answer
+    ) -> bool:
+        """Whether an answer is one to the request, not a late one to another.
+
+        Args:
+            request: The request that was written last.
+            answer: The answer; only its head is read.
+        """
+
+    def idle_s(self, answer: exchange.Answer) -> float | None:
+        """Reads how long the backend server keeps a quiet connection open.
+
+        Args:
+            answer: The answer; only its head is read.
+
+        Returns:
+            The time in seconds, or None where the answer does not say.
+        """
+
+
 class Connection(typing.Protocol):
     """One connection to a backend server, for one request at a time."""
 
@@ -14,6 +58,10 @@
     def proven_s(self) -> float:
         """When bytes last came in, or the connection was opened."""
 
+    @property
+    def idle_limit_s(self) -> float | None:
+        """How long the server keeps it open while quiet, if it told."""
+
     @property
     def is_reusable(self) -> bool:
         """Whether a request may be written: idle, open, nothing unread."""
@@ -24,6 +72,7 @@
         request: exchange.Request,
         timeout_s: float,
         buffer_limit: int,
+        instance_id: str = "",
     ) -> None:
         """Writes a request.
 
@@ -33,6 +82,7 @@
             timeout_s: What remains until the deadline, in seconds.
             buffer_limit: An answer up to this many bytes is given whole; a
                 longer one follows in parts.
+            instance_id: The instance that is meant to run it.
         """
 
     def pause(self) -> None:
--- a/src/dotterelpath/tasks/_attempts.py
+++ b/src/dotterelpath/tasks/_attempts.py
@@ -260,7 +260,7 @@
                 try_id,
                 instance.vm,
                 work.request,
-                work.deadline_s - now_s,
+                work.deadline_s,
                 not idempotent,
                 KEPT_BUFFER_BYTES if work.book else BUFFER_BYTES,
             )
--- a/src/dotterelpath/tasks/back_ends.py
+++ b/src/dotterelpath/tasks/back_ends.py
@@ -14,13 +14,41 @@
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import messages
 
+# An open connection may go silent; one that carried bytes so lately has not.
 FRESH_S = 1.0
+# Backend servers close quiet connections; most keep them at least so long.
 IDLE_S = 15.0
+# What is left of a server's own limit may pass before the request arrives.
+IDLE_PART = 0.7
 CONNECT_TIMEOUT_S = 1.0
 MAX_CONNECTIONS_PER_INSTANCE = 64
 SWEEP_S = 5.0
 
 
+class Policy:
+    """How connections to backend servers are kept."""
+
+    __slots__ = ("connect_timeout_s", "fresh_s", "max_connections")
+
+    def __init__(
+        self,
+        fresh_s: float = FRESH_S,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        max_connections: int = MAX_CONNECTIONS_PER_INSTANCE,
+    ) -> None:
+        """Creates a policy.
+
+        Args:
+            fresh_s: How lately a connection must have carried bytes to be
+                used for a request that must not run twice, in seconds.
+            connect_timeout_s: How long to wait for a connection, in seconds.
+            max_connections: The most connections to one instance.
+        """
+        self.fresh_s = fresh_s
+        self.connect_timeout_s = connect_timeout_s
+        self.max_connections = max_connections
+
+
 class _Link:
     """The connections to one instance."""
 
@@ -50,6 +78,7 @@
         "_links",
         "_mailbox",
         "_owners",
+        "_policy",
         "_streams",
         "_sweep",
         "_tasks",
@@ -61,6 +90,7 @@
         clock: clock_port.Clock,
         inbox: mailbox.Mailbox[typing.Any],
         dispatcher: mailbox.Mailbox[typing.Any],
+        policy: Policy | None = None,
     ) -> None:
         """Creates the task's state.
 
@@ -69,7 +99,9 @@
             clock: Tells the time.
             inbox: This task's mailbox.
             dispatcher: Hears how tries end and gets parts of long answers.
+            policy: How connections are kept.
         """
+        self._policy = policy or Policy()
         self._connector = connector
         self._clock = clock
         self._mailbox = inbox
@@ -159,7 +191,7 @@
             self._write(connection, message)
             return
         link.waiting.append(message)
-        if link.open_count + link.connecting < MAX_CONNECTIONS_PER_INSTANCE:
+        if link.open_count + link.connecting < self._policy.max_connections:
             self._open(link)
 
     def on_cancel_try(self, message: messages.CancelTry) -> None:
@@ -232,10 +264,12 @@
     def _take_idle(
         self, link: _Link, needs_fresh: bool
     ) -> backend.Connection | None:
-        oldest_s = self._clock.now_s() - (FRESH_S if needs_fresh else IDLE_S)
+        now_s = self._clock.now_s()
+        limit_s = self._policy.fresh_s if needs_fresh else IDLE_S
         while link.idle:
             connection = link.idle[-1]
-            if connection.proven_s < oldest_s:
+            quiet_s = now_s - connection.proven_s
+            if quiet_s > min(limit_s, _idle_limit_s(connection)):
                 return None
             link.idle.pop()
             if connection.is_reusable:
@@ -262,8 +296,9 @@
         connection.send(
             message.exchange_id,
             message.request,
-            message.timeout_s,
+            message.deadline_s - self._clock.now_s(),
             message.buffer_limit,
+            message.vm.id,
         )
 
     def _open(self, link: _Link) -> None:
@@ -276,12 +311,12 @@
         connection = None
         detail = ""
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(self._policy.connect_timeout_s):
                 connection = await self._connector.connect(
                     vm.host, vm.port, self
                 )
         except TimeoutError:
-            detail = f"no connection within {CONNECT_TIMEOUT_S} s"
+            detail = "no connection in time"
         except OSError as error:
             detail = str(error)
         self._mailbox.force(
@@ -306,7 +341,7 @@
         self._open_for_waiting(link)
 
     def _open_for_waiting(self, link: _Link) -> None:
-        room = MAX_CONNECTIONS_PER_INSTANCE - link.open_count
+        room = self._policy.max_connections - link.open_count
         if len(link.waiting) > link.connecting and room > link.connecting:
             self._open(link)
 
@@ -345,10 +380,10 @@
         self._sweep = loop.call_later(SWEEP_S, self._close_idle)
 
     def _close_idle(self) -> None:
-        oldest_s = self._clock.now_s() - IDLE_S
+        now_s = self._clock.now_s()
         for vm_id, link in list(self._links.items()):
             for connection in list(link.idle):
-                if connection.proven_s < oldest_s:
+                if now_s - connection.proven_s > _idle_limit_s(connection):
                     self._forget(connection)
                     connection.close()
             is_used = link.open_count or link.connecting or link.waiting
@@ -363,3 +398,9 @@
             task.cancel()
         for connection in list(self._owners):
             connection.close()
+
+
+def _idle_limit_s(connection: backend.Connection) -> float:
+    """How long a quiet connection may still be used, in seconds."""
+    told_s = connection.idle_limit_s
+    return IDLE_S if told_s is None else min(IDLE_S, told_s * IDLE_PART)
--- a/src/dotterelpath/tasks/front_end.py
+++ b/src/dotterelpath/tasks/front_end.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import time
 import typing
 
 import structlog
@@ -16,10 +17,24 @@
 from dotterelpath.tasks import messages
 
 OWN_PREFIX = "/-/"
+# How often slow callers are looked for; a fraction of the shortest time-out.
+SWEEP_S = 0.5
 
 _log = structlog.get_logger()
 
 
+class _Waiting:
+    """A request whose caller waits for the answer."""
+
+    __slots__ = ("connection", "request")
+
+    def __init__(
+        self, connection: frontend.Connection, request: exchange.Request
+    ) -> None:
+        self.connection = connection
+        self.request = request
+
+
 class FrontEnd:
     """Passes callers' requests to the dispatcher and writes the answers."""
 
@@ -32,11 +47,13 @@
         "_drained",
         "_host",
         "_is_draining",
+        "_is_leaving",
         "_mailbox",
         "_open",
         "_port",
         "_server",
         "_streams",
+        "_sweep",
         "_tokens",
     )
 
@@ -47,7 +64,7 @@
         port: int,
         inbox: mailbox.Mailbox[typing.Any],
         dispatcher: mailbox.Mailbox[typing.Any],
-        directory: mailbox.Mailbox[typing.Any],
+        directory: mailbox.Mailbox[typing.Any] | None,
         back_ends: mailbox.Mailbox[typing.Any],
     ) -> None:
         """Creates the task's state.
@@ -58,7 +75,8 @@
             port: The port for callers.
             inbox: This task's mailbox.
             dispatcher: Gets callers' requests.
-            directory: Gets requests for addresses.
+            directory: Gets requests for addresses; None where callers ask
+                for them elsewhere.
             back_ends: Hears of slow readers.
         """
         self._binder = binder
@@ -70,11 +88,13 @@
         self._back_ends = back_ends
         self._server: frontend.Server | None = None
         self._open: set[frontend.Connection] = set()
-        self._busy: dict[int, frontend.Connection] = {}
-        self._tokens: dict[frontend.Connection, int] = {}
+        self._busy: dict[int, _Waiting] = {}
+        self._tokens: dict[frontend.Connection, set[int]] = {}
+        self._sweep: asyncio.TimerHandle | None = None
         self._streams: dict[int, int] = {}
         self._drained = asyncio.Event()
         self._is_draining = False
+        self._is_leaving = False
 
     @property
     def drained(self) -> asyncio.Event:
@@ -91,6 +111,7 @@
 
     async def run(self) -> None:
         """Handles messages until cancelled."""
+        self._schedule_sweep()
         try:
             while True:
                 self._handle(await self._mailbox.receive())
@@ -102,16 +123,20 @@
         self._open.add(connection)
         if self._is_draining:
             connection.drain()
+        elif self._is_leaving:
+            connection.finish_requests()
 
     def on_request(
         self, connection: frontend.Connection, request: exchange.Request
     ) -> None:
         """A request came in; see frontend.Listener."""
         token = next(_tokens)
-        self._busy[token] = connection
-        self._tokens[connection] = token
+        self._busy[token] = _Waiting(connection, request)
+        self._tokens.setdefault(connection, set()).add(token)
+        receiver = self._dispatcher
         is_own = request.path.startswith(OWN_PREFIX)
-        receiver = self._directory if is_own else self._dispatcher
+        if is_own and self._directory is not None:
+            receiver = self._directory
         try:
             receiver.post(
                 messages.RequestArrived(request, self._mailbox, token)
@@ -128,8 +153,7 @@
     def on_gone(self, connection: frontend.Connection) -> None:
         """A caller closed; see frontend.Listener."""
         self._open.discard(connection)
-        token = self._tokens.pop(connection, None)
-        if token is not None:
+        for token in self._tokens.pop(connection, ()):
             self._busy.pop(token, None)
             self._forget_stream(token)
             self._dispatcher.force(messages.CallerGone(self._mailbox, token))
@@ -157,9 +181,9 @@
         Args:
             message: The part.
         """
-        connection = self._stream_connection(message.exchange_id)
-        if connection is not None:
-            connection.part(message.data)
+        waiting = self._stream(message.exchange_id)
+        if waiting is not None:
+            waiting.connection.part(message.data, waiting.request)
 
     def on_answer_done(self, message: messages.AnswerDone) -> None:
         """Completes a long answer, or closes if it broke off.
@@ -167,15 +191,21 @@
         Args:
             message: Whether it is whole.
         """
-        connection = self._stream_connection(message.exchange_id)
+        waiting = self._stream(message.exchange_id)
         token = self._streams.pop(message.exchange_id, None)
-        if connection is None or token is None:
+        if waiting is None or token is None:
             return
         self._release(token)
         if message.is_whole:
-            connection.end()
+            waiting.connection.end(waiting.request)
         else:
-            connection.abort()
+            waiting.connection.abort()
+
+    def on_leave_began(self) -> None:
+        """Announces with each answer that its connection closes."""
+        self._is_leaving = True
+        for connection in list(self._open):
+            connection.finish_requests()
 
     def on_drain_began(self) -> None:
         """Stops listening and closes each connection when it is idle."""
@@ -193,12 +223,14 @@
             self.on_answer_part(message)
         elif isinstance(message, messages.AnswerDone):
             self.on_answer_done(message)
+        elif isinstance(message, events.LeaveBegan):
+            self.on_leave_began()
         elif isinstance(message, events.DrainBegan):
             self.on_drain_began()
 
     def _end(self, token: int, outcome: exchange.Outcome) -> None:
-        connection = self._busy.get(token)
-        if connection is None:
+        waiting = self._busy.get(token)
+        if waiting is None:
             if outcome.stream_id is not None:
                 self._back_ends.force(
                     messages.CancelTry(outcome.stream_id, False)
@@ -208,16 +240,19 @@
             self._streams[outcome.stream_id] = token
         else:
             self._release(token)
-        connection.answer(outcome)
+        waiting.connection.answer(outcome, waiting.request)
 
     def _release(self, token: int) -> None:
-        connection = self._busy.pop(token, None)
-        if connection is not None and self._tokens.get(connection) == token:
-            del self._tokens[connection]
+        waiting = self._busy.pop(token, None)
+        if waiting is None:
+            return
+        tokens = self._tokens.get(waiting.connection)
+        if tokens is not None:
+            tokens.discard(token)
+            if not tokens:
+                del self._tokens[waiting.connection]
 
-    def _stream_connection(
-        self, exchange_id: int
-    ) -> frontend.Connection | None:
+    def _stream(self, exchange_id: int) -> _Waiting | None:
         token = self._streams.get(exchange_id)
         return None if token is None else self._busy.get(token)
 
@@ -230,9 +265,9 @@
     def _tell_reader(
         self, connection: frontend.Connection, is_paused: bool
     ) -> None:
-        token = self._tokens.get(connection)
+        tokens = self._tokens.get(connection, ())
         for exchange_id, of_token in self._streams.items():
-            if of_token == token:
+            if of_token in tokens:
                 self._back_ends.force(
                     messages.ReaderPaused(exchange_id, is_paused)
                 )
@@ -241,7 +276,20 @@
         if self._is_draining and not self._open:
             self._drained.set()
 
+    def _schedule_sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._sweep = loop.call_later(SWEEP_S, self._expire)
+
+    def _expire(self) -> None:
+        """Closes connections whose callers are too slow."""
+        now_s = time.monotonic()
+        for connection in list(self._open):
+            connection.expire(now_s)
+        self._schedule_sweep()
+
     def _close(self) -> None:
+        if self._sweep is not None:
+            self._sweep.cancel()
         if self._server is not None:
             self._server.close()
         for connection in list(self._open):
--- a/src/dotterelpath/tasks/messages.py
+++ b/src/dotterelpath/tasks/messages.py
@@ -87,10 +87,10 @@
 
     __slots__ = (
         "buffer_limit",
+        "deadline_s",
         "exchange_id",
         "needs_fresh",
         "request",
-        "timeout_s",
         "vm",
     )
 
@@ -99,7 +99,7 @@
         exchange_id: int,
         vm: vms.Vm,
         request: exchange.Request,
-        timeout_s: float,
+        deadline_s: float,
         needs_fresh: bool,
         buffer_limit: int,
     ) -> None:
@@ -109,14 +109,15 @@
             exchange_id: Names the try.
             vm: The instance.
             request: The request.
-            timeout_s: What remains until the deadline, in seconds.
+            deadline_s: When the instance is to give up, on the monotonic
+                clock, in seconds.
             needs_fresh: Whether the connection must be lately proven.
             buffer_limit: The longest answer, in bytes, that is given whole.
         """
         self.exchange_id = exchange_id
         self.vm = vm
         self.request = request
-        self.timeout_s = timeout_s
+        self.deadline_s = deadline_s
         self.needs_fresh = needs_fresh
         self.buffer_limit = buffer_limit
 
