--- /dev/null
+++ b/src/dotterelpath/adapters/gateway_status.py
@@ -0,0 +1,81 @@
+"""What a daemon on the platform believes, for operators and metrics."""
+
+from __future__ import annotations
+
+import time
+import typing
+
+from dotterelpath.adapters import api
+from dotterelpath.adapters import metrics as metrics_adapter
+from dotterelpath.domain import exchange
+from dotterelpath.tasks import gateway as gateway_task
+from dotterelpath.tasks import neighbourhood as neighbourhood_task
+
+
+class GatewayStatus:
+    """The calls /metrics and /status."""
+
+    __slots__ = ("_gateway", "_metrics", "_neighbourhood")
+
+    def __init__(
+        self,
+        gateway: gateway_task.Gateway,
+        neighbourhood: neighbourhood_task.Neighbourhood,
+        metrics: metrics_adapter.Metrics,
+    ) -> None:
+        """Creates the calls.
+
+        Args:
+            gateway: Knows the services.
+            neighbourhood: Knows the daemons.
+            metrics: What was measured.
+        """
+        self._gateway = gateway
+        self._neighbourhood = neighbourhood
+        self._metrics = metrics
+
+    @property
+    def handlers(self) -> dict[tuple[str, str], api.Handler]:
+        """The calls by method and path."""
+        return {
+            ("GET", "/metrics"): self._on_metrics,
+            ("GET", "/status"): self._on_status,
+        }
+
+    async def _on_metrics(self, request: exchange.Request) -> exchange.Answer:
+        fields, content = await self._metrics.render()
+        return exchange.Answer(200, fields, content)
+
+    async def _on_status(self, request: exchange.Request) -> exchange.Answer:
+        configuration = self._gateway.configuration
+        return api.json_answer(
+            {
+                "state": self._neighbourhood.state.value,
+                "version": configuration.version if configuration else None,
+                "in_flight": self._gateway.in_flight,
+                "daemons": sorted(self._neighbourhood.neighbours.daemons),
+                "services": {
+                    name: _service(state)
+                    for name, state in self._gateway.services.items()
+                },
+            }
+        )
+
+
+def _service(state: typing.Any) -> dict[str, typing.Any]:
+    now_s = time.monotonic()
+    return {
+        "waiting": len(state.queue),
+        "retries": state.retries.retries,
+        "instances": {
+            instance.id: {
+                "in_flight": instance.in_flight,
+                "load": round(instance.load(now_s), 2),
+                "slots": instance.entry.slots,
+                "failing": round(instance.failing.chance(now_s), 3),
+                "slow": round(instance.slow.chance(now_s), 3),
+                "lapsed": instance.is_lapsed,
+            }
+            for instance in state.placement.instances.values()
+        },
+    }
--- a/src/dotterelpath/adapters/headers.py
+++ b/src/dotterelpath/adapters/headers.py
@@ -94,6 +94,22 @@
     return [item for item in headers if item[0] not in dropped]
 
 
+def without_hop_by_hop(
+    headers: exchange.Headers, further: frozenset[bytes] = frozenset()
+) -> exchange.Headers:
+    """Drops the headers that concern only one connection.
+
+    Args:
+        headers: All headers, with names in lower case.
+        further: Names of other headers to drop.
+
+    Returns:
+        Those that go on.
+    """
+    dropped = _with_named_by_connection(_HOP_BY_HOP | further, headers)
+    return [item for item in headers if item[0] not in dropped]
+
+
 def _with_named_by_connection(
     dropped: frozenset[bytes], headers: exchange.Headers
 ) -> frozenset[bytes]:
--- a/src/dotterelpath/adapters/logs.py
+++ b/src/dotterelpath/adapters/logs.py
@@ -1,31 +1,131 @@
-"""Structured logs in JSON on standard error."""
+"""Structured logs in JSON, bounded in volume, that never block."""
 
 from __future__ import annotations
 
+import atexit
 import logging
+import os
 import sys
+import time
+import typing
 
+import orjson
 import structlog
 
 LEVELS = ("debug", "info", "warning", "error")
+# A reader that is this far behind loses lines, in bytes.
+MAX_UNWRITTEN_BYTES = 1024 * 1024
+# Lines a second and at once; a request has one to four.
+LINES_PER_S = 1000.0
+BURST_LINES = 4000.0
 
 
-def configure(level: str) -> None:
+class BoundedWriter:
+    """Writes lines to a descriptor without ever waiting for its reader.
+
+    Lines beyond the bounds are counted, and the count is written as soon as
+    there is room.
+    """
+
+    __slots__ = ("_allowed", "_at_s", "_descriptor", "_lost", "_unwritten")
+
+    def __init__(self, descriptor: int) -> None:
+        """Creates a writer.
+
+        Args:
+            descriptor: An open file, pipe or terminal.
+        """
+        self._descriptor = descriptor
+        self._unwritten = bytearray()
+        self._lost = 0
+        self._allowed = BURST_LINES
+        self._at_s = time.monotonic()
+
+    @property
+    def lost(self) -> int:
+        """Lines that are not written."""
+        return self._lost
+
+    def write(self, line: bytes) -> None:
+        """Writes a line, or counts it as lost.
+
+        Args:
+            line: The line without its end.
+        """
+        now_s = time.monotonic()
+        earned = (now_s - self._at_s) * LINES_PER_S
+        self._allowed = min(BURST_LINES, self._allowed + earned)
+        self._at_s = now_s
+        is_full = len(self._unwritten) > MAX_UNWRITTEN_BYTES
+        if self._allowed < 1.0 or is_full:
+            self._lost += 1
+            self.flush()
+            return
+        self._allowed -= 1.0
+        if self._lost:
+            self._unwritten += b'{"event":"log lines lost","count":%d}\n' % (
+                self._lost
+            )
+            self._lost = 0
+        self._unwritten += line + b"\n"
+        self.flush()
+
+    def flush(self) -> None:
+        """Writes as much as the reader takes."""
+        try:
+            while self._unwritten:
+                written = os.write(self._descriptor, self._unwritten)
+                del self._unwritten[:written]
+        except BlockingIOError:
+            return
+        except OSError:
+            # Nobody reads any more; there is nowhere to tell it.
+            self._unwritten.clear()
+
+
+class _LineLogger:
+    """Gives rendered events to the writer; structlog calls it by level."""
+
+    __slots__ = ("_writer",)
+
+    def __init__(self, writer: BoundedWriter) -> None:
+        self._writer = writer
+
+    def msg(self, line: bytes) -> None:
+        self._writer.write(line)
+
+    debug = info = warning = error = critical = msg
+
+
+def configure(level: str, stream: typing.TextIO | None = None) -> BoundedWriter:
     """Sets up structlog for the whole process.
 
     Args:
         level: The least severe level that is logged.
+        stream: Where lines go; standard error by default.
+
+    Returns:
+        The writer of the lines.
     """
+    descriptor = (stream or sys.stderr).fileno()
+    os.set_blocking(descriptor, False)
+    writer = BoundedWriter(descriptor)
+    atexit.register(writer.flush)
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
-            structlog.processors.JSONRenderer(default=str),
+            structlog.processors.JSONRenderer(serializer=_dump, default=str),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelName(level.upper())
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=lambda *args: _LineLogger(writer),
         cache_logger_on_first_use=True,
     )
+    return writer
+
+
+def _dump(event: typing.Any, default: typing.Any) -> bytes:
+    return orjson.dumps(event, default=default)
--- a/src/dotterelpath/adapters/store_client.py
+++ b/src/dotterelpath/adapters/store_client.py
@@ -70,10 +70,105 @@
         self._left -= 1.0
 
 
+class OwnStoreCodec:
+    """The store of the fleet's own interface; see store.StoreCodec."""
+
+    __slots__ = ()
+
+    def get(self, key: str) -> exchange.Request:
+        """Writes a read; see store.StoreCodec."""
+        return http_client.get("/v1/keys/" + urllib.parse.quote(key, safe=""))
+
+    def read_get(self, key: str, answer: exchange.Answer) -> store.Versioned:
+        """Reads a value; see store.StoreCodec."""
+        data = decoded(answer)
+        return store.Versioned(key, data["value"], data["revision"])
+
+    def page(self, prefix: str, after: str, wait_s: float) -> exchange.Request:
+        """Writes a watch that gives all keys at once."""
+        return self.watch(prefix, 0, wait_s)
+
+    def read_page(self, answer: exchange.Answer) -> store.Page:
+        """Reads all keys; see store.StoreCodec."""
+        changes = self.read_watch(answer)
+        return store.Page(changes.entries, changes.revision, None)
+
+    def watch(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> exchange.Request:
+        """Writes a watch; see store.StoreCodec."""
+        query = urllib.parse.urlencode(
+            {"prefix": prefix, "after": after_revision, "wait_s": wait_s}
+        )
+        return http_client.get(f"/v1/watch?{query}")
+
+    def read_watch(self, answer: exchange.Answer) -> store.Changes:
+        """Reads changes; see store.StoreCodec."""
+        data = decoded(answer)
+        entries = [
+            store.Versioned(item["key"], item["value"], item["revision"])
+            for item in data["entries"]
+        ]
+        return store.Changes(entries, data["revision"])
+
+    def grant(self, lease_s: float) -> exchange.Request | None:
+        """Needs no call, since create takes the time."""
+        return None
+
+    def read_grant(self, answer: exchange.Answer) -> int:
+        """Never called; see grant."""
+        raise errors.StoreError("the store has no calls for leases")
+
+    def create(
+        self, key: str, value: str, lease_s: float | None, lease: int
+    ) -> exchange.Request:
+        """Writes a create-if-absent; see store.StoreCodec."""
+        return _post("create", {"key": key, "value": value, "lease_s": lease_s})
+
+    def read_create(
+        self, key: str, value: str, answer: exchange.Answer
+    ) -> store.Versioned:
+        """Reads the key's value; see store.StoreCodec."""
+        return self.read_get(key, answer)
+
+    def swap(self, key: str, value: str, revision: int) -> exchange.Request:
+        """Writes a compare-and-swap; see store.StoreCodec."""
+        return _post("swap", {"key": key, "value": value, "revision": revision})
+
+    def read_swap(self, answer: exchange.Answer) -> int | None:
+        """Reads the new revision; see store.StoreCodec."""
+        data = decoded(answer)
+        return data["revision"] if data["swapped"] else None
+
+    def delete(self, key: str) -> exchange.Request:
+        """Writes a deletion; see store.StoreCodec."""
+        return _post("delete", {"key": key})
+
+    def keep(self, lease: int) -> exchange.Request:
+        """Has no counterpart in this store."""
+        raise errors.StoreError("the store has no calls for leases")
+
+    def read_keep(self, answer: exchange.Answer) -> bool:
+        """Never called; see keep."""
+        return False
+
+    def is_answered(self, answer: exchange.Answer) -> bool:
+        """Whether the call succeeded; see store.StoreCodec."""
+        return answer.status == 200
+
+
 class StoreClient:
     """Calls the store; see store.Store."""
 
-    __slots__ = ("_client", "_host", "_metrics", "_port", "_reads", "_writes")
+    __slots__ = (
+        "_client",
+        "_codec",
+        "_host",
+        "_metrics",
+        "_port",
+        "_reads",
+        "_writes",
+    )
 
     def __init__(
         self,
@@ -82,6 +177,7 @@
         client: http_client.HttpClient,
         clock: clock_port.Clock,
         metrics: metrics_port.Metrics,
+        codec: store.StoreCodec | None = None,
     ) -> None:
         """Creates a client.
 
@@ -91,11 +187,13 @@
             client: Makes the calls.
             clock: Tells the time.
             metrics: Counts the calls.
+            codec: Writes and reads them; by default the fleet's own.
         """
         self._host = host
         self._port = port
         self._client = client
         self._metrics = metrics
+        self._codec: store.StoreCodec = codec or OwnStoreCodec()
         self._reads = CallBudget(clock, FLEET_READS_PER_S, BURST_READS)
         self._writes = CallBudget(clock, FLEET_WRITES_PER_S, BURST_WRITES)
 
@@ -106,49 +204,63 @@
 
     async def get(self, key: str) -> store.Versioned:
         """Reads a key; see store.Store."""
-        target = "/v1/keys/" + urllib.parse.quote(key, safe="")
-        data = await self._read("get", http_client.get(target), CALL_TIMEOUT_S)
-        return store.Versioned(key, data["value"], data["revision"])
+        answer = await self._read("get", self._codec.get(key), CALL_TIMEOUT_S)
+        return self._codec.read_get(key, answer)
 
     async def create(
         self, key: str, value: str, lease_s: float | None = None
     ) -> store.Versioned:
         """Creates a key if it is absent; see store.Store."""
-        call = {"key": key, "value": value, "lease_s": lease_s}
-        data = await self._write("create", call)
-        return store.Versioned(key, data["value"], data["revision"])
+        lease = 0
+        grant = None if lease_s is None else self._codec.grant(lease_s)
+        if grant is not None:
+            lease = self._codec.read_grant(await self._write("grant", grant))
+        call = self._codec.create(key, value, lease_s, lease)
+        answer = await self._write("create", call)
+        return self._codec.read_create(key, value, answer)
 
     async def swap(self, key: str, value: str, revision: int) -> int | None:
         """Replaces a value at a revision; see store.Store."""
-        call = {"key": key, "value": value, "revision": revision}
-        data = await self._write("swap", call)
-        return data["revision"] if data["swapped"] else None
+        call = self._codec.swap(key, value, revision)
+        return self._codec.read_swap(await self._write("swap", call))
 
     async def delete(self, key: str) -> None:
         """Deletes a key; see store.Store."""
-        await self._write("delete", {"key": key})
+        await self._write("delete", self._codec.delete(key))
 
     async def watch(
         self, prefix: str, after_revision: int, wait_s: float
     ) -> store.Changes:
         """Waits for changes; see store.Store."""
-        query = urllib.parse.urlencode(
-            {"prefix": prefix, "after": after_revision, "wait_s": wait_s}
-        )
-        data = await self._read(
-            "watch",
-            http_client.get(f"/v1/watch?{query}"),
-            wait_s + WATCH_MARGIN_S,
-        )
-        entries = [
-            store.Versioned(item["key"], item["value"], item["revision"])
-            for item in data["entries"]
-        ]
-        return store.Changes(entries, data["revision"])
+        if not after_revision:
+            return await self._read_all(prefix, wait_s)
+        call = self._codec.watch(prefix, after_revision, wait_s)
+        answer = await self._read("watch", call, wait_s + WATCH_MARGIN_S)
+        return self._codec.read_watch(answer)
+
+    async def keep(self, lease: int) -> bool:
+        """Renews a lease; see store.Store."""
+        call = self._codec.keep(lease)
+        answer = await self._read("keep", call, CALL_TIMEOUT_S)
+        return self._codec.read_keep(answer)
+
+    async def _read_all(self, prefix: str, wait_s: float) -> store.Changes:
+        """Reads all keys; changes after the first page follow by watching."""
+        entries: list[store.Versioned] = []
+        revision: int | None = None
+        after: str | None = ""
+        while after is not None:
+            call = self._codec.page(prefix, after, wait_s)
+            answer = await self._read("list", call, wait_s + WATCH_MARGIN_S)
+            page = self._codec.read_page(answer)
+            entries += page.entries
+            revision = page.revision if revision is None else revision
+            after = page.next_after
+        return store.Changes(entries, revision or 0, True)
 
     async def _read(
         self, call: str, request: exchange.Request, timeout_s: float
-    ) -> dict[str, typing.Any]:
+    ) -> exchange.Answer:
         self._reads.spend()
         try:
             answer = await self._client.call(
@@ -160,16 +272,16 @@
         ) as error:
             self._metrics.store_called(call, False)
             raise errors.StoreError(str(error)) from error
-        self._metrics.store_called(call, answer.status == 200)
-        if answer.status != 200:
+        is_answered = self._codec.is_answered(answer)
+        self._metrics.store_called(call, is_answered)
+        if not is_answered:
             raise errors.StoreError(f"status {answer.status}")
-        return _decoded(answer)
+        return answer
 
     async def _write(
-        self, call: str, body: dict[str, typing.Any]
-    ) -> dict[str, typing.Any]:
+        self, call: str, request: exchange.Request
+    ) -> exchange.Answer:
         self._writes.spend()
-        request = http_client.post(f"/v1/{call}", orjson.dumps(body))
         try:
             answer = await self._client.call(
                 self._host, self._port, request, CALL_TIMEOUT_S
@@ -180,16 +292,35 @@
         except http_client.NoAnswerError as error:
             self._metrics.store_called(call, False)
             raise errors.UnknownOutcomeError(str(error)) from error
-        self._metrics.store_called(call, answer.status == 200)
-        if answer.status == 200:
-            return _decoded(answer)
-        if answer.status < 500:
+        is_answered = self._codec.is_answered(answer)
+        self._metrics.store_called(call, is_answered)
+        if is_answered:
+            return answer
+        if answer.status < 500 or answer.status == 503:
             raise errors.StoreError(f"status {answer.status}")
         raise errors.UnknownOutcomeError(f"status {answer.status}")
 
 
-def _decoded(answer: exchange.Answer) -> dict[str, typing.Any]:
+def decoded(answer: exchange.Answer) -> dict[str, typing.Any]:
+    """Reads the JSON object of an answer.
+
+    Args:
+        answer: The answer.
+
+    Returns:
+        The object.
+
+    Raises:
+        StoreError: The body is no JSON object.
+    """
     try:
-        return orjson.loads(answer.body)
+        data = orjson.loads(answer.body)
     except orjson.JSONDecodeError as error:
         raise errors.StoreError("the answer is not JSON") from error
+    if not isinstance(data, dict):
+        raise errors.StoreError("the answer is no JSON object")
+    return data
+
+
+def _post(call: str, body: dict[str, typing.Any]) -> exchange.Request:
+    return http_client.post(f"/v1/{call}", orjson.dumps(body))
--- /dev/null
+++ b/src/dotterelpath/domain/placement.py
@@ -0,0 +1,291 @@
+"""The instances of one service, and which of them gets a request."""
+
+from __future__ import annotations
+
+import math
+import typing
+
+from dotterelpath.domain import registry
+from dotterelpath.domain import sickness
+from dotterelpath.ports import randomness
+
+# An answer that took so many times the usual counts as slow; lognormal work
+# with the spread of the users' services exceeds it in one of a hundred cases.
+SLOW_FACTOR = 4.0
+SLOW_SLACK_S = 0.05
+# The weight of one answer in the usual time.
+USUAL_WEIGHT = 0.1
+# What a load report says of others' requests fades with this time, in
+# seconds; it is the order of one request's work.
+REPORT_FADE_S = 0.5
+# Prices of the ways a choice may turn out badly, as parts of a lost request.
+SLOW_COST = 0.5
+RETRIED_COST = 0.4
+FULLNESS_COST = 0.1
+DISTANCE_COST = 0.02
+WARM_UP_COST = 0.1
+TIE_COST = 0.005
+
+
+class Instance:
+    """One backend server as this daemon sees it."""
+
+    __slots__ = (
+        "entry",
+        "failing",
+        "in_flight",
+        "is_lapsed",
+        "others",
+        "others_at_s",
+        "slow",
+        "warm_at_s",
+    )
+
+    def __init__(self, entry: registry.Entry, now_s: float) -> None:
+        """Creates an instance of which nothing is known.
+
+        Args:
+            entry: What it says of itself.
+            now_s: The monotonic clock, in seconds.
+        """
+        self.entry = entry
+        self.failing = sickness.Sickness(now_s)
+        self.slow = sickness.Sickness(now_s)
+        self.in_flight = 0
+        self.is_lapsed = False
+        self.others = 0.0
+        self.others_at_s = -math.inf
+        self.warm_at_s = now_s + entry.warm_up_s
+
+    @property
+    def id(self) -> str:
+        """The instance's id."""
+        return self.entry.id
+
+    def load(self, now_s: float) -> float:
+        """Estimates its requests, those of other daemons included.
+
+        Args:
+            now_s: The monotonic clock, in seconds.
+        """
+        age_s = now_s - self.others_at_s
+        return self.in_flight + self.others * math.exp(-age_s / REPORT_FADE_S)
+
+    def report(self, running: int, waiting: int, now_s: float) -> None:
+        """Takes in the instance's own count of requests.
+
+        Args:
+            running: Requests that it works on.
+            waiting: Requests in its queue.
+            now_s: The monotonic clock, in seconds.
+        """
+        self.others = float(max(0, running + waiting - self.in_flight))
+        self.others_at_s = now_s
+
+
+class Pick:
+    """The result of a choice."""
+
+    __slots__ = ("instance", "is_full")
+
+    def __init__(self, instance: Instance | None, is_full: bool) -> None:
+        """Creates a result.
+
+        Args:
+            instance: The instance that gets the request.
+            is_full: Whether one would get it, if it had a free slot.
+        """
+        self.instance = instance
+        self.is_full = is_full
+
+
+class Placement:
+    """Chooses instances of a service and keeps what is known of them.
+
+    The choice weighs the chance that an instance fails the request, that it
+    is slow, how full it is, and whether it stands in another data centre.
+    """
+
+    __slots__ = (
+        "_data_centre",
+        "_instances",
+        "_usual_failing",
+        "_usual_s",
+        "_usual_slow",
+    )
+
+    def __init__(self, data_centre: str) -> None:
+        """Creates a service without instances.
+
+        Args:
+            data_centre: Where this daemon stands.
+        """
+        self._data_centre = data_centre
+        self._instances: dict[str, Instance] = {}
+        self._usual_failing = sickness.UsualRate()
+        self._usual_slow = sickness.UsualRate()
+        self._usual_s: dict[str, float] = {}
+
+    @property
+    def instances(self) -> dict[str, Instance]:
+        """The instances that may get work, by id."""
+        return self._instances
+
+    @property
+    def slots(self) -> int:
+        """Requests that all instances work on at once."""
+        return sum(i.entry.slots for i in self._instances.values())
+
+    @property
+    def in_flight(self) -> int:
+        """This daemon's requests at all instances."""
+        return sum(i.in_flight for i in self._instances.values())
+
+    def set_listed(
+        self, listed: typing.Iterable[registry.Listed], now_s: float
+    ) -> None:
+        """Takes in the instances of the service.
+
+        Args:
+            listed: Those that may get work.
+            now_s: The monotonic clock, in seconds.
+        """
+        before = self._instances
+        self._instances = {}
+        for item in listed:
+            entry = item.entry
+            found = before.get(entry.id)
+            if found is None or found.entry.started_ms != entry.started_ms:
+                found = Instance(entry, now_s)
+            found.entry = entry
+            found.is_lapsed = item.missing_since_s is not None
+            self._instances[entry.id] = found
+
+    def drop(self, instance_id: str) -> None:
+        """Gives an instance no more work.
+
+        Args:
+            instance_id: The instance.
+        """
+        self._instances.pop(instance_id, None)
+
+    def choose(
+        self,
+        random: randomness.RandomSource,
+        now_s: float,
+        can_retry: bool,
+        tried: typing.Collection[str] = (),
+    ) -> Pick:
+        """Chooses the instance that serves a request best.
+
+        Args:
+            random: Breaks ties.
+            now_s: The monotonic clock, in seconds.
+            can_retry: Whether a failure can be made up for elsewhere.
+            tried: Instances that the request was sent to before.
+
+        Returns:
+            The instance, or whether waiting for one makes sense.
+        """
+        usable = [i for i in self._instances.values() if i.id not in tried]
+        lasting = [i for i in usable if not i.is_lapsed]
+        usable = lasting or usable
+        best: Instance | None = None
+        best_cost = math.inf
+        for instance in usable:
+            load = instance.load(now_s)
+            if load > instance.entry.slots - 0.5:
+                continue
+            cost = self._cost(instance, load, can_retry, now_s)
+            cost += TIE_COST * random.random()
+            if cost < best_cost:
+                best, best_cost = instance, cost
+        return Pick(best, best is None and bool(usable))
+
+    def usual_s(self, route: str, default_s: float) -> float:
+        """How long an answer usually takes.
+
+        Args:
+            route: The route's name.
+            default_s: What to assume of a route without answers, in seconds.
+        """
+        return self._usual_s.get(route, default_s)
+
+    def slow_after_s(self, route: str, default_s: float) -> float:
+        """After what time an answer counts as slow, in seconds.
+
+        Args:
+            route: The route's name.
+            default_s: The usual time of a route without answers, in seconds.
+        """
+        usual_s = self.usual_s(route, default_s)
+        return usual_s * SLOW_FACTOR + SLOW_SLACK_S
+
+    def succeeded(
+        self, instance_id: str, route: str, took_s: float, now_s: float
+    ) -> None:
+        """Takes in a good answer.
+
+        Args:
+            instance_id: The instance.
+            route: The route's name.
+            took_s: How long it took, in seconds.
+            now_s: The monotonic clock, in seconds.
+        """
+        is_slow = took_s > self.slow_after_s(route, took_s)
+        usual_s = self._usual_s.get(route, took_s)
+        if not is_slow:
+            step_s = took_s - usual_s
+            self._usual_s[route] = usual_s + USUAL_WEIGHT * step_s
+        instance = self._instances.get(instance_id)
+        if instance is not None:
+            instance.failing.observe(False, self._usual_failing, now_s)
+            if not is_slow:
+                instance.slow.observe(False, self._usual_slow, now_s)
+
+    def failed(self, instance_id: str, now_s: float) -> float | None:
+        """Takes in a failure.
+
+        Args:
+            instance_id: The instance.
+            now_s: When it was seen, on the monotonic clock, in seconds.
+
+        Returns:
+            The chance that the instance is sick, or None if it is unknown.
+        """
+        instance = self._instances.get(instance_id)
+        if instance is None:
+            return None
+        instance.failing.observe(True, self._usual_failing, now_s)
+        return instance.failing.chance(now_s)
+
+    def lagged(self, instance_id: str, now_s: float) -> float | None:
+        """Takes in that a request takes longer than usual.
+
+        Args:
+            instance_id: The instance.
+            now_s: When it was seen, on the monotonic clock, in seconds.
+
+        Returns:
+            The chance that the instance is slow, or None if it is unknown.
+        """
+        instance = self._instances.get(instance_id)
+        if instance is None:
+            return None
+        instance.slow.observe(True, self._usual_slow, now_s)
+        return instance.slow.chance(now_s)
+
+    def _cost(
+        self, instance: Instance, load: float, can_retry: bool, now_s: float
+    ) -> float:
+        """Weighs what may go wrong if an instance gets a request."""
+        failing = instance.failing.bad_chance(self._usual_failing, now_s)
+        slow = instance.slow.bad_chance(self._usual_slow, now_s)
+        fullness = (load + 1.0) / max(1, instance.entry.slots)
+        cost = failing * (RETRIED_COST if can_retry else 1.0)
+        cost += slow * SLOW_COST + fullness * fullness * FULLNESS_COST
+        if instance.entry.data_centre != self._data_centre:
+            cost += DISTANCE_COST
+        if now_s < instance.warm_at_s:
+            cost += WARM_UP_COST
+        return cost
--- /dev/null
+++ b/src/dotterelpath/domain/retry_window.py
@@ -0,0 +1,65 @@
+"""A daemon's part of the retries that all daemons may make together."""
+
+from __future__ import annotations
+
+import collections
+
+# What is left of the allowance for requests that two daemons count apart.
+SAFE_PART = 0.7
+
+
+class RetryWindow:
+    """Allows retries as a share of the requests in a sliding window.
+
+    The share needs no agreement, since each daemon counts its own requests;
+    the fixed allowance is divided among the daemons that carry the service.
+    """
+
+    __slots__ = ("_requests", "_retries")
+
+    def __init__(self) -> None:
+        """Creates an empty window."""
+        self._requests: collections.deque[float] = collections.deque()
+        self._retries: collections.deque[float] = collections.deque()
+
+    @property
+    def retries(self) -> int:
+        """Retries in the window."""
+        return len(self._retries)
+
+    def count(self, window_s: float, now_s: float) -> None:
+        """Counts a request.
+
+        Args:
+            window_s: The length of the window, in seconds.
+            now_s: The monotonic clock, in seconds.
+        """
+        self._requests.append(now_s)
+        _forget(self._requests, now_s - window_s)
+
+    def spend(
+        self, ratio: float, slack: float, window_s: float, now_s: float
+    ) -> bool:
+        """Takes a retry out of the budget.
+
+        Args:
+            ratio: Retries allowed for each request.
+            slack: Retries allowed besides; this daemon's part.
+            window_s: The length of the window, in seconds.
+            now_s: The monotonic clock, in seconds.
+
+        Returns:
+            Whether the retry may be made.
+        """
+        _forget(self._requests, now_s - window_s)
+        _forget(self._retries, now_s - window_s)
+        allowed = SAFE_PART * (ratio * len(self._requests) + slack)
+        if len(self._retries) + 1 > allowed:
+            return False
+        self._retries.append(now_s)
+        return True
+
+
+def _forget(counted: collections.deque[float], before_s: float) -> None:
+    while counted and counted[0] < before_s:
+        counted.popleft()
--- /dev/null
+++ b/src/dotterelpath/domain/waiting.py
@@ -0,0 +1,146 @@
+"""Requests that wait for a free slot, and which of them go first."""
+
+from __future__ import annotations
+
+import typing
+
+T = typing.TypeVar("T")
+
+# A waiting request rises by one rank in this time, in seconds, so that no
+# kind of request starves behind more urgent ones.
+AGING_S = 2.0
+# A request whose usual work no longer fits before its deadline by this part
+# is hopeless; work varies around the usual.
+LEAST_PART = 0.7
+
+
+class Waiter(typing.Generic[T]):
+    """A request that waits for an instance."""
+
+    __slots__ = (
+        "deadline_s",
+        "item",
+        "priority",
+        "since_s",
+        "target_s",
+        "work_s",
+    )
+
+    def __init__(
+        self,
+        item: T,
+        priority: int,
+        since_s: float,
+        target_s: float,
+        deadline_s: float,
+        work_s: float,
+    ) -> None:
+        """Creates a waiter.
+
+        Args:
+            item: The request.
+            priority: Its rank; 0 is the highest.
+            since_s: When it began to wait, on the monotonic clock, in
+                seconds.
+            target_s: Until when an answer is of full use.
+            deadline_s: Until when an answer is of any use.
+            work_s: How long an instance usually works on it, in seconds.
+        """
+        self.item = item
+        self.priority = priority
+        self.since_s = since_s
+        self.target_s = target_s
+        self.deadline_s = deadline_s
+        self.work_s = work_s
+
+    def is_hopeless(self, start_s: float) -> bool:
+        """Whether the request can hardly be met any more.
+
+        Args:
+            start_s: When an instance could begin with it.
+        """
+        return start_s + self.work_s * LEAST_PART > self.deadline_s
+
+    def rank(self, now_s: float) -> tuple[float, bool, float]:
+        """Orders waiting requests; the lowest goes first.
+
+        Args:
+            now_s: The monotonic clock, in seconds.
+
+        Returns:
+            The priority with its aging, whether full use is out of reach,
+            and the time at which it will be.
+        """
+        aged = self.priority - int((now_s - self.since_s) / AGING_S)
+        is_late = now_s + self.work_s > self.target_s
+        return (float(aged), is_late, self.target_s - self.work_s)
+
+
+class Queue(typing.Generic[T]):
+    """The requests that wait for the instances of one service."""
+
+    __slots__ = ("_waiters",)
+
+    def __init__(self) -> None:
+        """Creates an empty queue."""
+        self._waiters: list[Waiter[T]] = []
+
+    def __len__(self) -> int:
+        """Counts the waiting requests."""
+        return len(self._waiters)
+
+    def add(
+        self, waiter: Waiter[T], slots: int, now_s: float
+    ) -> list[Waiter[T]]:
+        """Adds a request, and finds those that have no hope now.
+
+        Args:
+            waiter: The request.
+            slots: Requests that this daemon may have worked on at once.
+            now_s: The monotonic clock, in seconds.
+
+        Returns:
+            Requests to refuse at once; they no longer wait.
+        """
+        self._waiters.append(waiter)
+        self._waiters.sort(key=lambda w: w.rank(now_s))
+        return self.refuse(slots, now_s)
+
+    def refuse(self, slots: int, now_s: float) -> list[Waiter[T]]:
+        """Takes out the requests that have no hope.
+
+        A request starts when the work ahead of it is done; those behind a
+        refused one move up.
+
+        Args:
+            slots: Requests that this daemon may have worked on at once.
+            now_s: The monotonic clock, in seconds.
+        """
+        kept = []
+        refused = []
+        ahead_s = 0.0
+        for waiter in self._waiters:
+            if waiter.is_hopeless(now_s + ahead_s / max(1, slots)):
+                refused.append(waiter)
+                continue
+            kept.append(waiter)
+            ahead_s += waiter.work_s
+        self._waiters = kept
+        return refused
+
+    def ordered(self, now_s: float) -> list[Waiter[T]]:
+        """Lists the requests, the first to go at the start.
+
+        Args:
+            now_s: The monotonic clock, in seconds.
+        """
+        self._waiters.sort(key=lambda w: w.rank(now_s))
+        return list(self._waiters)
+
+    def remove(self, item: T) -> None:
+        """Takes out a request.
+
+        Args:
+            item: The request.
+        """
+        self._waiters = [w for w in self._waiters if w.item is not item]
--- a/src/dotterelpath/errors.py
+++ b/src/dotterelpath/errors.py
@@ -180,3 +180,7 @@
 
 class UnknownOutcomeError(Exception):
     """A store write whose answer was lost; it may have taken effect."""
+
+
+class HistoryLostError(StoreError):
+    """The store no longer has the changes that a watch asks for."""
--- /dev/null
+++ b/src/dotterelpath/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls."""
--- /dev/null
+++ b/src/dotterelpath/platform/caller_codec.py
@@ -0,0 +1,97 @@
+"""Callers' requests and answers as the platform speaks them."""
+
+from __future__ import annotations
+
+from dotterelpath import errors
+from dotterelpath.adapters import caller_codec
+from dotterelpath.adapters import headers as header_names
+from dotterelpath.domain import exchange
+from dotterelpath.platform import names
+from dotterelpath.ports import frontend
+
+MAX_DEADLINE_MS = 3_600_000
+
+# What callers may take for a promise that a request has not run, besides 503.
+_FORM_STATUSES = frozenset({400, 404, 405, 408, 413, 431})
+_DROPPED = frozenset({b"content-length", b"expect"})
+
+
+class CallerCodec:
+    """Reads and writes for callers; see frontend.CallerCodec."""
+
+    __slots__ = ()
+
+    def read(self, head: frontend.Head, body: bytes) -> exchange.Request:
+        """Reads a request; see frontend.CallerCodec."""
+        if not head.target.startswith("/"):
+            raise errors.DotterelpathError(
+                errors.ResultCode.MALFORMED_REQUEST, "the target is not a path"
+            )
+        request_id = _only(head.headers, names.REQUEST_ID)
+        if not request_id:
+            raise errors.DotterelpathError(
+                errors.ResultCode.BAD_HEADER, "the request has no id"
+            )
+        host = _only(head.headers, b"host") or ""
+        forwarded = header_names.without_hop_by_hop(head.headers, _DROPPED)
+        return exchange.Request(
+            head.method,
+            head.target,
+            forwarded,
+            body,
+            timeout_s=_timeout_s(head.headers),
+            request_id=request_id,
+            host=host.partition(":")[0].lower(),
+            received_s=head.received_s,
+        )
+
+    def write(
+        self, outcome: exchange.Outcome, request: exchange.Request | None
+    ) -> frontend.Encoded:
+        """Writes an answer; see frontend.CallerCodec."""
+        answer = outcome.answer
+        result = (header_names.RESULT, str(int(outcome.code)).encode())
+        if answer is not None and outcome.is_answered:
+            fields = header_names.without_hop_by_hop(answer.headers, _DROPPED)
+            return frontend.Encoded(
+                answer.status, [*fields, result], answer.body
+            )
+        own = [result, (b"content-type", b"application/json")]
+        if request is not None:
+            own.append((names.REQUEST_ID, request.request_id.encode("latin-1")))
+        if outcome.retry_after_s is not None:
+            # The platform's callers take fractions of a second.
+            after = f"{outcome.retry_after_s:.2f}".encode()
+            own.append((b"retry-after", after))
+        return frontend.Encoded(
+            _status(outcome.code), own, caller_codec.error_body(outcome)
+        )
+
+
+def _status(code: errors.ResultCode) -> int:
+    """Chooses a status that promises no more than the outcome's class."""
+    if code.outcome_class is errors.OutcomeClass.NOT_RUN:
+        status = code.http_status
+        return status if status in _FORM_STATUSES else 503
+    return 504 if code is errors.ResultCode.BACKEND_TIMEOUT else 502
+
+
+def _only(headers: exchange.Headers, name: bytes) -> str | None:
+    found = [value for key, value in headers if key == name]
+    if len(found) > 1:
+        raise errors.DotterelpathError(
+            errors.ResultCode.BAD_HEADER, f"{name.decode()} stands twice"
+        )
+    return found[0].decode("latin-1") if found else None
+
+
+def _timeout_s(headers: exchange.Headers) -> float | None:
+    """Reads how long the caller waits, in seconds."""
+    text = _only(headers, names.DEADLINE_MS)
+    if text is None:
+        return None
+    if not text.isdigit() or len(text) > 9:
+        raise errors.DotterelpathError(
+            errors.ResultCode.BAD_HEADER, "the deadline is no whole number"
+        )
+    return min(int(text), MAX_DEADLINE_MS) / 1000.0
--- /dev/null
+++ b/src/dotterelpath/platform/catalog.py
@@ -0,0 +1,210 @@
+"""What the platform's operator, instances and daemons keep in the store."""
+
+from __future__ import annotations
+
+import re
+import typing
+
+import orjson
+
+from dotterelpath.domain import configuration
+from dotterelpath.domain import registry
+from dotterelpath.domain import steering
+from dotterelpath.platform import fields
+from dotterelpath.ports import catalog
+from dotterelpath.ports import store
+
+CONFIGURATION_KEY = "op/config"
+INSTANCE_PREFIX = "servers/"
+DAEMON_PREFIX = "dotterelpath/daemons/"
+
+_VERSION = re.compile(r"r(\d{1,18})\Z")
+_STATES = {"ready": False, "draining": True}
+
+
+class Catalog:
+    """Reads the items; see ports.catalog.Catalog."""
+
+    __slots__ = ()
+
+    @property
+    def prefix(self) -> str:
+        """All keys, so that one watch is enough; see catalog.Catalog."""
+        return ""
+
+    def read(self, item: store.Versioned) -> catalog.Item | None:
+        """Reads an item; see catalog.Catalog."""
+        try:
+            if item.key == CONFIGURATION_KEY:
+                return _read_configuration(item)
+            if item.key.startswith(INSTANCE_PREFIX):
+                return _read_instance(item)
+            if item.key.startswith(DAEMON_PREFIX):
+                return _read_daemon(item)
+        except (fields.FieldError, orjson.JSONDecodeError) as error:
+            return catalog.Unreadable(item.key, str(error), _instance_id(item))
+        return None
+
+    def daemon_key(self, daemon_id: str) -> str:
+        """Names a daemon's key; see catalog.Catalog."""
+        return DAEMON_PREFIX + daemon_id
+
+    def write_daemon(self, daemon: steering.Daemon) -> str:
+        """Writes a daemon's entry; see catalog.Catalog."""
+        return orjson.dumps(
+            {
+                "data_centre": daemon.data_centre,
+                "region": daemon.region,
+                "front": f"{daemon.front_host}:{daemon.front_port}",
+                "peer": f"{daemon.peer_host}:{daemon.peer_port}",
+                "cores": daemon.weight,
+            }
+        ).decode()
+
+
+def _instance_id(item: store.Versioned) -> str | None:
+    if item.key.startswith(INSTANCE_PREFIX):
+        return item.key[len(INSTANCE_PREFIX) :]
+    return None
+
+
+def _read_instance(item: store.Versioned) -> catalog.Item:
+    instance_id = item.key[len(INSTANCE_PREFIX) :]
+    if item.value is None:
+        return catalog.InstanceItem(instance_id, None)
+    data = fields.table(orjson.loads(item.value), "the entry")
+    state = fields.text(data, "state")
+    if state not in _STATES:
+        raise fields.FieldError(f"the state {state!r} is unknown")
+    host, port = fields.endpoint(fields.text(data, "address"), "address")
+    fields.text(data, "version")
+    slots = fields.whole(data, "capacity")
+    if slots < 1:
+        raise fields.FieldError("capacity is 0")
+    return catalog.InstanceItem(
+        instance_id,
+        registry.Entry(
+            instance_id,
+            fields.text(data, "service"),
+            host,
+            port,
+            fields.text(data, "zone"),
+            slots,
+            _STATES[state],
+            fields.number(data, "warmup_left_s"),
+            fields.whole(data, "sequence"),
+            # When the instance started, in milliseconds since 1970.
+            fields.whole(data, "born") if "born" in data else 0,
+        ),
+    )
+
+
+def _read_daemon(item: store.Versioned) -> catalog.Item:
+    daemon_id = item.key[len(DAEMON_PREFIX) :]
+    if item.value is None:
+        return catalog.DaemonItem(daemon_id, None)
+    data = fields.table(orjson.loads(item.value), "the entry")
+    front = fields.endpoint(fields.text(data, "front"), "front")
+    peer = fields.endpoint(fields.text(data, "peer"), "peer")
+    daemon = steering.Daemon(
+        daemon_id,
+        fields.text(data, "data_centre"),
+        fields.text(data, "region"),
+        *front,
+        *peer,
+        fields.number(data, "cores"),
+    )
+    return catalog.DaemonItem(daemon_id, daemon)
+
+
+def _read_configuration(item: store.Versioned) -> catalog.Item:
+    if item.value is None:
+        raise fields.FieldError("the configuration was deleted")
+    data = fields.table(orjson.loads(item.value), "the configuration")
+    version = _VERSION.match(fields.text(data, "version"))
+    if version is None:
+        raise fields.FieldError("the version has another form")
+    services = {}
+    for row in fields.rows(data, "services"):
+        found = fields.table(row, "a service")
+        name = fields.text(found, "name")
+        services[name] = configuration.Service(
+            name, fields.whole(found, "max_connections")
+        )
+    routes = []
+    for row in fields.rows(data, "hosts"):
+        host = fields.table(row, "a host")
+        for rule in fields.rows(host, "path_rules"):
+            route = fields.table(rule, "a route")
+            routes.append(_route(fields.text(host, "host"), route, services))
+    return catalog.ConfigurationItem(
+        configuration.Configuration(
+            int(version.group(1)),
+            services,
+            routes,
+            _limits(fields.table(data.get("limits"), "limits")),
+        )
+    )
+
+
+def _limits(data: dict[str, typing.Any]) -> configuration.CallerLimits:
+    return configuration.CallerLimits(
+        fields.whole(data, "max_header_bytes"),
+        fields.whole(data, "max_body_bytes"),
+        # The time for the whole head, not for each header.
+        fields.number(data, "header_timeout_s"),
+        fields.number(data, "idle_timeout_s"),
+    )
+
+
+def _route(
+    host: str,
+    data: dict[str, typing.Any],
+    services: dict[str, configuration.Service],
+) -> configuration.Route:
+    prefix = fields.text(data, "prefix")
+    if not prefix.startswith("/") or not prefix.endswith("/"):
+        raise fields.FieldError(f"the prefix {prefix!r} lacks a slash")
+    # It tells whether a request may run more than once.
+    kind = fields.text(data, "route_type")
+    if kind not in ("idempotent", "non_idempotent"):
+        raise fields.FieldError(f"the kind {kind!r} is unknown")
+    max_tries = fields.whole(data, "max_attempts")
+    if max_tries < 1:
+        raise fields.FieldError("max_attempts is 0")
+    return configuration.Route(
+        fields.text(data, "name"),
+        host.lower(),
+        prefix,
+        _parts(data, services),
+        kind == "idempotent",
+        max_tries,
+        fields.number(data, "timeout_s"),
+        fields.number(data, "target_latency_s"),
+        fields.whole(data, "priority"),
+    )
+
+
+def _parts(
+    data: dict[str, typing.Any], services: dict[str, configuration.Service]
+) -> tuple[configuration.Part, ...]:
+    if data.get("traffic_split"):
+        split = [
+            fields.table(row, "a part")
+            for row in fields.rows(data, "traffic_split")
+        ]
+        parts = [
+            configuration.Part(
+                fields.text(part, "service"), fields.number(part, "weight")
+            )
+            for part in split
+        ]
+    else:
+        parts = [configuration.Part(fields.text(data, "service"), 1.0)]
+    for part in parts:
+        if part.service not in services:
+            raise fields.FieldError(f"the service {part.service!r} is unknown")
+    weighted = tuple(part for part in parts if part.weight > 0.0)
+    if not weighted:
+        raise fields.FieldError("no part has a weight")
+    return weighted
--- /dev/null
+++ b/src/dotterelpath/platform/entry_api.py
@@ -0,0 +1,65 @@
+"""What the platform and its callers ask a daemon besides their requests."""
+
+from __future__ import annotations
+
+import typing
+import urllib.parse
+
+from dotterelpath import errors
+from dotterelpath.adapters import api
+from dotterelpath.domain import exchange
+from dotterelpath.ports import addressing
+
+READY_PATH = "/v1/ready"
+RESOLVE_PATH = "/v1/resolve"
+
+
+class EntryApi:
+    """Answers the platform's check and callers' questions for addresses."""
+
+    __slots__ = ("_addressing",)
+
+    def __init__(self, found: addressing.Addressing) -> None:
+        """Creates the calls.
+
+        Args:
+            found: Knows the daemons and whether this one is ready.
+        """
+        self._addressing = found
+
+    @property
+    def ready_handlers(self) -> dict[tuple[str, str], api.Handler]:
+        """The platform's check."""
+        return {("GET", READY_PATH): self._on_ready}
+
+    @property
+    def directory_handlers(self) -> dict[tuple[str, str], api.Handler]:
+        """Callers' questions."""
+        return {("GET", RESOLVE_PATH): self._on_resolve}
+
+    async def _on_ready(self, request: exchange.Request) -> exchange.Answer:
+        if not self._addressing.is_ready:
+            raise errors.DotterelpathError(errors.ResultCode.NO_DOCUMENT)
+        return api.json_answer({})
+
+    async def _on_resolve(self, request: exchange.Request) -> exchange.Answer:
+        query = urllib.parse.parse_qs(request.target.partition("?")[2])
+        found = self._addressing.resolve(
+            _only(query, "name").lower(),
+            # The platform's zone is a data centre.
+            _only(query, "zone"),
+            _only(query, "region"),
+        )
+        if not found.endpoints:
+            raise errors.DotterelpathError(errors.ResultCode.NO_BACKEND)
+        return api.json_answer(
+            {
+                "addresses": [str(endpoint) for endpoint in found.endpoints],
+                "ttl_s": found.ttl_s,
+            }
+        )
+
+
+def _only(query: dict[str, list[str]], name: str) -> str:
+    values: typing.Sequence[str] = query.get(name, [])
+    return values[0] if values else ""
--- /dev/null
+++ b/src/dotterelpath/platform/server_codec.py
@@ -0,0 +1,75 @@
+"""Requests to instances and their answers as the platform speaks them."""
+
+from __future__ import annotations
+
+import re
+
+from dotterelpath.domain import exchange
+from dotterelpath.platform import names
+from dotterelpath.ports import backend
+
+WRONG_ADDRESS_STATUS = 421
+_KEEP_ALIVE_S = re.compile(rb"timeout\s*=\s*(\d{1,6})")
+_REPLACED = frozenset({names.DEADLINE_MS, names.TARGET_INSTANCE})
+
+
+class ServerCodec:
+    """Writes and reads for instances; see backend.ServerCodec."""
+
+    __slots__ = ()
+
+    @property
+    def takes_unframed(self) -> bool:
+        """Instances may end an answer with its connection."""
+        return True
+
+    def fields(
+        self,
+        request: exchange.Request,
+        address: str,
+        instance_id: str,
+        timeout_s: float,
+    ) -> exchange.Headers:
+        """Writes a request's headers; see backend.ServerCodec."""
+        left_ms = max(1, int(timeout_s * 1000.0))
+        fields = [item for item in request.headers if item[0] not in _REPLACED]
+        fields.append((names.DEADLINE_MS, str(left_ms).encode()))
+        fields.append((names.TARGET_INSTANCE, instance_id.encode("latin-1")))
+        return fields
+
+    def belongs(
+        self, request: exchange.Request, answer: exchange.Answer
+    ) -> bool:
+        """Compares the ids; see backend.ServerCodec."""
+        answered = answer.header(names.REQUEST_ID)
+        if answered is None:
+            # A failure may come from before the instance read the id.
+            return answer.status >= 400
+        return answered.decode("latin-1") == request.request_id
+
+    def idle_s(self, answer: exchange.Answer) -> float | None:
+        """Reads the time-out of idle connections; see backend.ServerCodec."""
+        found = _KEEP_ALIVE_S.search(answer.header(names.KEEP_ALIVE) or b"")
+        return float(found.group(1)) if found else None
+
+
+def read_signs(answer: exchange.Answer) -> backend.Signs:
+    """Reads what an instance's answer says besides its body.
+
+    Args:
+        answer: The answer.
+
+    Returns:
+        The signs.
+    """
+    is_elsewhere = answer.status == WRONG_ADDRESS_STATUS
+    signs = backend.Signs(
+        is_not_run=is_elsewhere
+        or answer.header(names.NOT_EXECUTED) is not None,
+        is_elsewhere=is_elsewhere,
+        is_proven=answer.header(names.SIGNATURE) is not None,
+    )
+    load = (answer.header(names.SERVER_LOAD) or b"").split(b",")
+    if len(load) == 3 and all(part.strip().isdigit() for part in load):
+        signs.running, signs.waiting, signs.slots = (int(p) for p in load)
+    return signs
--- /dev/null
+++ b/src/dotterelpath/platform/settings.py
@@ -0,0 +1,84 @@
+"""The settings file that the platform gives to each process."""
+
+from __future__ import annotations
+
+import typing
+
+import orjson
+
+from dotterelpath.domain import bounds
+from dotterelpath.domain import deployment
+from dotterelpath.platform import fields
+
+PATH_VARIABLE = "DOTTERELPATH_CONFIG"
+
+
+def read(content: bytes) -> deployment.Deployment:
+    """Reads the settings.
+
+    Args:
+        content: The file.
+
+    Returns:
+        What they say, in the fleet's own terms.
+
+    Raises:
+        FieldError: A field is missing or wrong.
+    """
+    try:
+        data = fields.table(orjson.loads(content), "the file")
+    except orjson.JSONDecodeError as error:
+        raise fields.FieldError(f"the file is no JSON: {error}") from error
+    ip = fields.text(data, "ip")
+    listen = fields.table(data.get("listen"), "listen")
+    # Free ports on this machine for what daemons say to each other; the
+    # first is for datagrams, the second for metrics.
+    first_port = int(fields.rows(data, "port_range")[0])
+    # The platform's zone is a data centre.
+    zone = fields.text(data, "zone")
+    limits = fields.table(data.get("limits"), "limits")
+    platform = fields.table(data.get("platform"), "platform")
+    return deployment.Deployment(
+        fields.text(data, "node_name"),
+        zone,
+        fields.text(data, "region"),
+        fields.table(data.get("zones"), "zones"),
+        _endpoint(listen, "front"),
+        _endpoint(listen, "ready"),
+        _endpoint(listen, "directory") if "directory" in listen else None,
+        deployment.Endpoint(ip, first_port),
+        deployment.Endpoint(ip, first_port + 1),
+        _endpoint(platform, "address"),
+        # A share of a core, and how many times as fast as one it runs.
+        fields.number(limits, "cpu_share") * fields.number(limits, "cores"),
+        _bounds(fields.rows(data, "bounds")),
+    )
+
+
+def _endpoint(data: dict[str, typing.Any], name: str) -> deployment.Endpoint:
+    host, port = fields.endpoint(fields.text(data, name), name)
+    return deployment.Endpoint(host, port)
+
+
+def _bounds(listed: list[typing.Any]) -> bounds.Bounds:
+    """Reads texts of the form name=value; what is missing has a default."""
+    found: dict[str, float] = {}
+    for text in listed:
+        name, _, value = str(text).partition("=")
+        try:
+            found[name.strip()] = float(value)
+        except ValueError:
+            # Some bounds are true or false; none that is read here.
+            continue
+    named = {
+        "drain_s": "drain_s",
+        "grace_s": "grace_s",
+        "apply_s": "config_apply_s",
+        "retry_ratio": "retry_budget_ratio",
+        "retry_slack": "retry_slack",
+        "retry_window_s": "budget_window_s",
+        "address_ttl_s": "ttl_max_s",
+    }
+    return bounds.Bounds(
+        **{own: found[name] for own, name in named.items() if name in found}
+    )
--- /dev/null
+++ b/src/dotterelpath/platform/store_codec.py
@@ -0,0 +1,172 @@
+"""The calls of the platform's store; see ports.store.StoreCodec."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import typing
+import urllib.parse
+
+import orjson
+
+from dotterelpath import errors
+from dotterelpath.adapters import http_client
+from dotterelpath.adapters import store_client
+from dotterelpath.domain import exchange
+from dotterelpath.ports import store
+
+MAX_WAIT_MS = 30_000
+
+
+class StoreCodec:
+    """Writes and reads the calls; see store.StoreCodec."""
+
+    __slots__ = ()
+
+    def get(self, key: str) -> exchange.Request:
+        """Writes a read of a key; see store.StoreCodec."""
+        return http_client.get(f"/v1/kv-key?{_query(key=key)}")
+
+    def read_get(self, key: str, answer: exchange.Answer) -> store.Versioned:
+        """Reads a key's item; see store.StoreCodec."""
+        if answer.status == 404:
+            return store.Versioned(key, None, 0)
+        return _item(store_client.decoded(answer))
+
+    def page(self, prefix: str, after: str, wait_s: float) -> exchange.Request:
+        """Writes a read of many keys; see store.StoreCodec."""
+        query = {"prefix": prefix}
+        if after:
+            query["after"] = after
+        return http_client.get(f"/v1/kv-range?{_query(**query)}")
+
+    def read_page(self, answer: exchange.Answer) -> store.Page:
+        """Reads many keys; see store.StoreCodec."""
+        data = store_client.decoded(answer)
+        entries = _items(data, "items")
+        has_more = data.get("has_more") is True and bool(entries)
+        return store.Page(
+            entries, _revision(data), entries[-1].key if has_more else None
+        )
+
+    def watch(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> exchange.Request:
+        """Writes a wait for changes; see store.StoreCodec."""
+        wait_ms = min(MAX_WAIT_MS, int(wait_s * 1000.0))
+        query = _query(prefix=prefix, after=after_revision, wait_ms=wait_ms)
+        return http_client.get(f"/v1/kv-watch?{query}")
+
+    def read_watch(self, answer: exchange.Answer) -> store.Changes:
+        """Reads changes; see store.StoreCodec."""
+        if answer.status == 410:
+            raise errors.HistoryLostError("the history is gone")
+        data = store_client.decoded(answer)
+        return store.Changes(_items(data, "events"), _revision(data))
+
+    def grant(self, lease_s: float) -> exchange.Request | None:
+        """Writes the start of a lease; see store.StoreCodec."""
+        # The field holds the lease's length, in seconds.
+        return _post("/v1/kv-lease", {"ttl_s_time": lease_s})
+
+    def read_grant(self, answer: exchange.Answer) -> int:
+        """Reads the new lease; see store.StoreCodec."""
+        return int(store_client.decoded(answer)["lease"])
+
+    def create(
+        self, key: str, value: str, lease_s: float | None, lease: int
+    ) -> exchange.Request:
+        """Writes a create-if-absent; see store.StoreCodec."""
+        return _put(key, value, 0, lease)
+
+    def read_create(
+        self, key: str, value: str, answer: exchange.Answer
+    ) -> store.Versioned:
+        """Reads whether the key is new; see store.StoreCodec."""
+        data = store_client.decoded(answer)
+        if answer.status == 412:
+            # The items that the condition named, as they are now.
+            found = _items(data, "items")
+            if not found:
+                raise errors.StoreError("the answer names no item")
+            return found[0]
+        return store.Versioned(key, value, int(data["revision"]))
+
+    def swap(self, key: str, value: str, revision: int) -> exchange.Request:
+        """Writes a compare-and-swap; see store.StoreCodec."""
+        return _put(key, value, revision, 0)
+
+    def read_swap(self, answer: exchange.Answer) -> int | None:
+        """Reads the new revision; see store.StoreCodec."""
+        if answer.status == 412:
+            return None
+        return int(store_client.decoded(answer)["revision"])
+
+    def delete(self, key: str) -> exchange.Request:
+        """Writes a deletion; see store.StoreCodec."""
+        return _post(
+            "/v1/kv-txn", {"precondition": [], "puts": [], "drop": [key]}
+        )
+
+    def keep(self, lease: int) -> exchange.Request:
+        """Writes a renewal; see store.StoreCodec."""
+        return _post(f"/v1/kv-keep/{lease}", {})
+
+    def read_keep(self, answer: exchange.Answer) -> bool:
+        """Reads whether the lease exists; see store.StoreCodec."""
+        return answer.status == 200
+
+    def is_answered(self, answer: exchange.Answer) -> bool:
+        """Takes in missing keys, lost history and unmet conditions."""
+        return answer.status in (200, 404, 410, 412)
+
+
+def _query(**values: typing.Any) -> str:
+    return urllib.parse.urlencode(values)
+
+
+def _post(target: str, body: dict[str, typing.Any]) -> exchange.Request:
+    return http_client.post(target, orjson.dumps(body))
+
+
+def _put(key: str, value: str, revision: int, lease: int) -> exchange.Request:
+    """Writes one key under the condition that it is at a revision."""
+    encoded = base64.b64encode(value.encode()).decode()
+    return _post(
+        "/v1/kv-txn",
+        {
+            "precondition": [{"key": key, "revision": revision}],
+            "puts": [{"key": key, "value": encoded, "lease": lease}],
+            "drop": [],
+        },
+    )
+
+
+def _revision(data: dict[str, typing.Any]) -> int:
+    revision = data.get("store_revision")
+    if not isinstance(revision, int):
+        raise errors.StoreError("the answer has no revision")
+    return revision
+
+
+def _items(data: dict[str, typing.Any], name: str) -> list[store.Versioned]:
+    listed = data.get(name)
+    if not isinstance(listed, list):
+        raise errors.StoreError(f"the answer has no {name}")
+    return [_item(item) for item in listed]
+
+
+def _item(data: dict[str, typing.Any]) -> store.Versioned:
+    """Reads an item; one that cannot be read has an empty value."""
+    try:
+        if data.get("deleted") is True or data.get("value") is None:
+            return store.Versioned(data["key"], None, int(data["revision"]))
+        value = base64.b64decode(data["value"], validate=True)
+        return store.Versioned(
+            data["key"],
+            value.decode(errors="replace"),
+            int(data["revision"]),
+            int(data.get("lease") or 0),
+        )
+    except (KeyError, TypeError, binascii.Error) as error:
+        raise errors.StoreError(f"an item is unreadable: {error!r}") from error
--- a/src/dotterelpath/ports/backend.py
+++ b/src/dotterelpath/ports/backend.py
@@ -7,6 +7,45 @@
 from dotterelpath.domain import exchange
 
 
+class Signs:
+    """What an answer says besides its body."""
+
+    __slots__ = (
+        "is_elsewhere",
+        "is_not_run",
+        "is_proven",
+        "running",
+        "slots",
+        "waiting",
+    )
+
+    def __init__(
+        self,
+        is_not_run: bool = False,
+        is_elsewhere: bool = False,
+        is_proven: bool = False,
+        running: int | None = None,
+        waiting: int | None = None,
+        slots: int | None = None,
+    ) -> None:
+        """Creates signs.
+
+        Args:
+            is_not_run: Whether the instance certainly did not run it.
+            is_elsewhere: Whether another instance has the address now.
+            is_proven: Whether the instance itself made the answer.
+            running: Requests that the instance works on.
+            waiting: Requests in its queue.
+            slots: Requests that it works on at once.
+        """
+        self.is_not_run = is_not_run
+        self.is_elsewhere = is_elsewhere
+        self.is_proven = is_proven
+        self.running = running
+        self.waiting = waiting
+        self.slots = slots
+
+
 class ServerCodec(typing.Protocol):
     """Translates between the fleet's types and backend servers' headers."""
 
--- /dev/null
+++ b/src/dotterelpath/ports/datagrams.py
@@ -0,0 +1,95 @@
+"""The port for short messages between daemons, any of which may be lost."""
+
+from __future__ import annotations
+
+import typing
+
+from dotterelpath.domain import evidence
+from dotterelpath.domain import steering
+
+
+class Ping:
+    """Asks a daemon how it is."""
+
+    __slots__ = ("number", "sender_id")
+
+    def __init__(self, sender_id: str, number: int) -> None:
+        """Creates a ping.
+
+        Args:
+            sender_id: Who asks.
+            number: Names the question.
+        """
+        self.sender_id = sender_id
+        self.number = number
+
+
+class Pong:
+    """Tells how a daemon is."""
+
+    __slots__ = ("busy", "number", "sender_id", "state")
+
+    def __init__(
+        self,
+        sender_id: str,
+        number: int,
+        state: steering.DaemonState,
+        busy: float,
+    ) -> None:
+        """Creates an answer.
+
+        Args:
+            sender_id: Who answers.
+            number: The question.
+            state: What the daemon does.
+            busy: The part of its processor that it uses.
+        """
+        self.sender_id = sender_id
+        self.number = number
+        self.state = state
+        self.busy = busy
+
+
+class Seen:
+    """Tells what a daemon saw of an instance."""
+
+    __slots__ = ("evidence", "sender_id")
+
+    def __init__(self, sender_id: str, seen: evidence.Evidence) -> None:
+        """Creates a message.
+
+        Args:
+            sender_id: Who saw it.
+            seen: The observation.
+        """
+        self.sender_id = sender_id
+        self.evidence = seen
+
+
+Datagram = Ping | Pong | Seen
+
+
+class Datagrams(typing.Protocol):
+    """Sends short messages."""
+
+    def send(self, host: str, port: int, datagram: Datagram) -> None:
+        """Sends a message, which may be lost.
+
+        Args:
+            host: The receiver's IP address.
+            port: Its port.
+            datagram: The message.
+        """
+
+
+class Listener(typing.Protocol):
+    """Hears short messages."""
+
+    def on_datagram(self, host: str, port: int, datagram: Datagram) -> None:
+        """A message came in.
+
+        Args:
+            host: The sender's IP address.
+            port: Its port.
+            datagram: The message.
+        """
--- a/src/dotterelpath/ports/store.py
+++ b/src/dotterelpath/ports/store.py
@@ -4,20 +4,26 @@
 
 import typing
 
+from dotterelpath.domain import exchange
+
 
 class Versioned:
     """A value with the store's revision of it."""
 
-    __slots__ = ("key", "revision", "value")
+    __slots__ = ("key", "lease", "revision", "value")
 
-    def __init__(self, key: str, value: str | None, revision: int) -> None:
+    def __init__(
+        self, key: str, value: str | None, revision: int, lease: int = 0
+    ) -> None:
         """Creates a versioned value.
 
         Args:
             key: The key.
             value: The value; None where the key is absent or was deleted.
             revision: The revision at which the key last changed.
+            lease: The lease with which the key ends; 0 for none.
         """
+        self.lease = lease
         self.key = key
         self.value = value
         self.revision = revision
@@ -26,15 +32,19 @@
 class Changes:
     """What changed under a prefix."""
 
-    __slots__ = ("entries", "revision")
+    __slots__ = ("entries", "is_full", "revision")
 
-    def __init__(self, entries: list[Versioned], revision: int) -> None:
+    def __init__(
+        self, entries: list[Versioned], revision: int, is_full: bool = False
+    ) -> None:
         """Creates the changes.
 
         Args:
             entries: The changed keys with their newest values.
             revision: The store's revision up to which they are complete.
+            is_full: Whether a key that is not among them does not exist.
         """
+        self.is_full = is_full
         self.entries = entries
         self.revision = revision
 
@@ -122,5 +132,106 @@
             wait_s: How long to wait for a change, in seconds.
 
         Raises:
+            HistoryLostError: The store no longer has the changes since then;
+                read all keys.
             StoreError: The store gave no answer.
         """
+
+    async def keep(self, lease: int) -> bool:
+        """Renews a lease.
+
+        Args:
+            lease: The lease.
+
+        Returns:
+            Whether it still exists.
+
+        Raises:
+            StoreError: The store gave no answer.
+        """
+
+
+class Page:
+    """A part of the keys under a prefix."""
+
+    __slots__ = ("entries", "next_after", "revision")
+
+    def __init__(
+        self, entries: list[Versioned], revision: int, next_after: str | None
+    ) -> None:
+        """Creates a page.
+
+        Args:
+            entries: The keys of the page.
+            revision: The store's revision when it was read.
+            next_after: The key after which the next page begins; None after
+                the last page.
+        """
+        self.entries = entries
+        self.revision = revision
+        self.next_after = next_after
+
+
+class StoreCodec(typing.Protocol):
+    """Writes calls to a store and reads their answers."""
+
+    def get(self, key: str) -> exchange.Request:
+        """Writes a read of a key."""
+
+    def read_get(self, key: str, answer: exchange.Answer) -> Versioned:
+        """Reads the answer to get."""
+
+    def page(self, prefix: str, after: str, wait_s: float) -> exchange.Request:
+        """Writes a read of the keys under a prefix, behind a key.
+
+        The store may wait for a first key if there is none.
+        """
+
+    def read_page(self, answer: exchange.Answer) -> Page:
+        """Reads the answer to page."""
+
+    def watch(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> exchange.Request:
+        """Writes a wait for changes."""
+
+    def read_watch(self, answer: exchange.Answer) -> Changes:
+        """Reads the answer to watch.
+
+        Raises:
+            HistoryLostError: The changes are no longer known.
+        """
+
+    def grant(self, lease_s: float) -> exchange.Request | None:
+        """Writes the start of a lease; None where create takes its time."""
+
+    def read_grant(self, answer: exchange.Answer) -> int:
+        """Reads the answer to grant."""
+
+    def create(
+        self, key: str, value: str, lease_s: float | None, lease: int
+    ) -> exchange.Request:
+        """Writes a create-if-absent."""
+
+    def read_create(
+        self, key: str, value: str, answer: exchange.Answer
+    ) -> Versioned:
+        """Reads the answer to create."""
+
+    def swap(self, key: str, value: str, revision: int) -> exchange.Request:
+        """Writes a compare-and-swap."""
+
+    def read_swap(self, answer: exchange.Answer) -> int | None:
+        """Reads the answer to swap."""
+
+    def delete(self, key: str) -> exchange.Request:
+        """Writes a deletion."""
+
+    def keep(self, lease: int) -> exchange.Request:
+        """Writes a renewal of a lease."""
+
+    def read_keep(self, answer: exchange.Answer) -> bool:
+        """Reads the answer to keep."""
+
+    def is_answered(self, answer: exchange.Answer) -> bool:
+        """Whether the store did, or decided on, what it was asked."""
--- a/src/dotterelpath/tasks/_exchange.py
+++ b/src/dotterelpath/tasks/_exchange.py
@@ -3,47 +3,20 @@
 from __future__ import annotations
 
 import itertools
-import typing
 
 from dotterelpath.domain import document
 from dotterelpath.domain import estate
 from dotterelpath.domain import exchange
 from dotterelpath.domain import records
 from dotterelpath.domain import tries
-from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import messages
+from dotterelpath.tasks import reply
 
 DEFAULT_TIMEOUT_S = 5.0
 
 _numbers = itertools.count(1)
 
 
-class ReplyTo:
-    """A receiver that waits for the outcome of a request."""
-
-    __slots__ = ("inbox", "token")
-
-    def __init__(self, inbox: mailbox.Mailbox[typing.Any], token: int) -> None:
-        """Creates a receiver.
-
-        Args:
-            inbox: Where RequestEnded goes.
-            token: Names the request there.
-        """
-        self.inbox = inbox
-        self.token = token
-
-    def __eq__(self, other: object) -> bool:
-        """Compares by mailbox and token."""
-        if not isinstance(other, ReplyTo):
-            return NotImplemented
-        return self.inbox is other.inbox and self.token == other.token
-
-    def __hash__(self) -> int:
-        """Hashes by mailbox and token."""
-        return hash((id(self.inbox), self.token))
-
-
 class OpenTry:
     """A try that has not ended."""
 
@@ -98,7 +71,9 @@
         """
         self.id = next(_numbers)
         self.request: exchange.Request = message.request
-        self.reply_to: ReplyTo | None = ReplyTo(message.reply_to, message.token)
+        self.reply_to: reply.ReplyTo | None = reply.ReplyTo(
+            message.reply_to, message.token
+        )
         self.joined: list[Exchange] = []
         self.is_forwarded = message.is_forwarded
         self.claimed_home = message.claimed_home
--- /dev/null
+++ b/src/dotterelpath/tasks/_forward.py
@@ -0,0 +1,136 @@
+"""The gateway's state of one request, and of one service."""
+
+from __future__ import annotations
+
+import itertools
+
+from dotterelpath.domain import configuration
+from dotterelpath.domain import exchange
+from dotterelpath.domain import placement
+from dotterelpath.domain import retry_window
+from dotterelpath.domain import waiting
+from dotterelpath.tasks import messages
+from dotterelpath.tasks import reply
+
+# Callers that give no deadline wait this long, in seconds.
+DEFAULT_TIMEOUT_S = 5.0
+
+_numbers = itertools.count(1)
+
+
+class ServiceState:
+    """A service's instances, waiting requests and retries."""
+
+    __slots__ = ("gone", "name", "placement", "queue", "retries")
+
+    def __init__(self, name: str, data_centre: str) -> None:
+        """Creates the state of a service without instances.
+
+        Args:
+            name: The service.
+            data_centre: Where this daemon stands.
+        """
+        self.name = name
+        self.placement = placement.Placement(data_centre)
+        self.queue: waiting.Queue[Forward] = waiting.Queue()
+        self.retries = retry_window.RetryWindow()
+        self.gone: set[tuple[str, int]] = set()
+
+
+class OpenTry:
+    """A request at an instance."""
+
+    __slots__ = ("forward", "instance", "is_lagging", "sent_s", "slow_at_s")
+
+    def __init__(
+        self,
+        forward: Forward,
+        instance: placement.Instance,
+        sent_s: float,
+        slow_at_s: float,
+    ) -> None:
+        """Creates an open try.
+
+        Args:
+            forward: The request.
+            instance: The instance that has it.
+            sent_s: When it was sent, on the monotonic clock, in seconds.
+            slow_at_s: When it counts as slow.
+        """
+        self.forward = forward
+        self.instance = instance
+        self.sent_s = sent_s
+        self.slow_at_s = slow_at_s
+        self.is_lagging = False
+
+
+class Forward:
+    """One request from its arrival to its outcome."""
+
+    __slots__ = (
+        "arrived_s",
+        "backend_s",
+        "deadline_s",
+        "failure",
+        "id",
+        "is_ended",
+        "may_have_run",
+        "open",
+        "reply_to",
+        "request",
+        "route",
+        "sent_to",
+        "service",
+        "stream_id",
+        "unreachable",
+        "waited_since_s",
+    )
+
+    def __init__(self, message: messages.RequestArrived, now_s: float) -> None:
+        """Creates the state of a request that just arrived.
+
+        Args:
+            message: The request and its receiver.
+            now_s: The monotonic clock, in seconds.
+        """
+        self.id = next(_numbers)
+        self.request: exchange.Request = message.request
+        self.reply_to = reply.ReplyTo(message.reply_to, message.token)
+        received_s = message.request.received_s
+        self.arrived_s = now_s if received_s is None else received_s
+        timeout_s = message.request.timeout_s
+        self.deadline_s = self.arrived_s + (
+            DEFAULT_TIMEOUT_S if timeout_s is None else timeout_s
+        )
+        self.route: configuration.Route | None = None
+        self.service: ServiceState | None = None
+        self.open: dict[int, OpenTry] = {}
+        self.sent_to: list[str] = []
+        self.unreachable: list[str] = []
+        self.may_have_run = False
+        self.failure: exchange.Outcome | None = None
+        self.backend_s = 0.0
+        self.waited_since_s: float | None = None
+        self.stream_id: int | None = None
+        self.is_ended = False
+
+    @property
+    def tried(self) -> list[str]:
+        """Instances that it need not be sent to again."""
+        return self.sent_to + self.unreachable
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether it may run more than once."""
+        return self.route is not None and self.route.is_idempotent
+
+    @property
+    def tries_left(self) -> int:
+        """How many more instances it may be sent to."""
+        most = self.route.max_tries if self.route is not None else 0
+        return max(0, most - len(self.sent_to))
+
+
+def next_try_id() -> int:
+    """Names a new try."""
+    return next(_numbers)
--- /dev/null
+++ b/src/dotterelpath/tasks/_sending.py
@@ -0,0 +1,657 @@
+"""Sends requests to instances, lets them wait, and tries again elsewhere."""
+
+from __future__ import annotations
+
+import typing
+
+import structlog
+
+from dotterelpath import errors
+from dotterelpath.domain import bounds as bounds_domain
+from dotterelpath.domain import configuration
+from dotterelpath.domain import evidence
+from dotterelpath.domain import exchange
+from dotterelpath.domain import placement
+from dotterelpath.domain import registry
+from dotterelpath.domain import tries
+from dotterelpath.domain import vms
+from dotterelpath.domain import waiting
+from dotterelpath.ports import backend
+from dotterelpath.ports import clock as clock_port
+from dotterelpath.ports import metrics as metrics_port
+from dotterelpath.ports import randomness
+from dotterelpath.ports import timers as timers_port
+from dotterelpath.tasks import _forward
+from dotterelpath.tasks import fleet_events
+from dotterelpath.tasks import mailbox
+from dotterelpath.tasks import messages
+
+# Answers up to this size are given whole, so that a broken one can be made
+# up for elsewhere; longer ones would cost too much memory.
+BUFFER_BYTES = 4 * 1024 * 1024
+# What is assumed of a route without answers: a part of its target.
+FIRST_WORK_PART = 0.3
+# While requests wait, other daemons may free slots unseen, in seconds.
+PUMP_S = 0.05
+# Callers that were refused come back after the work that is ahead of them,
+# but not sooner than this, in seconds.
+LEAST_RETRY_S = 0.2
+# At least this much time must be left for another try, in seconds.
+LEAST_TRY_S = 0.02
+FAILURE_STATUS = 500
+
+_log = structlog.get_logger()
+
+
+class Sending:
+    """A part of the gateway's state: the services and the open tries."""
+
+    __slots__ = (
+        "_back_ends",
+        "_bounds",
+        "_by_service",
+        "_clock",
+        "_data_centre",
+        "_end",
+        "_metrics",
+        "_neighbours",
+        "_pumping",
+        "_random",
+        "_read_signs",
+        "_services",
+        "_sharers",
+        "_streams",
+        "_timers",
+        "_tries",
+    )
+
+    def __init__(
+        self,
+        data_centre: str,
+        bounds: bounds_domain.Bounds,
+        read_signs: typing.Callable[[exchange.Answer], backend.Signs],
+        clock: clock_port.Clock,
+        random: randomness.RandomSource,
+        due: timers_port.Timers[typing.Any],
+        metrics: metrics_port.Metrics,
+        back_ends: mailbox.Mailbox[typing.Any],
+        neighbours: mailbox.Mailbox[typing.Any],
+        end: typing.Callable[[_forward.Forward, exchange.Outcome], None],
+    ) -> None:
+        """Creates an empty state.
+
+        Args:
+            data_centre: Where this daemon stands.
+            bounds: What must hold.
+            read_signs: Reads what an answer says besides its body.
+            clock: Tells the time.
+            random: Breaks ties.
+            due: Keeps due times.
+            metrics: Takes in what is measured.
+            back_ends: Writes tries.
+            neighbours: Tells other daemons what was seen of instances.
+            end: Ends a request.
+        """
+        self._data_centre = data_centre
+        self._bounds = bounds
+        self._read_signs = read_signs
+        self._clock = clock
+        self._random = random
+        self._timers = due
+        self._metrics = metrics
+        self._back_ends = back_ends
+        self._neighbours = neighbours
+        self._end = end
+        self._services: dict[str, _forward.ServiceState] = {}
+        self._by_service: dict[str, list[registry.Listed]] = {}
+        self._tries: dict[int, _forward.OpenTry] = {}
+        self._streams: dict[int, _forward.Forward] = {}
+        self._pumping: set[str] = set()
+        self._sharers = 1
+
+    @property
+    def services(self) -> dict[str, _forward.ServiceState]:
+        """The services of the configuration in force."""
+        return self._services
+
+    def set_services(self, services: dict[str, configuration.Service]) -> None:
+        """Takes in the services of a newer configuration.
+
+        Args:
+            services: The services by name.
+        """
+        for name in services:
+            if name not in self._services:
+                self._services[name] = _forward.ServiceState(
+                    name, self._data_centre
+                )
+                self._set_listed(self._services[name])
+
+    def on_registry_changed(
+        self, message: fleet_events.RegistryChanged
+    ) -> None:
+        """Takes in the listed instances.
+
+        Args:
+            message: The instances of each service.
+        """
+        self._by_service = message.by_service
+        for state in self._services.values():
+            self._set_listed(state)
+            self.pump(state)
+
+    def on_bounds_changed(self, message: fleet_events.BoundsChanged) -> None:
+        """Takes in changed settings.
+
+        Args:
+            message: The bounds.
+        """
+        self._bounds = message.bounds
+
+    def on_sharers_changed(self, message: fleet_events.SharersChanged) -> None:
+        """Takes in how many daemons share the retries of a service.
+
+        Args:
+            message: Their number.
+        """
+        self._sharers = max(1, message.count)
+
+    def on_evidence_heard(self, message: fleet_events.EvidenceHeard) -> None:
+        """Takes in what another daemon saw of an instance.
+
+        Args:
+            message: The observation.
+        """
+        heard = message.evidence
+        state = self._services.get(heard.service)
+        if state is None:
+            return
+        instance = state.placement.instances.get(heard.instance_id)
+        if instance is None or instance.entry.started_ms != heard.started_ms:
+            return
+        now_s = self._clock.now_s()
+        if heard.symptom is evidence.Symptom.FAILED:
+            state.placement.failed(heard.instance_id, now_s)
+        elif heard.symptom is evidence.Symptom.LAGGED:
+            state.placement.lagged(heard.instance_id, now_s)
+        else:
+            self._drop(state, instance)
+
+    def begin(self, work: _forward.Forward, service: str) -> None:
+        """Sends a new request, or lets it wait for an instance.
+
+        Args:
+            work: The request.
+            service: The service that is to run it.
+        """
+        state = self._services[service]
+        work.service = state
+        state.retries.count(self._bounds.retry_window_s, self._clock.now_s())
+        self._place(work)
+
+    def abandon(self, work: _forward.Forward) -> None:
+        """Cancels the work on a request whose caller is gone.
+
+        What must not run twice goes on where it has begun, since a break
+        would leave its outcome unknown.
+
+        Args:
+            work: The request.
+        """
+        if work.stream_id is not None:
+            self._streams.pop(work.stream_id, None)
+            self._back_ends.force(messages.CancelTry(work.stream_id, False))
+        if work.service is None:
+            return
+        work.service.queue.remove(work)
+        if work.is_idempotent:
+            self._cancel(work)
+            self.pump(work.service)
+
+    def time_out(self, work: _forward.Forward) -> None:
+        """Ends a request whose deadline has passed.
+
+        Args:
+            work: The request.
+        """
+        assert work.service is not None
+        state = work.service
+        state.queue.remove(work)
+        if work.open:
+            work.may_have_run = True
+            self._cancel(work, timed_out=True)
+            code = errors.ResultCode.BACKEND_TIMEOUT
+            self._end(work, exchange.Outcome(code))
+        else:
+            self._give_up(work, errors.ResultCode.OVERLOADED, "waited too long")
+        self.pump(state)
+
+    def lag(self, attempt: _forward.OpenTry, now_s: float) -> None:
+        """Notes that an instance takes longer than usual, and hedges.
+
+        Args:
+            attempt: The request at the instance.
+            now_s: The monotonic clock, in seconds.
+        """
+        work = attempt.forward
+        if work.is_ended or attempt not in work.open.values():
+            return
+        if now_s < attempt.slow_at_s:
+            return
+        attempt.is_lagging = True
+        self._suspect(work, attempt.instance, evidence.Symptom.LAGGED)
+        if work.is_idempotent and len(work.open) == 1 and self._spend(work):
+            pick = self._pick(work)
+            if pick.instance is not None:
+                self._metrics.retried(self._name(work), True)
+                self._send(work, pick.instance)
+
+    def on_try_ended(self, message: messages.TryEnded) -> None:
+        """Takes in the end of a try.
+
+        Args:
+            message: How it ended.
+        """
+        attempt = self._tries.pop(message.exchange_id, None)
+        if attempt is None:
+            return
+        work = attempt.forward
+        work.open.pop(message.exchange_id, None)
+        instance = attempt.instance
+        instance.in_flight = max(0, instance.in_flight - 1)
+        now_s = self._clock.now_s()
+        work.backend_s = max(work.backend_s, now_s - attempt.sent_s)
+        if message.answer is not None:
+            self._on_answer(work, attempt, message)
+        else:
+            self._on_broken(work, attempt, message)
+        if work.service is not None:
+            self.pump(work.service)
+
+    def on_answer_part(self, message: messages.AnswerPart) -> None:
+        """Passes on a part of a long answer.
+
+        Args:
+            message: The part.
+        """
+        work = self._streams.get(message.exchange_id)
+        if work is not None:
+            work.reply_to.inbox.force(message)
+
+    def on_answer_done(
+        self, message: messages.AnswerDone
+    ) -> _forward.Forward | None:
+        """Passes on the end of a long answer.
+
+        Args:
+            message: Whether it is whole.
+
+        Returns:
+            The request, which is over now.
+        """
+        work = self._streams.pop(message.exchange_id, None)
+        if work is not None:
+            work.reply_to.inbox.force(message)
+        return work
+
+    def pump(self, state: _forward.ServiceState) -> None:
+        """Sends waiting requests while instances may take them.
+
+        Args:
+            state: The service.
+        """
+        self._pumping.discard(state.name)
+        if not len(state.queue):
+            return
+        now_s = self._clock.now_s()
+        slots = self._slots(state)
+        for waiter in state.queue.refuse(slots, now_s):
+            self._refuse(waiter.item)
+        for waiter in state.queue.ordered(now_s):
+            pick = self._pick(waiter.item)
+            if pick.instance is None:
+                break
+            state.queue.remove(waiter.item)
+            self._send(waiter.item, pick.instance)
+        self._plan_pump(state, now_s)
+
+    def _set_listed(self, state: _forward.ServiceState) -> None:
+        listed = [
+            item
+            for item in self._by_service.get(state.name, ())
+            if not item.entry.is_draining
+            and (item.entry.id, item.entry.started_ms) not in state.gone
+        ]
+        state.placement.set_listed(listed, self._clock.now_s())
+
+    def _slots(self, state: _forward.ServiceState) -> int:
+        """This daemon's part of the service's slots."""
+        return max(1, state.placement.slots // self._sharers)
+
+    def _place(self, work: _forward.Forward) -> None:
+        """Sends a request, lets it wait, or gives it up."""
+        pick = self._pick(work)
+        if pick.instance is not None:
+            self._send(work, pick.instance)
+        elif pick.is_full:
+            self._wait(work)
+        else:
+            self._give_up(work, errors.ResultCode.NO_BACKEND, self._name(work))
+
+    def _pick(self, work: _forward.Forward) -> placement.Pick:
+        assert work.service is not None
+        can_retry = work.is_idempotent and work.tries_left > 1
+        return work.service.placement.choose(
+            self._random, self._clock.now_s(), can_retry, work.tried
+        )
+
+    def _wait(self, work: _forward.Forward) -> None:
+        assert work.service is not None and work.route is not None
+        now_s = self._clock.now_s()
+        state = work.service
+        work.waited_since_s = now_s
+        waiter = waiting.Waiter(
+            work,
+            work.route.priority,
+            now_s,
+            work.arrived_s + work.route.target_s,
+            work.deadline_s,
+            self._usual_s(work),
+        )
+        for refused in state.queue.add(waiter, self._slots(state), now_s):
+            self._refuse(refused.item)
+        self._plan_pump(state, now_s)
+
+    def _plan_pump(self, state: _forward.ServiceState, now_s: float) -> None:
+        if len(state.queue) and state.name not in self._pumping:
+            self._pumping.add(state.name)
+            self._timers.add(now_s + PUMP_S, state)
+
+    def _refuse(self, work: _forward.Forward) -> None:
+        self._give_up(
+            work,
+            errors.ResultCode.OVERLOADED,
+            "the work ahead leaves no time before the deadline",
+        )
+
+    def _send(
+        self, work: _forward.Forward, instance: placement.Instance
+    ) -> None:
+        now_s = self._clock.now_s()
+        try_id = _forward.next_try_id()
+        assert work.service is not None and work.route is not None
+        slow_after_s = work.service.placement.slow_after_s(
+            work.route.name, work.route.target_s * FIRST_WORK_PART
+        )
+        attempt = _forward.OpenTry(work, instance, now_s, now_s + slow_after_s)
+        work.open[try_id] = attempt
+        work.sent_to.append(instance.id)
+        self._tries[try_id] = attempt
+        instance.in_flight += 1
+        if now_s + slow_after_s < work.deadline_s:
+            self._timers.add(now_s + slow_after_s, attempt)
+        self._back_ends.force(
+            messages.SendTry(
+                try_id,
+                _vm(instance.entry),
+                work.request,
+                work.deadline_s,
+                not work.is_idempotent,
+                BUFFER_BYTES,
+            )
+        )
+
+    def _on_answer(
+        self,
+        work: _forward.Forward,
+        attempt: _forward.OpenTry,
+        message: messages.TryEnded,
+    ) -> None:
+        """Takes in an instance's answer."""
+        assert message.answer is not None
+        assert work.service is not None and work.route is not None
+        now_s = self._clock.now_s()
+        answer = message.answer
+        instance = attempt.instance
+        signs = self._read_signs(answer)
+        if signs.running is not None and signs.waiting is not None:
+            instance.report(signs.running, signs.waiting, now_s)
+        if signs.is_not_run:
+            self._on_refused(work, instance, signs, message)
+            return
+        if answer.status >= FAILURE_STATUS or not signs.is_proven:
+            self._on_failure(work, instance, answer, signs, message)
+            return
+        took_s = now_s - attempt.sent_s
+        work.service.placement.succeeded(
+            instance.id, work.route.name, took_s, now_s
+        )
+        if not message.is_whole:
+            work.stream_id = message.exchange_id
+            self._streams[message.exchange_id] = work
+        self._cancel(work)
+        self._end(
+            work,
+            exchange.Outcome(
+                errors.ResultCode.ANSWERED,
+                answer=answer,
+                instance=instance.id,
+                stream_id=work.stream_id,
+            ),
+        )
+
+    def _on_refused(
+        self,
+        work: _forward.Forward,
+        instance: placement.Instance,
+        signs: backend.Signs,
+        message: messages.TryEnded,
+    ) -> None:
+        """Goes on after an instance certainly did not run a request."""
+        assert work.service is not None
+        if signs.is_elsewhere:
+            self._drop(work.service, instance)
+            self._tell(work.service, instance, evidence.Symptom.GONE)
+            detail = "another instance has the address"
+        else:
+            detail = f"refused with status {message.answer.status}"
+            is_full = (signs.running or 0) >= (signs.slots or 0)
+            if not is_full:
+                self._suspect(work, instance, evidence.Symptom.FAILED)
+        self._retry(work, errors.ResultCode.BACKEND_REFUSED, detail)
+
+    def _on_failure(
+        self,
+        work: _forward.Forward,
+        instance: placement.Instance,
+        answer: exchange.Answer,
+        signs: backend.Signs,
+        message: messages.TryEnded,
+    ) -> None:
+        """Goes on after an instance answered that it failed."""
+        work.may_have_run = True
+        self._suspect(work, instance, evidence.Symptom.FAILED)
+        if not message.is_whole:
+            self._back_ends.force(
+                messages.CancelTry(message.exchange_id, False)
+            )
+        elif signs.is_proven:
+            work.failure = exchange.Outcome(
+                errors.ResultCode.ANSWERED, answer=answer, instance=instance.id
+            )
+        self._retry(
+            work,
+            errors.ResultCode.BACKEND_BROKEN,
+            f"answered with status {answer.status}",
+        )
+
+    def _on_broken(
+        self,
+        work: _forward.Forward,
+        attempt: _forward.OpenTry,
+        message: messages.TryEnded,
+    ) -> None:
+        """Goes on after a try that brought no answer."""
+        code = _CODES[message.end]
+        instance = attempt.instance
+        if message.end is tries.TryEnd.UNREACHABLE:
+            # No byte was written, so that it does not count as a try.
+            work.sent_to.remove(instance.id)
+            work.unreachable.append(instance.id)
+        else:
+            work.may_have_run = True
+        self._suspect(work, instance, evidence.Symptom.FAILED)
+        self._retry(work, code, message.detail)
+
+    def _retry(
+        self, work: _forward.Forward, code: errors.ResultCode, detail: str
+    ) -> None:
+        """Tries elsewhere where it is safe and allowed, or ends a request."""
+        if work.is_ended or work.open:
+            return
+        is_safe = work.is_idempotent or not work.may_have_run
+        if is_safe and self._has_time(work) and self._spend(work):
+            pick = self._pick(work)
+            _log.info(
+                "request retried",
+                request_id=work.request.request_id,
+                code=int(code),
+                detail=detail,
+                tried=work.tried,
+                to=pick.instance.id if pick.instance else "",
+            )
+            self._metrics.retried(self._name(work), False)
+            if pick.instance is not None:
+                self._send(work, pick.instance)
+                return
+            if pick.is_full:
+                self._wait(work)
+                return
+        self._give_up(work, code, detail)
+
+    def _has_time(self, work: _forward.Forward) -> bool:
+        return self._clock.now_s() + LEAST_TRY_S < work.deadline_s
+
+    def _spend(self, work: _forward.Forward) -> bool:
+        """Takes a further try of a request out of the budgets."""
+        assert work.service is not None
+        if work.tries_left < 1:
+            return False
+        if not work.sent_to:
+            return True
+        return work.service.retries.spend(
+            self._bounds.retry_ratio,
+            self._bounds.retry_slack / self._sharers,
+            self._bounds.retry_window_s,
+            self._clock.now_s(),
+        )
+
+    def _give_up(
+        self, work: _forward.Forward, code: errors.ResultCode, detail: str
+    ) -> None:
+        """Ends a request without a good answer, and never says too much."""
+        if work.failure is not None:
+            self._end(work, work.failure)
+            return
+        if work.may_have_run and _is_not_run(code):
+            code = errors.ResultCode.BACKEND_BROKEN
+        outcome = exchange.Outcome(code, detail)
+        if outcome.is_not_run:
+            outcome.retry_after_s = self._retry_after_s(work)
+        self._end(work, outcome)
+
+    def _retry_after_s(self, work: _forward.Forward) -> float:
+        """Spreads those who come back over the time that the queue needs."""
+        assert work.service is not None
+        state = work.service
+        ahead_s = len(state.queue) * self._usual_s(work) / self._slots(state)
+        return max(LEAST_RETRY_S, ahead_s) * (0.5 + self._random.random())
+
+    def _cancel(self, work: _forward.Forward, timed_out: bool = False) -> None:
+        """Cancels what instances still do for a request."""
+        for try_id, attempt in list(work.open.items()):
+            del work.open[try_id]
+            self._tries.pop(try_id, None)
+            instance = attempt.instance
+            instance.in_flight = max(0, instance.in_flight - 1)
+            self._back_ends.force(messages.CancelTry(try_id, timed_out))
+            if timed_out and not attempt.is_lagging:
+                self._suspect(work, instance, evidence.Symptom.LAGGED)
+
+    def _suspect(
+        self,
+        work: _forward.Forward,
+        instance: placement.Instance,
+        symptom: evidence.Symptom,
+    ) -> None:
+        """Holds a symptom against an instance, here and elsewhere."""
+        assert work.service is not None
+        now_s = self._clock.now_s()
+        state = work.service
+        if symptom is evidence.Symptom.FAILED:
+            chance = state.placement.failed(instance.id, now_s)
+        else:
+            chance = state.placement.lagged(instance.id, now_s)
+        _log.info(
+            "instance suspected",
+            request_id=work.request.request_id,
+            service=state.name,
+            instance=instance.id,
+            symptom=symptom.value,
+            chance=round(chance or 0.0, 3),
+            load=round(instance.load(now_s), 1),
+        )
+        self._tell(state, instance, symptom)
+
+    def _tell(
+        self,
+        state: _forward.ServiceState,
+        instance: placement.Instance,
+        symptom: evidence.Symptom,
+    ) -> None:
+        entry = instance.entry
+        seen = evidence.Evidence(
+            state.name, entry.id, entry.started_ms, symptom
+        )
+        self._neighbours.force(fleet_events.EvidenceSeen(seen))
+
+    def _drop(
+        self, state: _forward.ServiceState, instance: placement.Instance
+    ) -> None:
+        """Gives an instance that is not at its address no more work."""
+        state.gone.add((instance.id, instance.entry.started_ms))
+        state.placement.drop(instance.id)
+
+    def _usual_s(self, work: _forward.Forward) -> float:
+        assert work.service is not None and work.route is not None
+        return work.service.placement.usual_s(
+            work.route.name, work.route.target_s * FIRST_WORK_PART
+        )
+
+    def _name(self, work: _forward.Forward) -> str:
+        return work.service.name if work.service else ""
+
+
+_CODES = {
+    tries.TryEnd.ANSWERED: errors.ResultCode.INTERNAL,
+    tries.TryEnd.REFUSED: errors.ResultCode.BACKEND_REFUSED,
+    tries.TryEnd.UNREACHABLE: errors.ResultCode.BACKEND_UNREACHABLE,
+    tries.TryEnd.BROKEN: errors.ResultCode.BACKEND_BROKEN,
+    tries.TryEnd.PROTOCOL: errors.ResultCode.BACKEND_PROTOCOL,
+    tries.TryEnd.TIMED_OUT: errors.ResultCode.BACKEND_TIMEOUT,
+}
+
+
+def _is_not_run(code: errors.ResultCode) -> bool:
+    return code.outcome_class is errors.OutcomeClass.NOT_RUN
+
+
+def _vm(entry: registry.Entry) -> vms.Vm:
+    return vms.Vm(
+        entry.id,
+        vms.VmRole.BACKEND,
+        entry.host,
+        entry.port,
+        entry.data_centre,
+        service=entry.service,
+    )
--- a/src/dotterelpath/tasks/dispatcher.py
+++ b/src/dotterelpath/tasks/dispatcher.py
@@ -23,6 +23,7 @@
 from dotterelpath.tasks import events
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import messages
+from dotterelpath.tasks import reply
 
 MAX_EXCHANGES = 8192
 
@@ -83,7 +84,7 @@
             home, clock, due, peers, claims, self._begin, self._end
         )
         self._exchanges: dict[int, _exchange.Exchange] = {}
-        self._waiting: dict[_exchange.ReplyTo, _exchange.Exchange] = {}
+        self._waiting: dict[reply.ReplyTo, _exchange.Exchange] = {}
         self._is_fresh = True
         self._handlers = self._handler_table()
 
@@ -141,7 +142,7 @@
         Args:
             message: The caller.
         """
-        reply_to = _exchange.ReplyTo(message.reply_to, message.token)
+        reply_to = reply.ReplyTo(message.reply_to, message.token)
         work = self._waiting.pop(reply_to, None)
         if work is None:
             return
--- /dev/null
+++ b/src/dotterelpath/tasks/enroller.py
@@ -0,0 +1,72 @@
+"""The task that lists this daemon in the platform's store."""
+
+from __future__ import annotations
+
+import asyncio
+
+import structlog
+
+from dotterelpath import errors
+from dotterelpath.ports import randomness
+from dotterelpath.ports import store as store_port
+
+# The entry of a VM that is gone for good ends after this time, in seconds;
+# the platform allows no longer lease.
+LEASE_S = 600.0
+RENEWAL_S = LEASE_S / 3.0
+# The pause after a failed call, in seconds.
+RETRY_S = 2.0
+
+_log = structlog.get_logger()
+
+
+class Enroller:
+    """Keeps this daemon's entry in the store.
+
+    A daemon that starts again finds the entry that it wrote before, and then
+    writes nothing, so that no other daemon is woken.
+    """
+
+    __slots__ = ("_key", "_random", "_store", "_value")
+
+    def __init__(
+        self,
+        key: str,
+        value: str,
+        store: store_port.Store,
+        random: randomness.RandomSource,
+    ) -> None:
+        """Creates the task's state.
+
+        Args:
+            key: The key of the entry.
+            value: The entry.
+            store: The store.
+            random: Spreads the daemons' calls.
+        """
+        self._key = key
+        self._value = value
+        self._store = store
+        self._random = random
+
+    async def run(self) -> None:
+        """Keeps the entry until cancelled."""
+        while True:
+            try:
+                await self._enrol()
+                pause_s = RENEWAL_S
+            except (errors.StoreError, errors.UnknownOutcomeError) as error:
+                _log.warning("daemon not enrolled", error=str(error))
+                pause_s = RETRY_S
+            await asyncio.sleep(pause_s * (0.5 + self._random.random()))
+
+    async def _enrol(self) -> None:
+        found = await self._store.get(self._key)
+        if found.value == self._value and found.lease:
+            if await self._store.keep(found.lease):
+                return
+            found = await self._store.get(self._key)
+        if found.value is not None:
+            await self._store.delete(self._key)
+        await self._store.create(self._key, self._value, LEASE_S)
+        _log.info("daemon enrolled", key=self._key)
--- a/src/dotterelpath/tasks/front_end.py
+++ b/src/dotterelpath/tasks/front_end.py
@@ -13,6 +13,7 @@
 from dotterelpath.domain import exchange
 from dotterelpath.ports import frontend
 from dotterelpath.tasks import events
+from dotterelpath.tasks import fleet_events
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import messages
 
@@ -48,6 +49,7 @@
         "_host",
         "_is_draining",
         "_is_leaving",
+        "_limits",
         "_mailbox",
         "_open",
         "_port",
@@ -66,6 +68,7 @@
         dispatcher: mailbox.Mailbox[typing.Any],
         directory: mailbox.Mailbox[typing.Any] | None,
         back_ends: mailbox.Mailbox[typing.Any],
+        limits: frontend.Limits | None = None,
     ) -> None:
         """Creates the task's state.
 
@@ -78,7 +81,9 @@
             directory: Gets requests for addresses; None where callers ask
                 for them elsewhere.
             back_ends: Hears of slow readers.
+            limits: The binder's limits, where a configuration sets them.
         """
+        self._limits = limits
         self._binder = binder
         self._host = host
         self._port = port
@@ -201,6 +206,22 @@
         else:
             waiting.connection.abort()
 
+    def on_configuration_changed(
+        self, message: fleet_events.ConfigurationChanged
+    ) -> None:
+        """Holds callers to the limits of a newer configuration.
+
+        Args:
+            message: The configuration.
+        """
+        if self._limits is None:
+            return
+        newer = message.configuration.limits
+        self._limits.max_head_bytes = newer.max_head_bytes
+        self._limits.max_body_bytes = newer.max_body_bytes
+        self._limits.head_timeout_s = newer.head_timeout_s
+        self._limits.idle_timeout_s = newer.idle_timeout_s
+
     def on_leave_began(self) -> None:
         """Announces with each answer that its connection closes."""
         self._is_leaving = True
@@ -223,6 +244,8 @@
             self.on_answer_part(message)
         elif isinstance(message, messages.AnswerDone):
             self.on_answer_done(message)
+        elif isinstance(message, fleet_events.ConfigurationChanged):
+            self.on_configuration_changed(message)
         elif isinstance(message, events.LeaveBegan):
             self.on_leave_began()
         elif isinstance(message, events.DrainBegan):
--- /dev/null
+++ b/src/dotterelpath/tasks/neighbourhood.py
@@ -0,0 +1,253 @@
+"""The task that knows the other daemons and tells them what it sees."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import typing
+
+import structlog
+
+from dotterelpath.domain import configuration
+from dotterelpath.domain import deployment
+from dotterelpath.domain import neighbours
+from dotterelpath.domain import steering
+from dotterelpath.ports import addressing
+from dotterelpath.ports import clock as clock_port
+from dotterelpath.ports import datagrams
+from dotterelpath.tasks import events
+from dotterelpath.tasks import fleet_events
+from dotterelpath.tasks import mailbox
+from dotterelpath.tasks import messages
+
+# How long callers keep an address answer, in seconds. A daemon that died or
+# leaves is used for as long, and each answer costs little.
+ADDRESS_TTL_S = 1.0
+
+_log = structlog.get_logger()
+
+
+class Neighbourhood:
+    """Owns what is known of the daemons, this one's state included."""
+
+    __slots__ = (
+        "_clock",
+        "_configuration",
+        "_datagrams",
+        "_deployment",
+        "_gateway",
+        "_has_instances",
+        "_is_leaving",
+        "_mailbox",
+        "_neighbours",
+        "_numbers",
+        "_processor_s",
+        "_read_processor_s",
+        "_sharers",
+        "_since_s",
+        "_ticker",
+        "_busy",
+    )
+
+    def __init__(
+        self,
+        placed: deployment.Deployment,
+        clock: clock_port.Clock,
+        read_processor_s: typing.Callable[[], float],
+        inbox: mailbox.Mailbox[typing.Any],
+        gateway: mailbox.Mailbox[typing.Any],
+    ) -> None:
+        """Creates the task's state.
+
+        Args:
+            placed: Where this daemon stands.
+            clock: Tells the time.
+            read_processor_s: Reads the processor time used so far, in
+                seconds.
+            inbox: This task's mailbox.
+            gateway: Hears what other daemons saw.
+        """
+        self._deployment = placed
+        self._clock = clock
+        self._read_processor_s = read_processor_s
+        self._mailbox = inbox
+        self._gateway = gateway
+        self._datagrams: datagrams.Datagrams | None = None
+        self._neighbours = neighbours.Neighbours(placed.daemon_id)
+        self._configuration: configuration.Configuration | None = None
+        self._has_instances = False
+        self._is_leaving = False
+        self._numbers = itertools.count(1)
+        self._sharers = 1
+        self._processor_s = read_processor_s()
+        self._since_s = clock.now_s()
+        self._busy = 0.0
+        self._ticker: asyncio.TimerHandle | None = None
+
+    @property
+    def state(self) -> steering.DaemonState:
+        """What this daemon tells others of itself."""
+        if self._is_leaving:
+            return steering.DaemonState.LEAVING
+        if self._configuration is None or not self._has_instances:
+            return steering.DaemonState.STARTING
+        return steering.DaemonState.READY
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers are served; see addressing.Addressing."""
+        return self.state is steering.DaemonState.READY
+
+    @property
+    def neighbours(self) -> neighbours.Neighbours:
+        """The daemons, for reports on the daemon's state."""
+        return self._neighbours
+
+    def connect(self, sent: datagrams.Datagrams) -> None:
+        """Sets what sends messages to other daemons.
+
+        Args:
+            sent: The sender.
+        """
+        self._datagrams = sent
+
+    def resolve(
+        self, host: str, data_centre: str, region: str
+    ) -> addressing.Found:
+        """Finds daemons for a caller; see addressing.Addressing."""
+        now_s = self._clock.now_s()
+        found = self._neighbours.choose(host, data_centre, region, now_s)
+        endpoints = [
+            deployment.Endpoint(daemon.front_host, daemon.front_port)
+            for daemon in found
+        ]
+        if not endpoints and self.is_ready:
+            endpoints = [self._deployment.front]
+        if self._ticker is None:
+            self._schedule()
+        ttl_s = min(ADDRESS_TTL_S, self._deployment.bounds.address_ttl_s)
+        return addressing.Found(endpoints, ttl_s)
+
+    async def run(self) -> None:
+        """Handles messages until cancelled."""
+        try:
+            while True:
+                self.handle(await self._mailbox.receive())
+        finally:
+            if self._ticker is not None:
+                self._ticker.cancel()
+
+    def handle(self, message: typing.Any) -> None:
+        """Handles one message.
+
+        Args:
+            message: A message on the fleet.
+        """
+        if isinstance(message, fleet_events.EvidenceSeen):
+            self.on_evidence_seen(message)
+        elif isinstance(message, messages.Tick):
+            self.on_tick()
+        elif isinstance(message, fleet_events.ConfigurationChanged):
+            self._configuration = message.configuration
+        elif isinstance(message, fleet_events.RegistryChanged):
+            self._has_instances = True
+        elif isinstance(message, fleet_events.DaemonsChanged):
+            self.on_daemons_changed(message)
+        elif isinstance(message, events.LeaveBegan):
+            self._is_leaving = True
+
+    def on_datagram(
+        self, host: str, port: int, datagram: datagrams.Datagram
+    ) -> None:
+        """A message came in; see datagrams.Listener."""
+        if isinstance(datagram, datagrams.Ping):
+            self._answer(host, port, datagram)
+        elif isinstance(datagram, datagrams.Pong):
+            self._neighbours.answered(
+                datagram.sender_id,
+                datagram.state,
+                datagram.busy,
+                self._clock.now_s(),
+            )
+        else:
+            self._gateway.force(
+                fleet_events.EvidenceHeard(
+                    datagram.sender_id, datagram.evidence
+                )
+            )
+
+    def on_daemons_changed(self, message: fleet_events.DaemonsChanged) -> None:
+        """Takes in the listed daemons.
+
+        Args:
+            message: The daemons.
+        """
+        self._neighbours.set_daemons(message.daemons)
+        sharers = self._neighbours.sharers()
+        if sharers != self._sharers:
+            self._sharers = sharers
+            self._gateway.force(fleet_events.SharersChanged(sharers))
+
+    def on_evidence_seen(self, message: fleet_events.EvidenceSeen) -> None:
+        """Tells the daemons that send work to the same instance.
+
+        Args:
+            message: What was seen.
+        """
+        if self._datagrams is None or self._configuration is None:
+            return
+        service = message.evidence.service
+        hosts = {
+            route.host
+            for route in self._configuration.routes
+            if any(part.service == service for part in route.parts)
+        }
+        own_id = self._deployment.daemon_id
+        seen = datagrams.Seen(own_id, message.evidence)
+        daemons = self._neighbours.daemons
+        for daemon_id in self._neighbours.carriers(hosts) - {own_id}:
+            to = daemons[daemon_id]
+            self._datagrams.send(to.peer_host, to.peer_port, seen)
+
+    def on_tick(self) -> None:
+        """Pings the daemons that callers are or would be sent to."""
+        now_s = self._clock.now_s()
+        due = self._neighbours.due(now_s)
+        self._neighbours.answered(
+            self._deployment.daemon_id, self.state, self._busy, now_s
+        )
+        if self._datagrams is not None:
+            for daemon in due:
+                ping = datagrams.Ping(
+                    self._deployment.daemon_id, next(self._numbers)
+                )
+                self._datagrams.send(daemon.peer_host, daemon.peer_port, ping)
+        self._measure(now_s)
+        self._ticker = None
+        if due:
+            self._schedule()
+
+    def _answer(self, host: str, port: int, ping: datagrams.Ping) -> None:
+        if self._datagrams is None:
+            return
+        self._measure(self._clock.now_s())
+        pong = datagrams.Pong(
+            self._deployment.daemon_id, ping.number, self.state, self._busy
+        )
+        self._datagrams.send(host, port, pong)
+
+    def _measure(self, now_s: float) -> None:
+        """Measures the part of the processor that is used."""
+        passed_s = now_s - self._since_s
+        if passed_s < 1.0:
+            return
+        used_s = self._read_processor_s()
+        cores = max(self._deployment.cores, steering.LEAST_WEIGHT)
+        self._busy = (used_s - self._processor_s) / passed_s / cores
+        self._processor_s = used_s
+        self._since_s = now_s
+
+    def _schedule(self) -> None:
+        self._ticker = asyncio.get_running_loop().call_later(
+            neighbours.PING_S, self._mailbox.force, messages.Tick()
+        )
--- /dev/null
+++ b/src/dotterelpath/tasks/registrar.py
@@ -0,0 +1,219 @@
+"""The task that owns what the store says, and tells the other tasks."""
+
+from __future__ import annotations
+
+import typing
+
+import structlog
+
+from dotterelpath.domain import configuration
+from dotterelpath.domain import registry
+from dotterelpath.domain import steering
+from dotterelpath.ports import catalog as catalog_port
+from dotterelpath.ports import clock as clock_port
+from dotterelpath.ports import store as store_port
+from dotterelpath.ports import timers as timers_port
+from dotterelpath.tasks import fleet_events
+from dotterelpath.tasks import mailbox
+from dotterelpath.tasks import messages
+from dotterelpath.tasks import store_events
+
+# While entries are missing, it is looked so often whether their time is over,
+# in seconds.
+EXPIRY_S = 0.1
+
+_log = structlog.get_logger()
+
+
+class Registrar:
+    """Keeps the newest configuration, the instances and the daemons.
+
+    A configuration never goes back to an older version. What cannot be read
+    changes nothing but its own instance.
+    """
+
+    __slots__ = (
+        "_catalog",
+        "_clock",
+        "_configuration",
+        "_daemons",
+        "_is_expiring",
+        "_mailbox",
+        "_receivers",
+        "_registry",
+        "_timers",
+    )
+
+    def __init__(
+        self,
+        drain_s: float,
+        catalog: catalog_port.Catalog,
+        clock: clock_port.Clock,
+        due: timers_port.Timers[typing.Any],
+        inbox: mailbox.Mailbox[typing.Any],
+        receivers: tuple[mailbox.Mailbox[typing.Any], ...],
+    ) -> None:
+        """Creates the task's state.
+
+        Args:
+            drain_s: How long a leaving instance may still get work, in
+                seconds.
+            catalog: Reads the store's items.
+            clock: Tells the time.
+            due: Posts ticks to the inbox.
+            inbox: This task's mailbox.
+            receivers: Hear of each change.
+        """
+        self._catalog = catalog
+        self._clock = clock
+        self._timers = due
+        self._mailbox = inbox
+        self._receivers = receivers
+        self._registry = registry.Registry(drain_s)
+        self._configuration: configuration.Configuration | None = None
+        self._daemons: dict[str, steering.Daemon] = {}
+        self._is_expiring = False
+
+    async def run(self) -> None:
+        """Handles messages until cancelled."""
+        while True:
+            self.handle(await self._mailbox.receive())
+
+    def handle(self, message: typing.Any) -> None:
+        """Handles one message.
+
+        Args:
+            message: A message of the store, a tick or changed bounds.
+        """
+        if isinstance(message, store_events.StoreChanged):
+            self.on_store_changed(message)
+        elif isinstance(message, messages.Tick):
+            self.on_tick()
+        elif isinstance(message, fleet_events.BoundsChanged):
+            self._registry.set_drain_s(message.bounds.drain_s)
+
+    def on_store_changed(self, message: store_events.StoreChanged) -> None:
+        """Takes in what the store answered.
+
+        Args:
+            message: The changes.
+        """
+        now_s = self._clock.now_s()
+        if self._registry.heard(message.at_s, message.waited_s):
+            _log.info("store was away")
+        changes = message.changes
+        if not changes.entries and not changes.is_full:
+            return
+        items = [
+            item
+            for item in map(self._catalog.read, changes.entries)
+            if item is not None
+        ]
+        self._take_configuration(items)
+        self._take_instances(items, changes, now_s)
+        self._take_daemons(items, changes)
+
+    def on_tick(self) -> None:
+        """Gives up instances that have been missing for too long."""
+        now_s = self._clock.now_s()
+        self._timers.due(now_s)
+        self._is_expiring = False
+        if self._registry.expire(now_s):
+            self._tell_instances()
+        self._plan_expiry(now_s)
+
+    def _take_configuration(self, items: list[catalog_port.Item]) -> None:
+        for item in items:
+            if isinstance(item, catalog_port.Unreadable):
+                _log.warning(
+                    "store item refused", key=item.key, reason=item.reason
+                )
+            if not isinstance(item, catalog_port.ConfigurationItem):
+                continue
+            known = self._configuration
+            newer = item.configuration
+            if known is not None and newer.version <= known.version:
+                continue
+            self._configuration = newer
+            _log.info(
+                "configuration in force",
+                version=newer.version,
+                routes=len(newer.routes),
+                before=known.version if known else 0,
+            )
+            self._tell(fleet_events.ConfigurationChanged(newer))
+
+    def _take_instances(
+        self,
+        items: list[catalog_port.Item],
+        changes: store_port.Changes,
+        now_s: float,
+    ) -> None:
+        is_news = False
+        present = set()
+        for item in items:
+            if isinstance(item, catalog_port.InstanceItem):
+                if item.entry is None:
+                    is_news |= self._registry.remove(item.id, now_s)
+                else:
+                    present.add(item.id)
+                    is_news |= self._put(item.entry)
+            elif (
+                isinstance(item, catalog_port.Unreadable)
+                and item.instance_id is not None
+            ):
+                is_news |= self._registry.remove(item.instance_id, now_s)
+        if changes.is_full:
+            is_news |= self._registry.keep_only(present, now_s)
+        if is_news or changes.is_full:
+            self._tell_instances()
+        self._plan_expiry(now_s)
+
+    def _put(self, entry: registry.Entry) -> bool:
+        is_news = self._registry.put(entry)
+        if is_news:
+            _log.info(
+                "instance listed",
+                instance=entry.id,
+                service=entry.service,
+                draining=entry.is_draining,
+                sequence=entry.sequence,
+            )
+        return is_news
+
+    def _take_daemons(
+        self, items: list[catalog_port.Item], changes: store_port.Changes
+    ) -> None:
+        daemons = {} if changes.is_full else dict(self._daemons)
+        is_news = changes.is_full
+        for item in items:
+            if not isinstance(item, catalog_port.DaemonItem):
+                continue
+            is_news = True
+            if item.daemon is not None:
+                daemons[item.id] = item.daemon
+            else:
+                daemons.pop(item.id, None)
+        if is_news:
+            self._daemons = daemons
+            self._tell(fleet_events.DaemonsChanged(dict(daemons)))
+
+    def _tell_instances(self) -> None:
+        by_service: dict[str, list[registry.Listed]] = {}
+        for listed in self._registry.known.values():
+            of_service = by_service.setdefault(listed.entry.service, [])
+            of_service.append(listed.copy())
+        self._tell(fleet_events.RegistryChanged(by_service))
+
+    def _tell(self, message: typing.Any) -> None:
+        for receiver in self._receivers:
+            receiver.force(message)
+
+    def _plan_expiry(self, now_s: float) -> None:
+        known = self._registry.known.values()
+        if self._is_expiring or not any(
+            listed.missing_since_s is not None for listed in known
+        ):
+            return
+        self._is_expiring = True
+        self._timers.add(now_s + EXPIRY_S, None)
--- /dev/null
+++ b/src/dotterelpath/tasks/settings_watcher.py
@@ -0,0 +1,93 @@
+"""The task that notices changes of the settings file."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import typing
+
+import structlog
+
+from dotterelpath.domain import deployment
+from dotterelpath.tasks import fleet_events
+from dotterelpath.tasks import mailbox
+
+# How often the file is looked at; it may change without a signal.
+LOOK_S = 1.0
+
+_log = structlog.get_logger()
+
+Reader = typing.Callable[[bytes], deployment.Deployment]
+
+
+class SettingsWatcher:
+    """Reads the settings file again when it has changed.
+
+    Settings that cannot be read change nothing; addresses hold until the
+    process is restarted.
+    """
+
+    __slots__ = ("_content", "_path", "_read", "_receivers", "_stamp", "_wake")
+
+    def __init__(
+        self,
+        path: pathlib.Path,
+        content: bytes,
+        read: Reader,
+        receivers: tuple[mailbox.Mailbox[typing.Any], ...],
+    ) -> None:
+        """Creates the task's state.
+
+        Args:
+            path: The file.
+            content: What it held when the daemon started.
+            read: Reads its content; raises ValueError where it is invalid.
+            receivers: Hear of changed bounds.
+        """
+        self._path = path
+        self._content = content
+        self._read = read
+        self._receivers = receivers
+        self._stamp = _stamp(path)
+        self._wake = asyncio.Event()
+
+    def reload(self) -> None:
+        """Reads the file at once, whether it looks changed or not."""
+        _log.info("reload asked for")
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Looks at the file until cancelled."""
+        while True:
+            try:
+                async with asyncio.timeout(LOOK_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                stamp = _stamp(self._path)
+                if stamp == self._stamp:
+                    continue
+                self._stamp = stamp
+            self._wake.clear()
+            self._reread()
+
+    def _reread(self) -> None:
+        try:
+            content = self._path.read_bytes()
+            if content == self._content:
+                return
+            changed = self._read(content)
+        except (OSError, ValueError) as error:
+            _log.warning("settings refused", error=str(error))
+            return
+        self._content = content
+        _log.info("settings in force")
+        for receiver in self._receivers:
+            receiver.force(fleet_events.BoundsChanged(changed.bounds))
+
+
+def _stamp(path: pathlib.Path) -> tuple[int, int] | None:
+    try:
+        found = path.stat()
+    except OSError:
+        return None
+    return (found.st_mtime_ns, found.st_size)
--- /dev/null
+++ b/src/dotterelpath/tasks/store_reader.py
@@ -0,0 +1,103 @@
+"""The task that waits for changes of the platform's store."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import structlog
+
+from dotterelpath import errors
+from dotterelpath.ports import clock as clock_port
+from dotterelpath.ports import randomness
+from dotterelpath.ports import store as store_port
+from dotterelpath.tasks import mailbox
+from dotterelpath.tasks import store_events
+
+# One watch takes this long when nothing changes, in seconds. A watch whose
+# answer was lost blinds a daemon for as long, so that it stays below the time
+# in which a returned store must be heard.
+WATCH_S = 4.0
+# Changes that come together cost one call; far below the time that a change
+# of the configuration may take, in seconds.
+GATHER_S = 0.25
+# The pause after a failed call, in seconds; refused calls have a price too.
+RETRY_S = 0.5
+
+_log = structlog.get_logger()
+
+
+class StoreReader:
+    """Reads all keys, and then waits for their changes."""
+
+    __slots__ = (
+        "_clock",
+        "_is_lost",
+        "_prefix",
+        "_random",
+        "_receiver",
+        "_revision",
+        "_store",
+    )
+
+    def __init__(
+        self,
+        prefix: str,
+        store: store_port.Store,
+        clock: clock_port.Clock,
+        random: randomness.RandomSource,
+        receiver: mailbox.Mailbox[typing.Any],
+    ) -> None:
+        """Creates the task's state.
+
+        Args:
+            prefix: Begins the keys.
+            store: The store.
+            clock: Tells the time.
+            random: Spreads the daemons' calls.
+            receiver: Gets the changes.
+        """
+        self._prefix = prefix
+        self._store = store
+        self._clock = clock
+        self._random = random
+        self._receiver = receiver
+        self._revision = 0
+        self._is_lost = False
+
+    async def run(self) -> None:
+        """Reads until cancelled."""
+        while True:
+            try:
+                changes = await self._store.watch(
+                    self._prefix, self._revision, WATCH_S
+                )
+            except errors.HistoryLostError:
+                _log.info("store history lost", revision=self._revision)
+                self._revision = 0
+                continue
+            except errors.StoreError as error:
+                self._on_failed(error)
+                pause = RETRY_S * (0.5 + self._random.random())
+                await asyncio.sleep(pause)
+                continue
+            await self._on_changes(changes)
+
+    async def _on_changes(self, changes: store_port.Changes) -> None:
+        if self._is_lost:
+            _log.info("store regained", revision=changes.revision)
+            self._is_lost = False
+        if changes.revision < self._revision and not changes.is_full:
+            _log.warning("store revision fell", revision=changes.revision)
+        self._revision = changes.revision
+        self._receiver.force(
+            store_events.StoreChanged(changes, self._clock.now_s(), WATCH_S)
+        )
+        if changes.entries:
+            await asyncio.sleep(GATHER_S)
+
+    def _on_failed(self, error: errors.StoreError) -> None:
+        if not self._is_lost:
+            _log.warning("store lost", error=str(error))
+            self._is_lost = True
+            self._receiver.force(store_events.StoreLost())
