--- a/src/dotterelpath/gateway_daemon.py
+++ b/src/dotterelpath/gateway_daemon.py
@@ -272,6 +272,7 @@
             timers.Timers(self._clock, boxes.registrar),
             boxes.registrar,
             (boxes.gateway, boxes.neighbourhood, boxes.front_end),
+            boxes.neighbourhood,
         )
 
     def _on_stop(self) -> None:
