Close idle connections instead of refusing them

Cause: the check for slow callers took the head of the last, completed request for one whose body is missing, and answered 408 behind it.

--- a/src/dotterelpath/adapters/h11_frontend.py
+++ b/src/dotterelpath/adapters/h11_frontend.py
@@ -123,7 +123,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses what the caller sent."""
-        if self._cycle.head is not None or not self._has_begun:
+        if self._is_inside_body or not self._has_begun:
             # The time for a head counts from its first byte.
             self._quiet_since_s = time.monotonic()
         self._unread.append(data)
@@ -216,22 +216,26 @@
             return
         quiet_s = now_s - self._quiet_since_s
         limits = self._limits
-        if self._has_begun and self._cycle.head is None:
+        is_inside_head = self._has_begun and not self._is_inside_body
+        if is_inside_head:
             if limits.head_timeout_s and quiet_s > limits.head_timeout_s:
                 self._refuse(errors.ResultCode.REQUEST_TIMEOUT)
         elif limits.idle_timeout_s and quiet_s > limits.idle_timeout_s:
-            if self._cycle.head is not None:
+            if self._is_inside_body:
                 self._refuse(errors.ResultCode.REQUEST_TIMEOUT)
             else:
                 self._transport.close()
 
+    @property
+    def _is_inside_body(self) -> bool:
+        """Whether a head has come in and its body is not complete."""
+        return self._cycle.head is not None and not self._cycle.is_read
+
     @property
     def _has_begun(self) -> bool:
         """Whether a part of a request has come in."""
-        cycle = self._cycle
-        unparsed, _ = cycle.conn.trailing_data
-        is_inside = cycle.head is not None and not cycle.is_read
-        return is_inside or bool(unparsed) or bool(self._unread)
+        unparsed, _ = self._cycle.conn.trailing_data
+        return self._is_inside_body or bool(unparsed) or bool(self._unread)
 
     def _find(self, request: exchange.Request | None) -> _Cycle | None:
         """Finds the request that an answer belongs to."""
