--- a/src/dotterelpath/domain/neighbours.py
+++ b/src/dotterelpath/domain/neighbours.py
@@ -181,9 +181,9 @@
         }
 
     def sharers(self) -> int:
-        """Counts the daemons that carry one host together."""
+        """Counts the daemons that callers of one host may be sent to."""
         data_centres = {d.data_centre for d in self._daemons.values()}
-        return max(1, len(data_centres) * self._per_host)
+        return max(1, len(data_centres) * (self._per_host + RESERVES))
 
     def _enough(self, usable: list[steering.Daemon]) -> list[steering.Daemon]:
         """Takes as many daemons as are not busy on the whole."""
--- a/src/dotterelpath/tasks/_sending.py
+++ b/src/dotterelpath/tasks/_sending.py
@@ -50,6 +50,7 @@
         "_back_ends",
         "_bounds",
         "_by_service",
+        "_carried",
         "_clock",
         "_data_centre",
         "_end",
@@ -108,6 +109,7 @@
         self._streams: dict[int, _forward.Forward] = {}
         self._pumping: set[str] = set()
         self._sharers = 1
+        self._carried: frozenset[str] = frozenset()
 
     @property
     def services(self) -> dict[str, _forward.ServiceState]:
@@ -152,9 +154,10 @@
         """Takes in how many daemons share the retries of a service.
 
         Args:
-            message: Their number.
+            message: Their number, and the services that this one shares.
         """
         self._sharers = max(1, message.count)
+        self._carried = message.carried
 
     def on_evidence_heard(self, message: fleet_events.EvidenceHeard) -> None:
         """Takes in what another daemon saw of an instance.
@@ -539,9 +542,12 @@
             return False
         if not work.sent_to:
             return True
+        slack = 0.0
+        if work.service.name in self._carried:
+            slack = self._bounds.retry_slack / self._sharers
         return work.service.retries.spend(
             self._bounds.retry_ratio,
-            self._bounds.retry_slack / self._sharers,
+            slack,
             self._bounds.retry_window_s,
             self._clock.now_s(),
         )
--- a/src/dotterelpath/tasks/fleet_events.py
+++ b/src/dotterelpath/tasks/fleet_events.py
@@ -66,17 +66,19 @@
 
 
 class SharersChanged:
-    """How many daemons carry a host's requests changed."""
+    """Which daemons share the retries of a service changed."""
 
-    __slots__ = ("count",)
+    __slots__ = ("carried", "count")
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, count: int, carried: frozenset[str]) -> None:
         """Creates the message.
 
         Args:
-            count: The daemons that share one host's requests.
+            count: The daemons that share one service's retries.
+            carried: The services whose callers may be sent to this daemon.
         """
         self.count = count
+        self.carried = carried
 
 
 class EvidenceSeen:
--- a/src/dotterelpath/tasks/neighbourhood.py
+++ b/src/dotterelpath/tasks/neighbourhood.py
@@ -31,6 +31,7 @@
     """Owns what is known of the daemons, this one's state included."""
 
     __slots__ = (
+        "_carried",
         "_clock",
         "_configuration",
         "_datagrams",
@@ -78,7 +79,8 @@
         self._has_instances = False
         self._is_leaving = False
         self._numbers = itertools.count(1)
-        self._sharers = 1
+        self._sharers = 0
+        self._carried: frozenset[str] = frozenset()
         self._processor_s = read_processor_s()
         self._since_s = clock.now_s()
         self._busy = 0.0
@@ -149,6 +151,7 @@
             self.on_tick()
         elif isinstance(message, fleet_events.ConfigurationChanged):
             self._configuration = message.configuration
+            self._tell_sharers()
         elif isinstance(message, fleet_events.RegistryChanged):
             self._has_instances = True
         elif isinstance(message, fleet_events.DaemonsChanged):
@@ -183,10 +186,7 @@
             message: The daemons.
         """
         self._neighbours.set_daemons(message.daemons)
-        sharers = self._neighbours.sharers()
-        if sharers != self._sharers:
-            self._sharers = sharers
-            self._gateway.force(fleet_events.SharersChanged(sharers))
+        self._tell_sharers()
 
     def on_evidence_seen(self, message: fleet_events.EvidenceSeen) -> None:
         """Tells the daemons that send work to the same instance.
@@ -196,12 +196,7 @@
         """
         if self._datagrams is None or self._configuration is None:
             return
-        service = message.evidence.service
-        hosts = {
-            route.host
-            for route in self._configuration.routes
-            if any(part.service == service for part in route.parts)
-        }
+        hosts = self._configuration.hosts_of(message.evidence.service)
         own_id = self._deployment.daemon_id
         seen = datagrams.Seen(own_id, message.evidence)
         daemons = self._neighbours.daemons
@@ -227,6 +222,23 @@
         if due:
             self._schedule()
 
+    def _tell_sharers(self) -> None:
+        """Tells which services this daemon shares with how many others."""
+        if self._configuration is None:
+            return
+        own_id = self._deployment.daemon_id
+        carried = frozenset(
+            service
+            for service in self._configuration.services
+            if own_id
+            in self._neighbours.carriers(self._configuration.hosts_of(service))
+        )
+        sharers = self._neighbours.sharers()
+        if (sharers, carried) != (self._sharers, self._carried):
+            self._sharers = sharers
+            self._carried = carried
+            self._gateway.force(fleet_events.SharersChanged(sharers, carried))
+
     def _answer(self, host: str, port: int, ping: datagrams.Ping) -> None:
         if self._datagrams is None:
             return
