Steer to one daemon a data centre again; gather the store's changes longer

Cause: the processor clock of a process went on like the wall clock, so that daemons called themselves busy and each host had three carriers a data centre instead of one. The resource usage is read instead. Time-outs at the deadline no longer count as failures of the instance.

--- a/src/dotterelpath/adapters/clock.py
+++ b/src/dotterelpath/adapters/clock.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 import time
 
 
@@ -17,3 +18,12 @@
     def wall_s(self) -> float:
         """Reads the wall clock, in seconds since 1970."""
         return time.time()
+
+    def processor_s(self) -> float:
+        """Reads the processor time of this process, in seconds.
+
+        The resource usage is read, since a process may see a processor clock
+        that goes on while others run.
+        """
+        used = resource.getrusage(resource.RUSAGE_SELF)
+        return used.ru_utime + used.ru_stime
--- a/src/dotterelpath/domain/neighbours.py
+++ b/src/dotterelpath/domain/neighbours.py
@@ -160,6 +160,24 @@
             return False
         return watched.state is steering.DaemonState.READY
 
+    def unusable(self, now_s: float) -> dict[str, float]:
+        """Finds the watched daemons that callers are not sent to.
+
+        Args:
+            now_s: The monotonic clock, in seconds.
+
+        Returns:
+            For how long each has been silent, in seconds; 0.0 where it said
+            itself that it takes no callers.
+        """
+        return {
+            daemon_id: max(0.0, round(now_s - watched.answered_s, 2))
+            if watched.state is steering.DaemonState.READY
+            else 0.0
+            for daemon_id, watched in self._watched.items()
+            if not self.is_usable(daemon_id, now_s)
+        }
+
     def carriers(self, hosts: typing.Iterable[str]) -> set[str]:
         """Finds the daemons that callers of some hosts are sent to.
 
--- a/src/dotterelpath/gateway_daemon.py
+++ b/src/dotterelpath/gateway_daemon.py
@@ -9,7 +9,6 @@
 import random
 import signal
 import sys
-import time
 import typing
 
 import structlog
@@ -198,7 +197,7 @@
         self._neighbourhood = neighbourhood.Neighbourhood(
             placed,
             self._clock,
-            time.process_time,
+            self._clock.processor_s,
             boxes.neighbourhood,
             boxes.gateway,
         )
@@ -243,6 +242,7 @@
         )
         start("back ends", sent.run())
         catalog = platform_catalog.Catalog()
+        placed_bounds = self._deployment.bounds
         start("registrar", self._registrar(catalog).run())
         reader = store_reader.StoreReader(
             catalog.prefix,
@@ -250,6 +250,7 @@
             self._clock,
             self._random,
             boxes.registrar,
+            min(placed_bounds.apply_s, placed_bounds.drain_s),
         )
         start("store reader", reader.run())
         daemon = self._deployment.daemon
--- a/src/dotterelpath/tasks/_sending.py
+++ b/src/dotterelpath/tasks/_sending.py
@@ -39,6 +39,9 @@
 # At least this much time must be left for another try, in seconds.
 LEAST_TRY_S = 0.02
 FAILURE_STATUS = 500
+TIMEOUT_STATUS = 504
+# An instance that gives up at the deadline answers about then, in seconds.
+OVER_TIME_S = 0.1
 
 _log = structlog.get_logger()
 
@@ -473,7 +476,8 @@
     ) -> None:
         """Goes on after an instance answered that it failed."""
         work.may_have_run = True
-        self._suspect(work, instance, evidence.Symptom.FAILED)
+        if not self._is_over_time(work, answer):
+            self._suspect(work, instance, evidence.Symptom.FAILED)
         if not message.is_whole:
             self._back_ends.force(
                 messages.CancelTry(message.exchange_id, False)
@@ -488,6 +492,16 @@
             f"answered with status {answer.status}",
         )
 
+    def _is_over_time(
+        self, work: _forward.Forward, answer: exchange.Answer
+    ) -> bool:
+        """Whether an instance gave up because the deadline had come.
+
+        That says how much work there was, not how the instance does.
+        """
+        left_s = work.deadline_s - self._clock.now_s()
+        return answer.status == TIMEOUT_STATUS and left_s < OVER_TIME_S
+
     def _on_broken(
         self,
         work: _forward.Forward,
--- a/src/dotterelpath/tasks/neighbourhood.py
+++ b/src/dotterelpath/tasks/neighbourhood.py
@@ -125,6 +125,13 @@
         ]
         if not endpoints and self.is_ready:
             endpoints = [self._deployment.front]
+        _log.info(
+            "addresses given",
+            host=host,
+            data_centre=data_centre,
+            daemons=[daemon.id for daemon in found],
+            unusable=self._neighbours.unusable(now_s),
+        )
         if self._ticker is None:
             self._schedule()
         ttl_s = min(ADDRESS_TTL_S, self._deployment.bounds.address_ttl_s)
--- a/src/dotterelpath/tasks/store_reader.py
+++ b/src/dotterelpath/tasks/store_reader.py
@@ -18,9 +18,13 @@
 # answer was lost blinds a daemon for as long, so that it stays below the time
 # in which a returned store must be heard.
 WATCH_S = 4.0
-# Changes that come together cost one call; far below the time that a change
-# of the configuration may take, in seconds.
-GATHER_S = 0.25
+# Changes that come together cost one call. The part of the time in which a
+# change must be in force that is spent on gathering them, usually and while
+# a fleet starts.
+GATHER_PART = 0.25
+START_GATHER_PART = 0.5
+# A fleet that starts writes many keys in this time, in seconds.
+START_S = 8.0
 # The pause after a failed call, in seconds; refused calls have a price too.
 RETRY_S = 0.5
 
@@ -31,12 +35,14 @@
     """Reads all keys, and then waits for their changes."""
 
     __slots__ = (
+        "_apply_s",
         "_clock",
         "_is_lost",
         "_prefix",
         "_random",
         "_receiver",
         "_revision",
+        "_started_s",
         "_store",
     )
 
@@ -47,6 +53,7 @@
         clock: clock_port.Clock,
         random: randomness.RandomSource,
         receiver: mailbox.Mailbox[typing.Any],
+        apply_s: float,
     ) -> None:
         """Creates the task's state.
 
@@ -56,7 +63,10 @@
             clock: Tells the time.
             random: Spreads the daemons' calls.
             receiver: Gets the changes.
+            apply_s: The time in which a change must be in force, in seconds.
         """
+        self._apply_s = apply_s
+        self._started_s = clock.now_s()
         self._prefix = prefix
         self._store = store
         self._clock = clock
@@ -94,7 +104,9 @@
             store_events.StoreChanged(changes, self._clock.now_s(), WATCH_S)
         )
         if changes.entries:
-            await asyncio.sleep(GATHER_S)
+            is_start = self._clock.now_s() - self._started_s < START_S
+            part = START_GATHER_PART if is_start else GATHER_PART
+            await asyncio.sleep(self._apply_s * part)
 
     def _on_failed(self, error: errors.StoreError) -> None:
         if not self._is_lost:
