--- a/src/dotterelpath/domain/evidence.py
+++ b/src/dotterelpath/domain/evidence.py
@@ -9,6 +9,7 @@
     """What a daemon saw of an instance."""
 
     FAILED = "failed"
+    FAILED_LATE = "failed late"
     LAGGED = "lagged"
     GONE = "gone"
 
--- a/src/dotterelpath/domain/placement.py
+++ b/src/dotterelpath/domain/placement.py
@@ -13,6 +13,8 @@
 # with the spread of the users' services exceeds it in one of a hundred cases.
 SLOW_FACTOR = 4.0
 SLOW_SLACK_S = 0.05
+# A failure that comes within this part of the usual time came without work.
+AT_ONCE_PART = 0.25
 # The weight of one answer in the usual time.
 USUAL_WEIGHT = 0.1
 # What a load report says of others' requests fades with this time, in
@@ -109,9 +111,7 @@
     __slots__ = (
         "_data_centre",
         "_instances",
-        "_usual_failing",
         "_usual_s",
-        "_usual_slow",
     )
 
     def __init__(self, data_centre: str) -> None:
@@ -122,8 +122,6 @@
         """
         self._data_centre = data_centre
         self._instances: dict[str, Instance] = {}
-        self._usual_failing = sickness.UsualRate()
-        self._usual_slow = sickness.UsualRate()
         self._usual_s: dict[str, float] = {}
 
     @property
@@ -221,6 +219,16 @@
         usual_s = self.usual_s(route, default_s)
         return usual_s * SLOW_FACTOR + SLOW_SLACK_S
 
+    def is_at_once(self, route: str, default_s: float, took_s: float) -> bool:
+        """Whether an answer came too soon for an instance to have worked.
+
+        Args:
+            route: The route's name.
+            default_s: The usual time of a route without answers, in seconds.
+            took_s: How long the answer took, in seconds.
+        """
+        return took_s < self.usual_s(route, default_s) * AT_ONCE_PART
+
     def succeeded(
         self, instance_id: str, route: str, took_s: float, now_s: float
     ) -> None:
@@ -239,15 +247,18 @@
             self._usual_s[route] = usual_s + USUAL_WEIGHT * step_s
         instance = self._instances.get(instance_id)
         if instance is not None:
-            instance.failing.observe(False, self._usual_failing, now_s)
+            instance.failing.observe(sickness.Outcome.GOOD, now_s)
             if not is_slow:
-                instance.slow.observe(False, self._usual_slow, now_s)
+                instance.slow.observe(sickness.Outcome.GOOD, now_s)
 
-    def failed(self, instance_id: str, now_s: float) -> float | None:
+    def failed(
+        self, instance_id: str, at_once: bool, now_s: float
+    ) -> float | None:
         """Takes in a failure.
 
         Args:
             instance_id: The instance.
+            at_once: Whether it failed without having worked.
             now_s: When it was seen, on the monotonic clock, in seconds.
 
         Returns:
@@ -256,7 +267,10 @@
         instance = self._instances.get(instance_id)
         if instance is None:
             return None
-        instance.failing.observe(True, self._usual_failing, now_s)
+        outcome = sickness.Outcome.FAILED_LATE
+        if at_once:
+            outcome = sickness.Outcome.FAILED_AT_ONCE
+        instance.failing.observe(outcome, now_s)
         return instance.failing.chance(now_s)
 
     def lagged(self, instance_id: str, now_s: float) -> float | None:
@@ -272,15 +286,15 @@
         instance = self._instances.get(instance_id)
         if instance is None:
             return None
-        instance.slow.observe(True, self._usual_slow, now_s)
+        instance.slow.observe(sickness.Outcome.SLOW, now_s)
         return instance.slow.chance(now_s)
 
     def _cost(
         self, instance: Instance, load: float, can_retry: bool, now_s: float
     ) -> float:
         """Weighs what may go wrong if an instance gets a request."""
-        failing = instance.failing.bad_chance(self._usual_failing, now_s)
-        slow = instance.slow.bad_chance(self._usual_slow, now_s)
+        failing = instance.failing.bad_chance(now_s)
+        slow = instance.slow.bad_chance(now_s)
         fullness = (load + 1.0) / max(1, instance.entry.slots)
         cost = failing * (RETRIED_COST if can_retry else 1.0)
         cost += slow * SLOW_COST + fullness * fullness * FULLNESS_COST
--- a/src/dotterelpath/domain/sickness.py
+++ b/src/dotterelpath/domain/sickness.py
@@ -2,47 +2,38 @@
 
 from __future__ import annotations
 
+import enum
 import math
 
-# Chances in a healthy and in a sick state that one request shows the symptom.
-# Sick instances fail more than half of their work in the users' incidents.
-SICK_RATE = 0.6
-# An instance that never failed is still not perfect; background failures of
-# the users' services are about one in a hundred.
-LEAST_RATE = 0.01
-# No healthy service fails more often than this.
-MOST_RATE = 0.2
-# An instance turns sick about once a minute, and stays so for some seconds.
-ONSET_PER_S = 1.0 / 60.0
+# An instance turns sick about twice a minute, and stays so for some seconds;
+# the users' services show gray episodes of about five seconds.
+ONSET_PER_S = 1.0 / 30.0
 RECOVERY_PER_S = 1.0 / 5.0
-# The weight of one outcome in the service's usual rate.
-RATE_WEIGHT = 0.02
-
+# The chance that a sick instance shows its symptom with the next request.
+SICK_RATE = 0.6
+HEALTHY_RATE = 0.01
 
-class UsualRate:
-    """How often the instances of a service show a symptom at all."""
 
-    __slots__ = ("_rate",)
+class Outcome(enum.Enum):
+    """What one request shows of an instance's state."""
 
-    def __init__(self) -> None:
-        """Creates the rate of a service without outcomes."""
-        self._rate = LEAST_RATE
+    GOOD = "good"
+    # It failed after about the usual time, as work of its own kind does.
+    FAILED_LATE = "failed late"
+    # It failed without having worked: at once, or by a broken connection.
+    FAILED_AT_ONCE = "failed at once"
+    SLOW = "slow"
 
-    @property
-    def rate(self) -> float:
-        """The chance that a healthy instance shows the symptom."""
-        return min(MOST_RATE, max(LEAST_RATE, self._rate))
 
-    def observe(self, is_bad: bool, sickness: float) -> None:
-        """Takes in an outcome.
-
-        Args:
-            is_bad: Whether it shows the symptom.
-            sickness: The chance that its instance was sick; what sick ones
-                do says little about healthy ones.
-        """
-        weight = RATE_WEIGHT * (1.0 - sickness)
-        self._rate += weight * ((1.0 if is_bad else 0.0) - self._rate)
+# The chances of each outcome in a healthy and in a sick state. Healthy
+# instances fail about one request in a hundred, and take the usual time to
+# find out; those that fail at once are nearly always sick.
+_CHANCES = {
+    Outcome.GOOD: (0.98, 1.0 - SICK_RATE),
+    Outcome.FAILED_LATE: (0.012, 0.1),
+    Outcome.FAILED_AT_ONCE: (0.003, SICK_RATE),
+    Outcome.SLOW: (0.03, SICK_RATE),
+}
 
 
 class Sickness:
@@ -76,28 +67,24 @@
         part = math.exp(-total * max(0.0, now_s - self._at_s))
         return resting + (self._chance - resting) * part
 
-    def bad_chance(self, usual: UsualRate, now_s: float) -> float:
+    def bad_chance(self, now_s: float) -> float:
         """The chance that the next request shows the symptom.
 
         Args:
-            usual: The service's usual rate.
             now_s: The monotonic clock, in seconds.
         """
         sick = self.chance(now_s)
-        return sick * SICK_RATE + (1.0 - sick) * usual.rate
+        return sick * SICK_RATE + (1.0 - sick) * HEALTHY_RATE
 
-    def observe(self, is_bad: bool, usual: UsualRate, now_s: float) -> None:
+    def observe(self, outcome: Outcome, now_s: float) -> None:
         """Takes in an outcome.
 
         Args:
-            is_bad: Whether it shows the symptom.
-            usual: The service's usual rate.
+            outcome: What a request showed.
             now_s: When it was seen, on the monotonic clock, in seconds.
         """
         chance = self.chance(now_s)
-        usual.observe(is_bad, chance)
-        healthy = usual.rate if is_bad else 1.0 - usual.rate
-        sick = SICK_RATE if is_bad else 1.0 - SICK_RATE
+        healthy, sick = _CHANCES[outcome]
         both = chance * sick + (1.0 - chance) * healthy
         self._chance = chance * sick / both
         self._at_s = max(self._at_s, now_s)
--- a/src/dotterelpath/tasks/_sending.py
+++ b/src/dotterelpath/tasks/_sending.py
@@ -176,12 +176,10 @@
         if instance is None or instance.entry.started_ms != heard.started_ms:
             return
         now_s = self._clock.now_s()
-        if heard.symptom is evidence.Symptom.FAILED:
-            state.placement.failed(heard.instance_id, now_s)
-        elif heard.symptom is evidence.Symptom.LAGGED:
-            state.placement.lagged(heard.instance_id, now_s)
-        else:
+        if heard.symptom is evidence.Symptom.GONE:
             self._drop(state, instance)
+        else:
+            _observe(state.placement, heard.instance_id, heard.symptom, now_s)
 
     def begin(self, work: _forward.Forward, service: str) -> None:
         """Sends a new request, or lets it wait for an instance.
@@ -426,7 +424,7 @@
             self._on_refused(work, instance, signs, message)
             return
         if answer.status >= FAILURE_STATUS or not signs.is_proven:
-            self._on_failure(work, instance, answer, signs, message)
+            self._on_failure(work, attempt, signs, message)
             return
         took_s = now_s - attempt.sent_s
         work.service.placement.succeeded(
@@ -469,15 +467,26 @@
     def _on_failure(
         self,
         work: _forward.Forward,
-        instance: placement.Instance,
-        answer: exchange.Answer,
+        attempt: _forward.OpenTry,
         signs: backend.Signs,
         message: messages.TryEnded,
     ) -> None:
         """Goes on after an instance answered that it failed."""
+        assert work.service is not None and work.route is not None
+        assert message.answer is not None
+        instance = attempt.instance
+        answer = message.answer
         work.may_have_run = True
         if not self._is_over_time(work, answer):
-            self._suspect(work, instance, evidence.Symptom.FAILED)
+            at_once = work.service.placement.is_at_once(
+                work.route.name,
+                work.route.target_s * FIRST_WORK_PART,
+                self._clock.now_s() - attempt.sent_s,
+            )
+            symptom = evidence.Symptom.FAILED_LATE
+            if at_once:
+                symptom = evidence.Symptom.FAILED
+            self._suspect(work, instance, symptom)
         if not message.is_whole:
             self._back_ends.force(
                 messages.CancelTry(message.exchange_id, False)
@@ -608,10 +617,7 @@
         assert work.service is not None
         now_s = self._clock.now_s()
         state = work.service
-        if symptom is evidence.Symptom.FAILED:
-            chance = state.placement.failed(instance.id, now_s)
-        else:
-            chance = state.placement.lagged(instance.id, now_s)
+        chance = _observe(state.placement, instance.id, symptom, now_s)
         _log.info(
             "instance suspected",
             request_id=work.request.request_id,
@@ -662,6 +668,18 @@
 }
 
 
+def _observe(
+    placed: placement.Placement,
+    instance_id: str,
+    symptom: evidence.Symptom,
+    now_s: float,
+) -> float | None:
+    if symptom is evidence.Symptom.LAGGED:
+        return placed.lagged(instance_id, now_s)
+    at_once = symptom is evidence.Symptom.FAILED
+    return placed.failed(instance_id, at_once, now_s)
+
+
 def _is_not_run(code: errors.ResultCode) -> bool:
     return code.outcome_class is errors.OutcomeClass.NOT_RUN
 
