--- a/features/environment.py
+++ b/features/environment.py
@@ -5,10 +5,12 @@
 import json
 import pathlib
 import random
+import shutil
 
 import behave
 
 from standins import fleet as fleet_harness
+from standins import gateway_fleet
 
 OUT = fleet_harness.ROOT / "out"
 
@@ -69,6 +71,48 @@
         context.fleet.stop()
 
 
+ROUTES = (
+    gateway_fleet.route("/presses/", "presses"),
+    gateway_fleet.route(
+        "/deposits/", "deposits", route_type="non_idempotent", priority=0
+    ),
+    gateway_fleet.route(
+        "/mixed/",
+        traffic_split=[
+            {"service": "presses", "weight": 75},
+            {"service": "deposits", "weight": 25},
+        ],
+    ),
+)
+
+
+@behave.fixture
+def gateway(context, daemons=2):
+    """Starts gateway daemons on a platform with two services."""
+    OUT.mkdir(exist_ok=True)
+    folder = OUT / "settings"
+    shutil.rmtree(folder, ignore_errors=True)
+    folder.mkdir()
+    context.fleet = gateway_fleet.GatewayFleet(OUT / "features.log", folder)
+    try:
+        context.fleet.start_store()
+        context.fleet.configure(*ROUTES)
+        context.fleet.start_instances("presses", 3)
+        context.fleet.start_instances("deposits", 2)
+        context.fleet.add_gateways(daemons)
+        context.fleet.all_ready()
+        context.fleet.knows("presses", 3)
+        context.fleet.knows("deposits", 2)
+        yield context.fleet
+    finally:
+        context.fleet.stop()
+
+
+def log_size():
+    """How long the log of all processes is."""
+    return (OUT / "features.log").stat().st_size
+
+
 def before_all(context):
     context.verdict = {"passed": [], "failed": []}
 
@@ -76,12 +120,20 @@
 def before_tag(context, tag):
     if tag == "fixture.estate":
         behave.use_fixture(estate, context)
+    elif tag == "fixture.gateway":
+        behave.use_fixture(gateway, context)
+    elif tag == "fixture.gateway_pair":
+        behave.use_fixture(gateway, context, daemons=6)
     elif tag == "fixture.one_watcher":
         behave.use_fixture(estate, context, **{"store-watchers": 1})
 
 
 def before_scenario(context, scenario):
     context.random = random.Random(scenario.name)
+    fleet = getattr(context, "fleet", None)
+    if isinstance(fleet, gateway_fleet.GatewayFleet):
+        context.log_start = log_size()
+        fleet.reset(*ROUTES)
 
 
 def after_scenario(context, scenario):
--- a/src/dotterelpath/adapters/gateway_status.py
+++ b/src/dotterelpath/adapters/gateway_status.py
@@ -69,6 +69,7 @@
         "retries": state.retries.retries,
         "instances": {
             instance.id: {
+                "started_ms": instance.entry.started_ms,
                 "in_flight": instance.in_flight,
                 "load": round(instance.load(now_s), 2),
                 "slots": instance.entry.slots,
--- /dev/null
+++ b/src/dotterelpath/domain/floor.py
@@ -0,0 +1,76 @@
+"""When instances that are left alone must be tried again."""
+
+from __future__ import annotations
+
+import math
+
+# Above this share of unserved requests, a service may not be short of
+# instances only because they are left alone. Owners' floors bind from a tenth
+# on; each daemon sees only a part of the requests.
+TROUBLED_SHARE = 0.08
+# How long the share is remembered, in seconds.
+MEMORY_S = 2.0
+# Fewer requests than this say nothing about the share.
+LEAST_REQUESTS = 8.0
+# While a service is in trouble, each instance gets a request at least this
+# often, in seconds: one that may run again, or after a while any.
+RETRIED_PERIOD_S = 1.0
+ANY_PERIOD_S = 1.6
+# A new instance gets its first request after this time, in seconds, in the
+# same order.
+RETRIED_FIRST_S = 0.5
+ANY_FIRST_S = 2.0
+
+
+class Trouble:
+    """The share of a service's requests that were not served lately."""
+
+    __slots__ = ("_at_s", "_ended", "_unserved")
+
+    def __init__(self) -> None:
+        """Creates the state of a service without requests."""
+        self._ended = 0.0
+        self._unserved = 0.0
+        self._at_s = 0.0
+
+    def ended(self, is_served: bool, now_s: float) -> None:
+        """Takes in the end of a request.
+
+        Args:
+            is_served: Whether its caller got what it asked for.
+            now_s: The monotonic clock, in seconds.
+        """
+        part = math.exp(-(now_s - self._at_s) / MEMORY_S)
+        self._ended = self._ended * part + 1.0
+        self._unserved = self._unserved * part + (not is_served)
+        self._at_s = now_s
+
+    @property
+    def is_troubled(self) -> bool:
+        """Whether more requests than usual are not served."""
+        if self._ended < LEAST_REQUESTS:
+            return False
+        return self._unserved / self._ended > TROUBLED_SHARE
+
+
+def is_due(
+    sent_s: float | None,
+    listed_s: float,
+    can_retry: bool,
+    is_troubled: bool,
+    now_s: float,
+) -> bool:
+    """Whether an instance is to get the next request in spite of suspicion.
+
+    Args:
+        sent_s: When it last got one; None if it never did.
+        listed_s: Since when it is known.
+        can_retry: Whether a failure of the request can be made up for.
+        is_troubled: Whether the service is in trouble.
+        now_s: The monotonic clock, in seconds.
+    """
+    if sent_s is None:
+        first_s = RETRIED_FIRST_S if can_retry else ANY_FIRST_S
+        return now_s - listed_s > first_s
+    period_s = RETRIED_PERIOD_S if can_retry else ANY_PERIOD_S
+    return is_troubled and now_s - sent_s > period_s
--- a/src/dotterelpath/domain/placement.py
+++ b/src/dotterelpath/domain/placement.py
@@ -5,6 +5,7 @@
 import math
 import typing
 
+from dotterelpath.domain import floor
 from dotterelpath.domain import registry
 from dotterelpath.domain import sickness
 from dotterelpath.ports import randomness
@@ -27,6 +28,8 @@
 DISTANCE_COST = 0.02
 WARM_UP_COST = 0.1
 TIE_COST = 0.005
+# An instance takes another request if so much of a slot is free by estimate.
+FREE_PART = 0.5
 
 
 class Instance:
@@ -37,8 +40,10 @@
         "failing",
         "in_flight",
         "is_lapsed",
+        "listed_s",
         "others",
         "others_at_s",
+        "sent_s",
         "slow",
         "warm_at_s",
     )
@@ -58,6 +63,8 @@
         self.others = 0.0
         self.others_at_s = -math.inf
         self.warm_at_s = now_s + entry.warm_up_s
+        self.listed_s = now_s
+        self.sent_s: float | None = None
 
     @property
     def id(self) -> str:
@@ -173,6 +180,7 @@
         now_s: float,
         can_retry: bool,
         tried: typing.Collection[str] = (),
+        is_troubled: bool = False,
     ) -> Pick:
         """Chooses the instance that serves a request best.
 
@@ -181,6 +189,8 @@
             now_s: The monotonic clock, in seconds.
             can_retry: Whether a failure can be made up for elsewhere.
             tried: Instances that the request was sent to before.
+            is_troubled: Whether many requests of the service fail, so that
+                no instance may be left alone for long.
 
         Returns:
             The instance, or whether waiting for one makes sense.
@@ -188,11 +198,16 @@
         usable = [i for i in self._instances.values() if i.id not in tried]
         lasting = [i for i in usable if not i.is_lapsed]
         usable = lasting or usable
+        due = None
+        if not tried:
+            due = self._due(lasting, can_retry, is_troubled, now_s)
+        if due is not None:
+            return Pick(due, False)
         best: Instance | None = None
         best_cost = math.inf
         for instance in usable:
             load = instance.load(now_s)
-            if load > instance.entry.slots - 0.5:
+            if load > instance.entry.slots - FREE_PART:
                 continue
             cost = self._cost(instance, load, can_retry, now_s)
             cost += TIE_COST * random.random()
@@ -289,6 +304,32 @@
         instance.slow.observe(sickness.Outcome.SLOW, now_s)
         return instance.slow.chance(now_s)
 
+    def _due(
+        self,
+        usable: list[Instance],
+        can_retry: bool,
+        is_troubled: bool,
+        now_s: float,
+    ) -> Instance | None:
+        """Finds an instance of this data centre that must not be left alone.
+
+        Daemons of the other data centres see to theirs.
+        """
+        due = [
+            instance
+            for instance in usable
+            if instance.entry.data_centre == self._data_centre
+            and instance.load(now_s) <= instance.entry.slots - FREE_PART
+            and floor.is_due(
+                instance.sent_s,
+                instance.listed_s,
+                can_retry,
+                is_troubled,
+                now_s,
+            )
+        ]
+        return min(due, key=_last_sent, default=None)
+
     def _cost(
         self, instance: Instance, load: float, can_retry: bool, now_s: float
     ) -> float:
@@ -303,3 +344,7 @@
         if now_s < instance.warm_at_s:
             cost += WARM_UP_COST
         return cost
+
+
+def _last_sent(instance: Instance) -> float:
+    return -math.inf if instance.sent_s is None else instance.sent_s
--- a/src/dotterelpath/tasks/_forward.py
+++ b/src/dotterelpath/tasks/_forward.py
@@ -6,6 +6,7 @@
 
 from dotterelpath.domain import configuration
 from dotterelpath.domain import exchange
+from dotterelpath.domain import floor
 from dotterelpath.domain import placement
 from dotterelpath.domain import retry_window
 from dotterelpath.domain import waiting
@@ -21,7 +22,14 @@
 class ServiceState:
     """A service's instances, waiting requests and retries."""
 
-    __slots__ = ("gone", "name", "placement", "queue", "retries")
+    __slots__ = (
+        "gone",
+        "name",
+        "placement",
+        "queue",
+        "retries",
+        "trouble",
+    )
 
     def __init__(self, name: str, data_centre: str) -> None:
         """Creates the state of a service without instances.
@@ -34,6 +42,7 @@
         self.placement = placement.Placement(data_centre)
         self.queue: waiting.Queue[Forward] = waiting.Queue()
         self.retries = retry_window.RetryWindow()
+        self.trouble = floor.Trouble()
         self.gone: set[tuple[str, int]] = set()
 
 
--- a/src/dotterelpath/tasks/_sending.py
+++ b/src/dotterelpath/tasks/_sending.py
@@ -346,7 +346,11 @@
         assert work.service is not None
         can_retry = work.is_idempotent and work.tries_left > 1
         return work.service.placement.choose(
-            self._random, self._clock.now_s(), can_retry, work.tried
+            self._random,
+            self._clock.now_s(),
+            can_retry,
+            work.tried,
+            work.service.trouble.is_troubled,
         )
 
     def _wait(self, work: _forward.Forward) -> None:
@@ -392,6 +396,7 @@
         work.sent_to.append(instance.id)
         self._tries[try_id] = attempt
         instance.in_flight += 1
+        instance.sent_s = now_s
         if now_s + slow_after_s < work.deadline_s:
             self._timers.add(now_s + slow_after_s, attempt)
         self._back_ends.force(
--- a/src/dotterelpath/tasks/gateway.py
+++ b/src/dotterelpath/tasks/gateway.py
@@ -242,6 +242,8 @@
         now_s = self._clock.now_s()
         took_s = now_s - work.arrived_s
         service = work.service.name if work.service else ""
+        if work.service and outcome.code is not errors.ResultCode.CALLER_GONE:
+            work.service.trouble.ended(_is_served(outcome), now_s)
         route = work.route
         self._metrics.request_ended(
             service,
@@ -266,3 +268,8 @@
             left_ms=round((work.deadline_s - now_s) * 1000.0, 1),
             detail=outcome.detail,
         )
+
+
+def _is_served(outcome: exchange.Outcome) -> bool:
+    answer = outcome.answer
+    return answer is not None and answer.status < _sending.FAILURE_STATUS
--- a/src/dotterelpath/tasks/store_reader.py
+++ b/src/dotterelpath/tasks/store_reader.py
@@ -18,6 +18,9 @@
 # answer was lost blinds a daemon for as long, so that it stays below the time
 # in which a returned store must be heard.
 WATCH_S = 4.0
+# A daemon that lost the store asks in short calls, so that it does not wait
+# in one that hangs while the store is back, in seconds.
+LOST_WATCH_S = 0.3
 # Changes that come together cost one call. The part of the time in which a
 # change must be in force that is spent on gathering them, usually and while
 # a fleet starts.
@@ -79,8 +82,9 @@
         """Reads until cancelled."""
         while True:
             try:
+                wait_s = LOST_WATCH_S if self._is_lost else WATCH_S
                 changes = await self._store.watch(
-                    self._prefix, self._revision, WATCH_S
+                    self._prefix, self._revision, wait_s
                 )
             except errors.HistoryLostError:
                 _log.info("store history lost", revision=self._revision)
--- /dev/null
+++ b/standins/instance.py
@@ -0,0 +1,190 @@
+"""Stands in for the users' instances; one process serves several ports."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import typing
+
+import click
+import orjson
+import uvloop
+
+from dotterelpath.domain import exchange
+from dotterelpath.platform import names
+from dotterelpath.ports import frontend
+from standins import http
+
+MAX_WAITING = 16
+
+
+class Instance:
+    """One instance that signs its answers and has fault modes.
+
+    Modes: `fail` answers 500 at once, `work_s` sets the time of a request,
+    `silent` runs and never answers, `drop` runs and closes, `truncate` cuts
+    answers short, `late` sends an answer to another request first, `unframed`
+    answers without a length, `unsigned` leaves the signature out, `shed`
+    refuses, `moved` says that another instance has the address.
+    """
+
+    __slots__ = ("_id", "_mode", "_running", "_seen", "_slots", "_waiting")
+
+    def __init__(self, id: str, slots: int) -> None:
+        """Creates an instance.
+
+        Args:
+            id: Its id.
+            slots: Requests that run at a time.
+        """
+        self._id = id
+        self._slots = slots
+        self._running = 0
+        self._waiting: collections.deque[asyncio.Event] = collections.deque()
+        self._mode: dict[str, typing.Any] = {"work_s": 0.005}
+        self._seen: dict[str, typing.Any] = {
+            "runs": collections.Counter(),
+            "cancelled": [],
+            "last": {},
+        }
+
+    async def handle(
+        self, request: exchange.Request, connection: frontend.Connection
+    ) -> exchange.Answer | None:
+        """Answers a request as the mode says."""
+        if request.path == "/_mode":
+            self._mode = {"work_s": 0.005, **orjson.loads(request.body)}
+            return http.answer({})
+        if request.path == "/_seen":
+            return http.answer(self._seen)
+        request_id = _header(request, names.REQUEST_ID)
+        target = _header(request, names.TARGET_INSTANCE)
+        if self._mode.get("moved") or target not in ("", self._id):
+            return self._refusal(421, request_id)
+        if self._mode.get("shed") or len(self._waiting) >= MAX_WAITING:
+            return self._refusal(503, request_id)
+        await self._take_slot()
+        try:
+            return await self._work(request, connection, request_id)
+        except asyncio.CancelledError:
+            self._seen["cancelled"].append(request_id)
+            raise
+        finally:
+            self._free_slot()
+
+    async def _take_slot(self) -> None:
+        if self._running >= self._slots:
+            turn = asyncio.Event()
+            self._waiting.append(turn)
+            try:
+                await turn.wait()
+            except asyncio.CancelledError:
+                if turn in self._waiting:
+                    self._waiting.remove(turn)
+                raise
+        self._running += 1
+
+    def _free_slot(self) -> None:
+        self._running -= 1
+        if self._waiting:
+            self._waiting.popleft().set()
+
+    async def _work(
+        self,
+        request: exchange.Request,
+        connection: frontend.Connection,
+        request_id: str,
+    ) -> exchange.Answer | None:
+        self._seen["runs"][request_id] += 1
+        self._seen["last"] = {
+            "method": request.method,
+            "target": request.target,
+            "headers": {
+                name.decode(): value.decode("latin-1")
+                for name, value in request.headers
+            },
+            "body": request.body.decode("latin-1"),
+        }
+        if self._mode.get("fail"):
+            return self._answer(request_id, {"failed": self._id}, 500)
+        await asyncio.sleep(self._mode["work_s"])
+        if self._mode.get("silent"):
+            await asyncio.sleep(3600.0)
+        if self._mode.get("drop"):
+            return None
+        data = {"instance": self._id, "target": request.target}
+        return self._spoil(connection, request_id, data)
+
+    def _spoil(
+        self,
+        connection: frontend.Connection,
+        request_id: str,
+        data: dict[str, str],
+    ) -> exchange.Answer | None:
+        """Sends the bytes that a mode asks for, or the whole answer."""
+        body = orjson.dumps(data)
+        head = b"HTTP/1.1 200 OK\r\nrequest-id: %b\r\n%b: x\r\n" % (
+            request_id.encode(),
+            names.SIGNATURE,
+        )
+        if self._mode.get("truncate"):
+            _raw(connection, head + b"content-length: 999\r\n\r\n" + body)
+            return None
+        if self._mode.get("unframed"):
+            _raw(connection, head + b"\r\n" + body)
+            return None
+        if self._mode.get("late"):
+            other = head.replace(request_id.encode(), b"another")
+            _raw(connection, other + b"content-length: 4\r\n\r\nevil")
+        return self._answer(request_id, data)
+
+    def _answer(
+        self, request_id: str, data: dict[str, str], status: int = 200
+    ) -> exchange.Answer:
+        fields = [(names.REQUEST_ID, request_id.encode()), self._load()]
+        if not self._mode.get("unsigned"):
+            fields.append((names.SIGNATURE, f"signed-{self._id}".encode()))
+        return http.answer(data, status, fields)
+
+    def _refusal(self, status: int, request_id: str) -> exchange.Answer:
+        fields = [
+            (names.NOT_EXECUTED, b"1"),
+            (names.REQUEST_ID, request_id.encode()),
+            self._load(),
+        ]
+        return http.answer({"refused": self._id}, status, fields)
+
+    def _load(self) -> tuple[bytes, bytes]:
+        text = f"{self._running},{len(self._waiting)},{self._slots}"
+        return (names.SERVER_LOAD, text.encode())
+
+
+def _raw(connection: frontend.Connection, data: bytes) -> None:
+    connection._transport.write(data)  # noqa: SLF001
+
+
+def _header(request: exchange.Request, name: bytes) -> str:
+    for key, value in request.headers:
+        if key == name:
+            return value.decode("latin-1")
+    return ""
+
+
+@click.command()
+@click.option("--instance", "instances", multiple=True, required=True)
+@click.option("--slots", type=int, default=4)
+def main(instances: tuple[str, ...], slots: int) -> None:
+    """Runs instances, each given as ID:PORT."""
+
+    async def work() -> None:
+        for instance in instances:
+            name, _, port = instance.rpartition(":")
+            server = http.Server(Instance(name, slots).handle)
+            await server.listen("127.0.0.1", int(port))
+        await asyncio.Event().wait()
+
+    uvloop.run(work())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/kv_store.py
@@ -0,0 +1,216 @@
+"""Stands in for the users' platform's store."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import collections
+import time
+import typing
+import urllib.parse
+
+import click
+import orjson
+import uvloop
+
+from dotterelpath.domain import exchange
+from dotterelpath.ports import frontend
+from standins import http
+
+PAGE = 50
+
+
+class KvStore:
+    """Items with revisions, leases and watches, and switchable faults.
+
+    Faults: `down` closes without an answer, `silent` never answers, `busy`
+    refuses with 503, `slow_s` delays, `lose` drops the answers of the next
+    writes after they took effect. `/_compact` drops the history, `/_put`
+    writes as the operator or an instance does.
+    """
+
+    __slots__ = (
+        "_changed",
+        "_counts",
+        "_faults",
+        "_floor",
+        "_items",
+        "_leases",
+        "_log",
+        "_revision",
+    )
+
+    def __init__(self) -> None:
+        """Creates an empty store."""
+        self._items: dict[str, dict[str, typing.Any]] = {}
+        self._log: list[dict[str, typing.Any]] = []
+        self._leases: dict[int, float] = {}
+        self._revision = 1
+        self._floor = 0
+        self._faults: dict[str, typing.Any] = {}
+        self._counts: collections.Counter[str] = collections.Counter()
+        self._changed = asyncio.Event()
+
+    async def handle(
+        self, request: exchange.Request, connection: frontend.Connection
+    ) -> exchange.Answer | None:
+        """Answers a call, or fails as the faults say."""
+        path, _, query = request.target.partition("?")
+        values = dict(urllib.parse.parse_qsl(query, True))
+        if path.startswith("/_"):
+            return self._control(path, request.body)
+        self._counts[path.split("/")[2]] += 1
+        if self._faults.get("down"):
+            return None
+        if self._faults.get("silent"):
+            await asyncio.sleep(3600.0)
+        if self._faults.get("busy"):
+            return http.answer({}, 503)
+        await asyncio.sleep(self._faults.get("slow_s", 0.0))
+        if path == "/v1/kv-watch":
+            return await self._watch(values)
+        answer = self._call(path, values, request)
+        if request.method == "POST" and self._faults.get("lose", 0) > 0:
+            self._faults["lose"] -= 1
+            return None
+        return answer
+
+    def _control(self, path: str, body: bytes) -> exchange.Answer:
+        data = orjson.loads(body) if body else {}
+        if path == "/_fault":
+            self._faults = data
+        elif path == "/_put":
+            for key, value in data.items():
+                self._set(key, value)
+        elif path == "/_compact":
+            self._floor = self._revision
+            self._log = []
+        elif path == "/_counts":
+            return http.answer(self._counts)
+        return http.answer({"revision": self._revision})
+
+    def _call(
+        self,
+        path: str,
+        values: dict[str, str],
+        request: exchange.Request,
+    ) -> exchange.Answer:
+        self._expire()
+        if path == "/v1/kv-key":
+            item = self._items.get(values["key"])
+            if item is None:
+                return http.answer({"store_revision": self._revision}, 404)
+            return http.answer({**item, "store_revision": self._revision})
+        if path == "/v1/kv-range":
+            return self._range(values)
+        body = orjson.loads(request.body) if request.body else {}
+        if path == "/v1/kv-txn":
+            return self._transact(body)
+        if path == "/v1/kv-lease":
+            lease = 7000 + len(self._leases)
+            ttl_s = body["ttl_s_time"]
+            self._leases[lease] = time.monotonic() + ttl_s
+            return http.answer({"lease": lease, "ttl_s_time": ttl_s})
+        if path.startswith("/v1/kv-keep/"):
+            known = int(path.rpartition("/")[2]) in self._leases
+            return http.answer({}, 200 if known else 404)
+        return http.answer({}, 404)
+
+    def _range(self, values: dict[str, str]) -> exchange.Answer:
+        keys = sorted(
+            key
+            for key in self._items
+            if key.startswith(values["prefix"])
+            and key > values.get("after", "")
+        )
+        return http.answer(
+            {
+                "items": [self._items[key] for key in keys[:PAGE]],
+                "has_more": len(keys) > PAGE,
+                "store_revision": self._revision,
+            }
+        )
+
+    async def _watch(self, values: dict[str, str]) -> exchange.Answer:
+        after = int(values["after"])
+        until_s = time.monotonic() + int(values["wait_ms"]) / 1000.0
+        while True:
+            if after < self._floor:
+                return http.answer({}, 410)
+            events = [
+                event
+                for event in self._log
+                if event["revision"] > after
+                and event["key"].startswith(values["prefix"])
+            ]
+            left_s = until_s - time.monotonic()
+            if events or left_s <= 0.0:
+                return http.answer(
+                    {"events": events, "store_revision": self._revision}
+                )
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    def _transact(self, body: dict[str, typing.Any]) -> exchange.Answer:
+        for row in body["precondition"]:
+            item = self._items.get(row["key"])
+            if (item["revision"] if item else 0) != row["revision"]:
+                now = [
+                    self._items[r["key"]]
+                    for r in body["precondition"]
+                    if r["key"] in self._items
+                ]
+                return http.answer({"items": now}, 412)
+        for row in body["puts"]:
+            value = base64.b64decode(row["value"]).decode()
+            self._set(row["key"], value, row.get("lease", 0))
+        for key in body["drop"]:
+            self._set(key, None)
+        return http.answer({"revision": self._revision})
+
+    def _set(self, key: str, value: str | None, lease: int = 0) -> None:
+        self._revision += 1
+        event: dict[str, typing.Any] = {"key": key, "revision": self._revision}
+        if value is None:
+            if self._items.pop(key, None) is None:
+                return
+            event["deleted"] = True
+        else:
+            known = self._items.get(key, event)
+            event["value"] = base64.b64encode(value.encode()).decode()
+            event["create_revision"] = known.get(
+                "create_revision", self._revision
+            )
+            event["lease"] = lease
+            self._items[key] = event
+        self._log.append(event)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _expire(self) -> None:
+        now_s = time.monotonic()
+        ended = {
+            lease for lease, end_s in self._leases.items() if end_s < now_s
+        }
+        for key, item in list(self._items.items()):
+            if item["lease"] in ended:
+                self._set(key, None)
+
+
+@click.command()
+@click.option("--port", type=int, required=True)
+def main(port: int) -> None:
+    """Runs the stand-in."""
+
+    async def work() -> None:
+        await http.Server(KvStore().handle).listen("127.0.0.1", port)
+        await asyncio.Event().wait()
+
+    uvloop.run(work())
+
+
+if __name__ == "__main__":
+    main()
