Leave sick instances alone for two seconds, and let late requests try them

Requests wait for healthy instances, but not until their last moment: those that would be late try a sick one at once.

--- a/src/dotterelpath/domain/neighbours.py
+++ b/src/dotterelpath/domain/neighbours.py
@@ -198,6 +198,11 @@
             for daemon in steering.ranked(host, daemons)[:most]
         }
 
+    def carrying(self) -> int:
+        """Counts the daemons that carry one host at a time."""
+        data_centres = {d.data_centre for d in self._daemons.values()}
+        return max(1, len(data_centres) * self._per_host)
+
     def sharers(self) -> int:
         """Counts the daemons that callers of one host may be sent to."""
         data_centres = {d.data_centre for d in self._daemons.values()}
--- a/src/dotterelpath/domain/placement.py
+++ b/src/dotterelpath/domain/placement.py
@@ -28,6 +28,9 @@
 DISTANCE_COST = 0.02
 WARM_UP_COST = 0.1
 TIE_COST = 0.005
+# An instance that fails the next request with more than this chance is left
+# alone while others can take it, even if it has to wait.
+SICK_CHANCE = 0.3
 # An instance takes another request if so much of a slot is free by estimate.
 FREE_PART = 0.5
 
@@ -136,11 +139,6 @@
         """The instances that may get work, by id."""
         return self._instances
 
-    @property
-    def slots(self) -> int:
-        """Requests that all instances work on at once."""
-        return sum(i.entry.slots for i in self._instances.values())
-
     @property
     def in_flight(self) -> int:
         """This daemon's requests at all instances."""
@@ -181,6 +179,7 @@
         can_retry: bool,
         tried: typing.Collection[str] = (),
         is_troubled: bool = False,
+        is_desperate: bool = False,
     ) -> Pick:
         """Chooses the instance that serves a request best.
 
@@ -191,18 +190,22 @@
             tried: Instances that the request was sent to before.
             is_troubled: Whether many requests of the service fail, so that
                 no instance may be left alone for long.
+            is_desperate: Whether a sick instance is better than none.
 
         Returns:
             The instance, or whether waiting for one makes sense.
         """
         usable = [i for i in self._instances.values() if i.id not in tried]
-        lasting = [i for i in usable if not i.is_lapsed]
-        usable = lasting or usable
+        usable = [i for i in usable if not i.is_lapsed] or usable
         due = None
         if not tried:
-            due = self._due(lasting, can_retry, is_troubled, now_s)
+            due = self._due(usable, can_retry, is_troubled, now_s)
         if due is not None:
             return Pick(due, False)
+        if not is_desperate:
+            # One that fails at once is always free, and would draw all that
+            # the others have no room for.
+            usable = [i for i in usable if not _is_sick(i, now_s)] or usable
         best: Instance | None = None
         best_cost = math.inf
         for instance in usable:
@@ -215,6 +218,18 @@
                 best, best_cost = instance, cost
         return Pick(best, best is None and bool(usable))
 
+    def good_slots(self, now_s: float) -> int:
+        """Counts the slots of the instances that are not left alone.
+
+        Args:
+            now_s: The monotonic clock, in seconds.
+        """
+        return sum(
+            instance.entry.slots
+            for instance in self._instances.values()
+            if not _is_sick(instance, now_s)
+        )
+
     def usual_s(self, route: str, default_s: float) -> float:
         """How long an answer usually takes.
 
@@ -348,3 +363,7 @@
 
 def _last_sent(instance: Instance) -> float:
     return -math.inf if instance.sent_s is None else instance.sent_s
+
+
+def _is_sick(instance: Instance, now_s: float) -> bool:
+    return instance.failing.bad_chance(now_s) > SICK_CHANCE
--- a/src/dotterelpath/domain/waiting.py
+++ b/src/dotterelpath/domain/waiting.py
@@ -76,6 +76,24 @@
         return (float(aged), is_late, self.target_s - self.work_s)
 
 
+class Review(typing.Generic[T]):
+    """The requests of a queue that do not wait well."""
+
+    __slots__ = ("hopeless", "late")
+
+    def __init__(
+        self, hopeless: list[Waiter[T]], late: list[Waiter[T]]
+    ) -> None:
+        """Creates a review.
+
+        Args:
+            hopeless: Those that can hardly be answered before their deadline.
+            late: Those that cannot be answered while it is of full use.
+        """
+        self.hopeless = hopeless
+        self.late = late
+
+
 class Queue(typing.Generic[T]):
     """The requests that wait for the instances of one service."""
 
@@ -89,44 +107,44 @@
         """Counts the waiting requests."""
         return len(self._waiters)
 
-    def add(
-        self, waiter: Waiter[T], slots: int, now_s: float
-    ) -> list[Waiter[T]]:
-        """Adds a request, and finds those that have no hope now.
+    def add(self, waiter: Waiter[T], now_s: float) -> None:
+        """Adds a request.
 
         Args:
             waiter: The request.
-            slots: Requests that this daemon may have worked on at once.
             now_s: The monotonic clock, in seconds.
-
-        Returns:
-            Requests to refuse at once; they no longer wait.
         """
         self._waiters.append(waiter)
         self._waiters.sort(key=lambda w: w.rank(now_s))
-        return self.refuse(slots, now_s)
 
-    def refuse(self, slots: int, now_s: float) -> list[Waiter[T]]:
-        """Takes out the requests that have no hope.
+    def review(self, slots: int, now_s: float) -> Review[T]:
+        """Finds the requests that wait in vain, or too long to be of full use.
 
         A request starts when the work ahead of it is done; those behind a
-        refused one move up.
+        hopeless one move up.
 
         Args:
             slots: Requests that this daemon may have worked on at once.
             now_s: The monotonic clock, in seconds.
+
+        Returns:
+            What was found. The hopeless requests no longer wait.
         """
         kept = []
-        refused = []
+        hopeless = []
+        late = []
         ahead_s = 0.0
         for waiter in self._waiters:
-            if waiter.is_hopeless(now_s + ahead_s / max(1, slots)):
-                refused.append(waiter)
+            start_s = now_s + ahead_s / max(1, slots)
+            if waiter.is_hopeless(start_s):
+                hopeless.append(waiter)
                 continue
+            if start_s + waiter.work_s > waiter.target_s:
+                late.append(waiter)
             kept.append(waiter)
             ahead_s += waiter.work_s
         self._waiters = kept
-        return refused
+        return Review(hopeless, late)
 
     def ordered(self, now_s: float) -> list[Waiter[T]]:
         """Lists the requests, the first to go at the start.
--- a/src/dotterelpath/tasks/_sending.py
+++ b/src/dotterelpath/tasks/_sending.py
@@ -54,6 +54,7 @@
         "_bounds",
         "_by_service",
         "_carried",
+        "_carriers",
         "_clock",
         "_data_centre",
         "_end",
@@ -112,6 +113,7 @@
         self._streams: dict[int, _forward.Forward] = {}
         self._pumping: set[str] = set()
         self._sharers = 1
+        self._carriers = 1
         self._carried: frozenset[str] = frozenset()
 
     @property
@@ -160,6 +162,7 @@
             message: Their number, and the services that this one shares.
         """
         self._sharers = max(1, message.count)
+        self._carriers = max(1, message.carriers)
         self._carried = message.carried
 
     def on_evidence_heard(self, message: fleet_events.EvidenceHeard) -> None:
@@ -308,9 +311,7 @@
         if not len(state.queue):
             return
         now_s = self._clock.now_s()
-        slots = self._slots(state)
-        for waiter in state.queue.refuse(slots, now_s):
-            self._refuse(waiter.item)
+        self._review(state, now_s)
         for waiter in state.queue.ordered(now_s):
             pick = self._pick(waiter.item)
             if pick.instance is None:
@@ -329,8 +330,9 @@
         state.placement.set_listed(listed, self._clock.now_s())
 
     def _slots(self, state: _forward.ServiceState) -> int:
-        """This daemon's part of the service's slots."""
-        return max(1, state.placement.slots // self._sharers)
+        """This daemon's part of the slots of the service's good instances."""
+        slots = state.placement.good_slots(self._clock.now_s())
+        return max(1, slots // self._carriers)
 
     def _place(self, work: _forward.Forward) -> None:
         """Sends a request, lets it wait, or gives it up."""
@@ -342,7 +344,9 @@
         else:
             self._give_up(work, errors.ResultCode.NO_BACKEND, self._name(work))
 
-    def _pick(self, work: _forward.Forward) -> placement.Pick:
+    def _pick(
+        self, work: _forward.Forward, is_desperate: bool = False
+    ) -> placement.Pick:
         assert work.service is not None
         can_retry = work.is_idempotent and work.tries_left > 1
         return work.service.placement.choose(
@@ -351,6 +355,7 @@
             can_retry,
             work.tried,
             work.service.trouble.is_troubled,
+            is_desperate,
         )
 
     def _wait(self, work: _forward.Forward) -> None:
@@ -366,8 +371,8 @@
             work.deadline_s,
             self._usual_s(work),
         )
-        for refused in state.queue.add(waiter, self._slots(state), now_s):
-            self._refuse(refused.item)
+        state.queue.add(waiter, now_s)
+        self._review(state, now_s)
         self._plan_pump(state, now_s)
 
     def _plan_pump(self, state: _forward.ServiceState, now_s: float) -> None:
@@ -375,12 +380,29 @@
             self._pumping.add(state.name)
             self._timers.add(now_s + PUMP_S, state)
 
-    def _refuse(self, work: _forward.Forward) -> None:
-        self._give_up(
-            work,
-            errors.ResultCode.OVERLOADED,
-            "the work ahead leaves no time before the deadline",
-        )
+    def _review(self, state: _forward.ServiceState, now_s: float) -> None:
+        """Has sick instances try what the healthy ones have no time for.
+
+        They still answer some requests. If all waited for the healthy ones
+        until their last moment, those would serve only late requests.
+        """
+        review = state.queue.review(self._slots(state), now_s)
+        for waiter in review.late:
+            pick = self._pick(waiter.item, True)
+            if pick.instance is None:
+                break
+            state.queue.remove(waiter.item)
+            self._send(waiter.item, pick.instance)
+        for waiter in review.hopeless:
+            pick = self._pick(waiter.item, True)
+            if pick.instance is not None:
+                self._send(waiter.item, pick.instance)
+                continue
+            self._give_up(
+                waiter.item,
+                errors.ResultCode.OVERLOADED,
+                "the work ahead leaves no time before the deadline",
+            )
 
     def _send(
         self, work: _forward.Forward, instance: placement.Instance
--- a/src/dotterelpath/tasks/neighbourhood.py
+++ b/src/dotterelpath/tasks/neighbourhood.py
@@ -31,7 +31,6 @@
     """Owns what is known of the daemons, this one's state included."""
 
     __slots__ = (
-        "_carried",
         "_clock",
         "_configuration",
         "_datagrams",
@@ -44,9 +43,9 @@
         "_numbers",
         "_processor_s",
         "_read_processor_s",
-        "_sharers",
         "_since_s",
         "_ticker",
+        "_told_sharers",
         "_busy",
     )
 
@@ -79,8 +78,7 @@
         self._has_instances = False
         self._is_leaving = False
         self._numbers = itertools.count(1)
-        self._sharers = 0
-        self._carried: frozenset[str] = frozenset()
+        self._told_sharers: tuple[int, int, frozenset[str]] | None = None
         self._processor_s = read_processor_s()
         self._since_s = clock.now_s()
         self._busy = 0.0
@@ -240,11 +238,14 @@
             if own_id
             in self._neighbours.carriers(self._configuration.hosts_of(service))
         )
-        sharers = self._neighbours.sharers()
-        if (sharers, carried) != (self._sharers, self._carried):
-            self._sharers = sharers
-            self._carried = carried
-            self._gateway.force(fleet_events.SharersChanged(sharers, carried))
+        told = (
+            self._neighbours.sharers(),
+            self._neighbours.carrying(),
+            carried,
+        )
+        if told != self._told_sharers:
+            self._told_sharers = told
+            self._gateway.force(fleet_events.SharersChanged(*told))
 
     def _answer(self, host: str, port: int, ping: datagrams.Ping) -> None:
         if self._datagrams is None:
