--- /dev/null
+++ b/features/gateway_decisions.feature
@@ -0,0 +1,108 @@
+Feature: What the gateway decides, replayed without sockets
+
+  Scenario: A gray instance gets hardly any work that must not run twice
+    Given 6 simulated instances of 3 slots, and work that must not run twice
+    When one fails 80 % at once from second 5 to 10 at 20 requests a second
+    Then fewer than 8 requests fail because of it
+
+  Scenario: An instance that is well again gets work again
+    Given 6 simulated instances of 3 slots, and work that must not run twice
+    When one fails 80 % at once from second 5 to 10 at 20 requests a second
+    Then it gets requests again within 10 seconds of its recovery
+
+  Scenario: Gray instances draw nothing that healthy ones have room for
+    Given 6 simulated instances of 3 slots, and work that must not run twice
+    When two fail 80 % at once from second 2 to 12 at 35 requests a second
+    Then at least 90 % of the requests are served
+
+  Scenario: With most instances gray, the healthy ones serve in time
+    Given 6 simulated instances of 3 slots, and work that must not run twice
+    When four fail 80 % at once from second 2 to 14 at 40 requests a second
+    Then at least 35 % of the requests are served within their target
+
+  Scenario: While many requests fail, no instance is left alone for long
+    Given 6 simulated instances of 3 slots, and work that may run again
+    When all fail 30 % at once from second 2 to 12 at 30 requests a second
+    Then each instance gets a request at least every 2 seconds meanwhile
+
+  Scenario: A new instance gets its first request within four seconds
+    Given 6 simulated instances of 3 slots, and work that must not run twice
+    When an instance is added at second 4 at 10 requests a second
+    Then the new instance gets a request within 4 seconds
+
+  Scenario: Under overload the urgent requests go first and nothing collapses
+    Given 6 simulated instances of 3 slots, an urgent and a patient route
+    When each gets 55 requests a second for 10 seconds
+    Then at least 85 % of the urgent requests are served within their target
+    And the patient ones are refused or served, and none is held beyond 4 seconds
+    And of the patient ones that are refused most are told within a second
+
+  Scenario: Service is back at once after a burst
+    Given 6 simulated instances of 3 slots, an urgent and a patient route
+    When each gets 100 requests a second for 3 seconds and then 20
+    Then all requests from 5 seconds after the burst are served in time
+
+  Scenario: Retries stay within the budget
+    Given 6 simulated instances of 3 slots, and work that may run again
+    When all fail 60 % at once from second 2 to 20 at 30 requests a second
+    Then in no 10 seconds are there more retries than a fifth and the slack
+
+  Scenario: A request that hangs is tried elsewhere when it takes too long
+    Given 6 simulated instances of 3 slots, and work that may run again
+    When one is silent from second 5 to 10 at 10 requests a second
+    Then all requests are served
+
+  Scenario: A request that is refused has no hope at that moment
+    Given 6 simulated instances of 3 slots, an urgent and a patient route
+    When each gets 100 requests a second for 3 seconds and then 20
+    Then each refusal came while the requests ahead of it left no time
+
+  Scenario: Late writes and lapsed entries of the list
+    Given a registry that drains within 2 seconds
+    Then an older entry changes nothing
+    And draining is final for a lifetime, and a new lifetime begins anew
+    And a vanished entry is kept for 1.2 seconds and then given up
+    And an entry that vanished while the store was away is kept for 2 seconds
+    And an ended lifetime does not come back by a late write
+
+  Scenario: Weighted parts keep their shares over any few requests
+    Given a route split 70, 20 and 10
+    Then of any 50 requests in a row each part gets its share within 2
+
+  Scenario: Only daemons that answer are named, and the nearest first
+    Given a fleet of 9 daemons in three data centres
+    Then a caller is sent to one daemon of its data centre
+    And a silent daemon is followed by another of its data centre
+    And a leaving daemon is followed at once
+    And a busy daemon is helped by a second one
+    And a caller without daemons nearby is sent to another data centre
+
+  Scenario Outline: A forged or unreadable entry names no instance
+    When an entry has <fault>
+    Then it is unreadable and names its instance only
+
+    Examples:
+      | fault                 |
+      | no service            |
+      | no capacity           |
+      | a text for capacity   |
+      | an unknown state      |
+      | no port               |
+      | a fraction for born   |
+      | bytes that are no JSON |
+
+  Scenario Outline: An invalid configuration is unreadable
+    When a configuration has <fault>
+    Then it is refused with a reason
+
+    Examples:
+      | fault              |
+      | been cut short     |
+      | an unknown service |
+      | a bare prefix      |
+      | no weight          |
+      | no version         |
+      | an unknown kind    |
+
+  Scenario: No name of the platform stands outside its folder
+    Then the sources outside platform/ name none of its fields, headers or keys
--- /dev/null
+++ b/features/steps/decision_steps.py
@@ -0,0 +1,482 @@
+"""Steps that replay the gateway's decisions without sockets."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import re
+
+import behave
+
+from dotterelpath.domain import configuration
+from dotterelpath.domain import neighbours
+from dotterelpath.domain import registry
+from dotterelpath.domain import steering
+from dotterelpath.platform import catalog
+from dotterelpath.ports import catalog as catalog_port
+from dotterelpath.ports import store
+from features.support import gateway_world
+
+COUNTS = {"one": 1, "two": 2, "four": 4, "all": 6}
+SOURCES = pathlib.Path(__file__).parents[2] / "src" / "dotterelpath"
+PLATFORM_NAMES = re.compile(
+    r"kv-(key|range|watch|txn|lease|keep)|\"op/|\"servers/|path_rules"
+    r"|route_type|traffic_split|[Nn]ot-[Ee]xecuted|[Tt]arget-[Ii]nstance"
+    r"|[Rr]esponse-[Ss]ignature|ttl_s_time|DOTTERELPATH_CONFIG"
+)
+
+
+@behave.given("6 simulated instances of 3 slots, and work that {kind}")
+def step_world(context, kind):
+    is_idempotent = kind == "may run again"
+    route = gateway_world.route("/w/", idempotent=is_idempotent)
+    context.world = gateway_world.GatewayWorld([route])
+
+
+@behave.given("6 simulated instances of 3 slots, an urgent and a patient route")
+def step_two_routes(context):
+    context.world = gateway_world.GatewayWorld(
+        [
+            gateway_world.route("/urgent/", 0, False, target_s=0.8),
+            gateway_world.route("/patient/", 2, True, target_s=1.5),
+        ]
+    )
+
+
+def set_faults(world, count, **faults):
+    for instance in list(world.instances.values())[:count]:
+        for name, value in faults.items():
+            setattr(instance, name, value)
+
+
+@behave.when(
+    "{count:w} fail {percent:d} % at once from second {start:d} to {end:d}"
+    " at {rate:d} requests a second"
+)
+@behave.when(
+    "{count:w} fails {percent:d} % at once from second {start:d} to {end:d}"
+    " at {rate:d} requests a second"
+)
+def step_gray(context, count, percent, start, end, rate):
+    world = context.world
+    number = COUNTS[count]
+    context.span = (start, end)
+    world.at(start, set_faults, world, number, fail_chance=percent / 100)
+    world.at(end, set_faults, world, number, fail_chance=0.0)
+    world.load("/w/1", rate, 0.0, end + 10.0)
+    context.sick = list(world.instances.values())[:number]
+    world.run(end + 20.0)
+
+
+@behave.then("fewer than {most:d} requests fail because of it")
+def step_few_fail(context, most):
+    failed = [
+        outcome
+        for outcome, _ in context.world.outcomes.values()
+        if outcome.answer is None or outcome.answer.status != 200
+    ]
+    assert len(failed) < most, len(failed)
+
+
+@behave.then("it gets requests again within 10 seconds of its recovery")
+def step_back(context):
+    _, end = context.span
+    after = [t for t, _ in context.sick[0].arrivals if end < t < end + 10]
+    assert len(after) >= 3, after
+
+
+@behave.then("at least {percent:d} % of the requests are served")
+def step_served(context, percent):
+    served = context.world.served()
+    assert served >= percent / 100, served
+
+
+@behave.then(
+    "at least {percent:d} % of the requests are served within their target"
+)
+def step_served_in_time(context, percent):
+    served = context.world.served(within_s=1.0)
+    assert served >= percent / 100, served
+
+
+@behave.then("each instance gets a request at least every 2 seconds meanwhile")
+def step_floor(context):
+    start, end = context.span
+    # The trouble must have been seen first.
+    for instance in context.world.instances.values():
+        times = [t for t, _ in instance.arrivals if start + 2 <= t <= end]
+        times = [start + 2.0, *times, float(end)]
+        gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+        assert max(gaps) <= 2.0, (instance.id, max(gaps))
+
+
+@behave.when("an instance is added at second 4 at 10 requests a second")
+def step_added(context):
+    world = context.world
+
+    def add():
+        world.instances["new"] = gateway_world.Instance("new", 3, 0.25)
+        world.list_all()
+
+    world.at(4.0, add)
+    world.load("/w/1", 10, 0.0, 14.0)
+    world.run(20.0)
+
+
+@behave.then("the new instance gets a request within 4 seconds")
+def step_first(context):
+    arrivals = context.world.instances["new"].arrivals
+    assert arrivals and arrivals[0][0] < 8.0, arrivals[:1]
+
+
+@behave.when("each gets {rate:d} requests a second for 10 seconds")
+def step_overload(context, rate):
+    for path in ("/urgent/1", "/patient/1"):
+        context.world.load(path, rate, 0.0, 10.0)
+    context.world.run(20.0)
+
+
+@behave.then(
+    "at least {percent:d} % of the urgent requests are served within their"
+    " target"
+)
+def step_urgent(context, percent):
+    served = context.world.served("/urgent/", 0.8)
+    assert served >= percent / 100, served
+
+
+@behave.then(
+    "the patient ones are refused or served, and none is held beyond 4 seconds"
+)
+def step_patient(context):
+    world = context.world
+    assert len(world.outcomes) == len(world.sent)
+    held = max(at - world.sent[t][1] for t, (_, at) in world.outcomes.items())
+    assert held <= 4.01, held
+
+
+@behave.then(
+    "of the patient ones that are refused most are told within a second"
+)
+def step_told_soon(context):
+    world = context.world
+    held = sorted(
+        at_s - world.sent[token][1]
+        for token, (outcome, at_s) in world.outcomes.items()
+        if outcome.is_not_run
+    )
+    assert held and held[len(held) // 2] < 1.0, held[len(held) // 2]
+
+
+@behave.when("each gets {rate:d} requests a second for 3 seconds and then 20")
+def step_burst(context, rate):
+    for path in ("/urgent/1", "/patient/1"):
+        context.world.load(path, rate, 0.0, 3.0)
+        context.world.load(path, 20, 3.0, 16.0)
+    context.world.run(24.0)
+
+
+@behave.then("all requests from 5 seconds after the burst are served in time")
+def step_recovered(context):
+    world = context.world
+    for token, (path, at_s) in world.sent.items():
+        if at_s < 1008.0:
+            continue
+        outcome, ended_s = world.outcomes[token]
+        target_s = 0.8 if path.startswith("/urgent") else 1.5
+        # Work itself varies; one in a hundred takes longer than its target.
+        assert outcome.answer is not None, outcome.detail
+        assert ended_s - at_s < target_s * 2.0, ended_s - at_s
+
+
+@behave.then("each refusal came while the requests ahead of it left no time")
+def step_no_hope(context):
+    world = context.world
+    refused = [
+        (token, at_s)
+        for token, (outcome, at_s) in world.outcomes.items()
+        if outcome.is_not_run
+    ]
+    assert refused
+    for token, at_s in refused:
+        open_now = sum(
+            1
+            for other, (_, sent_s) in world.sent.items()
+            if sent_s <= at_s and world.outcomes[other][1] >= at_s
+        )
+        # 18 slots of a quarter of a second each: with fewer requests open
+        # than fit into three seconds, there was hope.
+        assert open_now > 18, (token, open_now)
+
+
+@behave.then(
+    "in no 10 seconds are there more retries than a fifth and the slack"
+)
+def step_budget(context):
+    world = context.world
+    arrivals = sorted(
+        (t, r) for i in world.instances.values() for t, r in i.arrivals
+    )
+    for start in range(0, 20):
+        window = [r for t, r in arrivals if start <= t < start + 10]
+        asked = sum(
+            start <= sent_s - 1000.0 < start + 10
+            for _, sent_s in world.sent.values()
+        )
+        again = len(window) - len(set(window))
+        assert again <= 0.2 * asked + 10, (start, again, asked)
+
+
+@behave.when("one is silent from second 5 to 10 at 10 requests a second")
+def step_silent(context):
+    world = context.world
+    world.at(5.0, set_faults, world, 1, is_silent=True)
+    world.at(10.0, set_faults, world, 1, is_silent=False)
+    world.load("/w/1", 10, 0.0, 14.0)
+    world.run(24.0)
+
+
+@behave.then("all requests are served")
+def step_all_served(context):
+    assert context.world.served() == 1.0, context.world.served()
+
+
+def entry(sequence=1, started_ms=1, is_draining=False, id="i"):
+    return registry.Entry(
+        id, "s", "h", 1, "a", 4, is_draining, 0.0, sequence, started_ms
+    )
+
+
+@behave.given("a registry that drains within 2 seconds")
+def step_registry(context):
+    context.registry = registry.Registry(2.0)
+    context.registry.heard(0.0)
+
+
+@behave.then("an older entry changes nothing")
+def step_older_entry(context):
+    known = context.registry
+    assert known.put(entry(5))
+    assert not known.put(entry(4, is_draining=True))
+    assert not known.known["i"].entry.is_draining
+
+
+@behave.then("draining is final for a lifetime, and a new lifetime begins anew")
+def step_final(context):
+    known = context.registry
+    known.put(entry(6, is_draining=True))
+    known.put(entry(7))
+    assert known.known["i"].entry.is_draining
+    known.put(entry(1, started_ms=2))
+    assert not known.known["i"].entry.is_draining
+
+
+@behave.then("a vanished entry is kept for 1.2 seconds and then given up")
+def step_vanished(context):
+    known = context.registry
+    known.put(entry(1, id="j"))
+    known.heard(100.0)
+    known.heard(104.0, 4.0)
+    assert known.remove("j", 105.0)
+    known.expire(106.1)
+    assert "j" in known.known
+    known.expire(106.3)
+    assert "j" not in known.known
+
+
+@behave.then(
+    "an entry that vanished while the store was away is kept for 2 seconds"
+)
+def step_lapsed(context):
+    known = context.registry
+    known.put(entry(1, id="k"))
+    assert known.heard(120.0, 4.0)
+    known.remove("k", 120.1)
+    known.expire(121.9)
+    assert "k" in known.known
+    known.expire(122.1)
+    assert "k" not in known.known
+
+
+@behave.then("an ended lifetime does not come back by a late write")
+def step_tombstone(context):
+    known = context.registry
+    assert not known.put(entry(1, id="k"))
+    assert known.put(entry(2, id="k"))
+
+
+@behave.given("a route split 70, 20 and 10")
+def step_split(context):
+    parts = tuple(
+        configuration.Part(name, weight)
+        for name, weight in (("x", 70), ("y", 20), ("z", 10))
+    )
+    context.route = configuration.Route(
+        "r", "h", "/", parts, True, 2, 1.0, 1.0, 1
+    )
+
+
+@behave.then("of any 50 requests in a row each part gets its share within 2")
+def step_shares(context):
+    for draw in (0.0, 0.3, 0.75, 0.95):
+        splits = configuration.Splits()
+        chosen = [splits.choose(context.route, draw) for _ in range(200)]
+        for start in range(150):
+            window = chosen[start : start + 50]
+            for name, share in (("x", 35), ("y", 10), ("z", 5)):
+                assert abs(window.count(name) - share) <= 2, (draw, start)
+
+
+@behave.given("a fleet of 9 daemons in three data centres")
+def step_fleet(context):
+    context.neighbours = neighbours.Neighbours("d0")
+    context.neighbours.set_daemons(
+        {
+            f"d{n}": steering.Daemon(
+                f"d{n}", "abc"[n % 3], "r", "h", n, "h", n, 1.0
+            )
+            for n in range(9)
+        }
+    )
+
+
+def chosen(context, now_s, data_centre="b"):
+    return context.neighbours.choose("host", data_centre, "r", now_s)
+
+
+def answer_all(context, now_s, *silent, **states):
+    for daemon in context.neighbours.due(now_s):
+        if daemon.id not in silent:
+            state = states.get(daemon.id, steering.DaemonState.READY)
+            context.neighbours.answered(daemon.id, state, 0.1, now_s)
+
+
+@behave.then("a caller is sent to one daemon of its data centre")
+def step_one(context):
+    found = chosen(context, 0.0)
+    assert [d.data_centre for d in found] == ["b"]
+
+
+@behave.then("a silent daemon is followed by another of its data centre")
+def step_silent_daemon(context):
+    first = chosen(context, 0.0)[0].id
+    for tenth in range(0, 13):
+        chosen(context, tenth / 10)
+        answer_all(context, tenth / 10, first)
+    followed = chosen(context, 1.3)
+    assert followed[0].id != first and followed[0].data_centre == "b"
+    answer_all(context, 1.4)
+    assert chosen(context, 1.4)[0].id == first
+
+
+@behave.then("a leaving daemon is followed at once")
+def step_leaving_daemon(context):
+    first = chosen(context, 2.0)[0].id
+    answer_all(context, 2.0, **{first: steering.DaemonState.LEAVING})
+    assert chosen(context, 2.0)[0].id != first
+    answer_all(context, 2.1)
+
+
+@behave.then("a busy daemon is helped by a second one")
+def step_busy(context):
+    first = chosen(context, 2.2)[0].id
+    context.neighbours.answered(first, steering.DaemonState.READY, 0.9, 2.2)
+    assert len(chosen(context, 2.2)) == 2
+
+
+@behave.then("a caller without daemons nearby is sent to another data centre")
+def step_far(context):
+    assert chosen(context, 3.0, "d")
+
+
+@behave.when("an entry has {fault}")
+def step_entry_fault(context, fault):
+    data = {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "a",
+        "version": "v1",
+        "capacity": 4,
+        "state": "ready",
+        "warmup_left_s": 0,
+        "sequence": 1,
+        "born": 1,
+    }
+    changed = {
+        "no service": {"service": None},
+        "no capacity": {"capacity": None},
+        "a text for capacity": {"capacity": "4"},
+        "an unknown state": {"state": "asleep"},
+        "no port": {"address": "10.0.0.1"},
+        "a fraction for born": {"born": 1.5},
+    }.get(fault)
+    text = "\ufffd{" if changed is None else json.dumps({**data, **changed})
+    key = catalog.INSTANCE_PREFIX + "i-1"
+    context.item = catalog.Catalog().read(store.Versioned(key, text, 1))
+
+
+@behave.then("it is unreadable and names its instance only")
+def step_entry_unreadable(context):
+    assert isinstance(context.item, catalog_port.Unreadable), context.item
+    assert context.item.instance_id == "i-1"
+
+
+@behave.when("a configuration has {fault}")
+def step_configuration_fault(context, fault):
+    rule = {
+        "name": "r",
+        "prefix": "/x/",
+        "route_type": "idempotent",
+        "timeout_s": 1,
+        "target_latency_s": 1,
+        "priority": 0,
+        "max_attempts": 1,
+        "service": "s",
+    }
+    data = {
+        "version": "r1",
+        "services": [{"name": "s", "max_connections": 9}],
+        "limits": {
+            "max_header_bytes": 1,
+            "max_body_bytes": 1,
+            "header_timeout_s": 1,
+            "idle_timeout_s": 1,
+        },
+        "hosts": [{"host": "h", "path_rules": [rule]}],
+    }
+    whole = catalog.CONFIGURATION_KEY
+    good = catalog.Catalog().read(store.Versioned(whole, json.dumps(data), 1))
+    assert isinstance(good, catalog_port.ConfigurationItem), good
+    rule.update(
+        {
+            "an unknown service": {"service": "t"},
+            "a bare prefix": {"prefix": "/x"},
+            "no weight": {"traffic_split": [{"service": "s", "weight": 0}]},
+            "an unknown kind": {"route_type": "maybe"},
+        }.get(fault, {})
+    )
+    if fault == "no version":
+        del data["version"]
+    text = json.dumps(data)
+    if fault == "been cut short":
+        text = text[: len(text) // 2]
+    context.item = catalog.Catalog().read(store.Versioned(whole, text, 1))
+
+
+@behave.then("it is refused with a reason")
+def step_refused(context):
+    assert isinstance(context.item, catalog_port.Unreadable), context.item
+    assert context.item.reason
+
+
+@behave.then(
+    "the sources outside platform/ name none of its fields, headers or keys"
+)
+def step_names(context):
+    found = [
+        f"{path.name}: {match[0]}"
+        for path in SOURCES.rglob("*.py")
+        if "platform" not in path.parts
+        for match in PLATFORM_NAMES.finditer(path.read_text())
+    ]
+    assert not found, found
--- a/src/dotterelpath/adapters/logs.py
+++ b/src/dotterelpath/adapters/logs.py
@@ -5,13 +5,14 @@
 import atexit
 import logging
 import os
-import sys
 import time
 import typing
 
 import orjson
 import structlog
 
+STDOUT = 1
+STDERR = 2
 LEVELS = ("debug", "info", "warning", "error")
 # A reader that is this far behind loses lines, in bytes.
 MAX_UNWRITTEN_BYTES = 1024 * 1024
@@ -97,19 +98,20 @@
     debug = info = warning = error = critical = msg
 
 
-def configure(level: str, stream: typing.TextIO | None = None) -> BoundedWriter:
+def configure(level: str, descriptor: int | None = None) -> BoundedWriter:
     """Sets up structlog for the whole process.
 
     Args:
         level: The least severe level that is logged.
-        stream: Where lines go; standard error by default.
+        descriptor: Where a daemon's lines go, without ever waiting; by
+            default lines go to standard error, which others may share.
 
     Returns:
         The writer of the lines.
     """
-    descriptor = (stream or sys.stderr).fileno()
-    os.set_blocking(descriptor, False)
-    writer = BoundedWriter(descriptor)
+    if descriptor is not None:
+        os.set_blocking(descriptor, False)
+    writer = BoundedWriter(STDERR if descriptor is None else descriptor)
     atexit.register(writer.flush)
     structlog.configure(
         processors=[
--- a/src/dotterelpath/daemon.py
+++ b/src/dotterelpath/daemon.py
@@ -387,7 +387,7 @@
     Returns:
         The process's exit code.
     """
-    logs.configure(settings.log_level)
+    logs.configure(settings.log_level, logs.STDERR)
 
     async def work() -> None:
         await Daemon(settings).run()
--- a/src/dotterelpath/domain/placement.py
+++ b/src/dotterelpath/domain/placement.py
@@ -179,7 +179,7 @@
         can_retry: bool,
         tried: typing.Collection[str] = (),
         is_troubled: bool = False,
-        is_desperate: bool = False,
+        wants_sick: bool = False,
     ) -> Pick:
         """Chooses the instance that serves a request best.
 
@@ -190,7 +190,8 @@
             tried: Instances that the request was sent to before.
             is_troubled: Whether many requests of the service fail, so that
                 no instance may be left alone for long.
-            is_desperate: Whether a sick instance is better than none.
+            wants_sick: Whether a sick instance is wanted, since the others
+                have no time.
 
         Returns:
             The instance, or whether waiting for one makes sense.
@@ -198,11 +199,13 @@
         usable = [i for i in self._instances.values() if i.id not in tried]
         usable = [i for i in usable if not i.is_lapsed] or usable
         due = None
-        if not tried:
+        if not tried and not wants_sick:
             due = self._due(usable, can_retry, is_troubled, now_s)
         if due is not None:
             return Pick(due, False)
-        if not is_desperate:
+        if wants_sick:
+            usable = [i for i in usable if _is_sick(i, now_s)]
+        else:
             # One that fails at once is always free, and would draw all that
             # the others have no room for.
             usable = [i for i in usable if not _is_sick(i, now_s)] or usable
--- a/src/dotterelpath/domain/waiting.py
+++ b/src/dotterelpath/domain/waiting.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 T = typing.TypeVar("T")
@@ -12,6 +13,31 @@
 # A request whose usual work no longer fits before its deadline by this part
 # is hopeless; work varies around the usual.
 LEAST_PART = 0.7
+# How long the rate of work is remembered, in seconds; it follows a burst and
+# does not follow single requests.
+RATE_MEMORY_S = 2.0
+# The part of the slots that less urgent requests get at least; more urgent
+# ones come and go.
+LEAST_LEFT = 0.05
+
+
+class _Rate:
+    """The work begun in a second, lately."""
+
+    __slots__ = ("_at_s", "_work_s")
+
+    def __init__(self, now_s: float) -> None:
+        self._work_s = 0.0
+        self._at_s = now_s
+
+    def add(self, work_s: float, now_s: float) -> None:
+        self._work_s = self.per_s(now_s) * RATE_MEMORY_S + work_s
+        self._at_s = now_s
+
+    def per_s(self, now_s: float) -> float:
+        passed_s = now_s - self._at_s
+        decayed_s = self._work_s * math.exp(-passed_s / RATE_MEMORY_S)
+        return decayed_s / RATE_MEMORY_S
 
 
 class Waiter(typing.Generic[T]):
@@ -97,11 +123,12 @@
 class Queue(typing.Generic[T]):
     """The requests that wait for the instances of one service."""
 
-    __slots__ = ("_waiters",)
+    __slots__ = ("_started", "_waiters")
 
     def __init__(self) -> None:
         """Creates an empty queue."""
         self._waiters: list[Waiter[T]] = []
+        self._started: dict[int, _Rate] = {}
 
     def __len__(self) -> int:
         """Counts the waiting requests."""
@@ -117,11 +144,31 @@
         self._waiters.append(waiter)
         self._waiters.sort(key=lambda w: w.rank(now_s))
 
+    def started(self, priority: int, work_s: float, now_s: float) -> None:
+        """Takes in that an instance begins with a request.
+
+        Args:
+            priority: Its rank.
+            work_s: How long an instance usually works on it, in seconds.
+            now_s: The monotonic clock, in seconds.
+        """
+        rate = self._started.setdefault(priority, _Rate(now_s))
+        rate.add(work_s, now_s)
+
+    def _slots_left(self, priority: int, slots: int, now_s: float) -> float:
+        """The slots that more urgent requests, which still come, leave."""
+        taken = sum(
+            rate.per_s(now_s)
+            for rank, rate in self._started.items()
+            if rank < priority
+        )
+        return max(slots - taken, slots * LEAST_LEFT)
+
     def review(self, slots: int, now_s: float) -> Review[T]:
         """Finds the requests that wait in vain, or too long to be of full use.
 
-        A request starts when the work ahead of it is done; those behind a
-        hopeless one move up.
+        A request starts when the work ahead of it is done, in the slots that
+        more urgent requests leave; those behind a hopeless one move up.
 
         Args:
             slots: Requests that this daemon may have worked on at once.
@@ -135,11 +182,17 @@
         late = []
         ahead_s = 0.0
         for waiter in self._waiters:
-            start_s = now_s + ahead_s / max(1, slots)
+            left = self._slots_left(waiter.priority, slots, now_s)
+            start_s = now_s + ahead_s / left
+            is_late = start_s + waiter.work_s > waiter.target_s
+            if is_late:
+                # Newer requests of its own rank will go before it as well.
+                left = self._slots_left(waiter.priority + 1, slots, now_s)
+                start_s = now_s + ahead_s / left
             if waiter.is_hopeless(start_s):
                 hopeless.append(waiter)
                 continue
-            if start_s + waiter.work_s > waiter.target_s:
+            if is_late:
                 late.append(waiter)
             kept.append(waiter)
             ahead_s += waiter.work_s
--- a/src/dotterelpath/gateway_daemon.py
+++ b/src/dotterelpath/gateway_daemon.py
@@ -305,7 +305,7 @@
     Returns:
         The process's exit code.
     """
-    writer = logs.configure("info", sys.stdout)
+    writer = logs.configure("info", logs.STDOUT)
     try:
         content = path.read_bytes()
         placed = platform_settings.read(content)
--- a/src/dotterelpath/tasks/_sending.py
+++ b/src/dotterelpath/tasks/_sending.py
@@ -311,13 +311,13 @@
         if not len(state.queue):
             return
         now_s = self._clock.now_s()
-        self._review(state, now_s)
         for waiter in state.queue.ordered(now_s):
             pick = self._pick(waiter.item)
             if pick.instance is None:
                 break
             state.queue.remove(waiter.item)
             self._send(waiter.item, pick.instance)
+        self._review(state, now_s)
         self._plan_pump(state, now_s)
 
     def _set_listed(self, state: _forward.ServiceState) -> None:
@@ -345,7 +345,7 @@
             self._give_up(work, errors.ResultCode.NO_BACKEND, self._name(work))
 
     def _pick(
-        self, work: _forward.Forward, is_desperate: bool = False
+        self, work: _forward.Forward, wants_sick: bool = False
     ) -> placement.Pick:
         assert work.service is not None
         can_retry = work.is_idempotent and work.tries_left > 1
@@ -355,7 +355,7 @@
             can_retry,
             work.tried,
             work.service.trouble.is_troubled,
-            is_desperate,
+            wants_sick,
         )
 
     def _wait(self, work: _forward.Forward) -> None:
@@ -413,6 +413,9 @@
         slow_after_s = work.service.placement.slow_after_s(
             work.route.name, work.route.target_s * FIRST_WORK_PART
         )
+        work.service.queue.started(
+            work.route.priority, self._usual_s(work), now_s
+        )
         attempt = _forward.OpenTry(work, instance, now_s, now_s + slow_after_s)
         work.open[try_id] = attempt
         work.sent_to.append(instance.id)
