--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -127,3 +127,12 @@
     Given all instances of deposits drop
     When a platform caller sends POST /deposits/1 to g1
     Then the log tells the route, the instance and the outcome of its id
+
+  Scenario: A daemon that the store turned away silently is soon up to date
+    Given the platform's store gives no answers for 9 seconds
+    When it answers again and the operator moves /presses/ at once
+    Then the change is in force within 2 seconds
+
+  Scenario: The tool shows what a daemon believes
+    When the operator runs the tool's gateway command for g1
+    Then it shows the version, the services and the instances
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -6,6 +6,8 @@
 import json
 import re
 import socket
+import subprocess
+import sys
 import threading
 import time
 
@@ -571,3 +573,49 @@
         return believed[context.instance]["failing"]
 
     fleet_harness.wait_until(lambda: chance() > 0.5, "suspected", 2.0)
+
+
+@behave.given("the platform's store gives no answers for 9 seconds")
+def step_store_silent(context):
+    context.fleet.store_fault(silent=True)
+    time.sleep(9.0)
+
+
+@behave.when("it answers again and the operator moves /presses/ at once")
+def step_answers_again(context):
+    context.fleet.store_fault()
+    moved = gateway_fleet.route("/presses/", "deposits")
+    context.fleet.configure(moved, *environment.ROUTES[1:])
+    context.changed_s = time.monotonic()
+
+
+@behave.then("the change is in force within {most_s:d} seconds")
+def step_in_force(context, most_s):
+    context.fleet.in_version(context.fleet.version)
+    took_s = time.monotonic() - context.changed_s
+    assert took_s < most_s, took_s
+
+
+@behave.when("the operator runs the tool's gateway command for g1")
+def step_tool(context):
+    metrics = context.fleet.gateways["g1"].metrics
+    context.shown = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "dotterelpath.cli.main",
+            "gateway",
+            f"127.0.0.1:{metrics}",
+        ],
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=True,
+    ).stdout
+
+
+@behave.then("it shows the version, the services and the instances")
+def step_tool_shows(context):
+    assert f"configuration {context.fleet.version}" in context.shown
+    assert "service presses" in context.shown, context.shown
+    assert "i-deposits-1" in context.shown, context.shown
--- a/features/steps/tool_steps.py
+++ b/features/steps/tool_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import pathlib
 import socket
@@ -102,7 +103,9 @@
 @behave.then("it ends with exit code {code:d} and the log has code {number:d}")
 def step_log_code(context, code, number):
     assert context.ran.returncode == code, context.ran
-    assert f'"code": {number}' in context.ran.stderr, context.ran.stderr
+    lines = [json.loads(line) for line in context.ran.stderr.splitlines()]
+    codes = [line.get("code") for line in lines]
+    assert number in codes, context.ran.stderr
 
 
 @behave.given("a file team.toml with {content}")
--- a/src/dotterelpath/adapters/h11_frontend.py
+++ b/src/dotterelpath/adapters/h11_frontend.py
@@ -9,6 +9,7 @@
 import typing
 
 import h11
+import structlog
 
 from dotterelpath import errors
 from dotterelpath.adapters import caller_codec
@@ -20,6 +21,8 @@
 MAX_UNREAD_BYTES = 256 * 1024
 LISTEN_BACKLOG = 1024
 
+_log = structlog.get_logger()
+
 _REASONS = {431: b"Request Header Fields Too Large"}
 
 
@@ -152,6 +155,15 @@
         cycle = self._find(request)
         if self._transport is None or cycle is None:
             return
+        try:
+            self._encode(cycle, outcome)
+        except h11.LocalProtocolError as error:
+            _log.error("answer cannot be written", error=str(error))
+            self._transport.close()
+            return
+        self._flush()
+
+    def _encode(self, cycle: _Cycle, outcome: exchange.Outcome) -> None:
         encoded = self._codec.write(outcome, cycle.request)
         fields = list(encoded.headers)
         is_long = outcome.stream_id is not None
@@ -172,7 +184,6 @@
         if not is_long:
             cycle.pending.append(cycle.conn.send(h11.EndOfMessage()) or b"")
             cycle.is_answered = True
-        self._flush()
 
     def part(
         self, data: bytes, request: exchange.Request | None = None
--- a/src/dotterelpath/adapters/settings.py
+++ b/src/dotterelpath/adapters/settings.py
@@ -7,30 +7,12 @@
 
 import click
 
+from dotterelpath.domain import deployment
+
 MAX_PORT = 65535
 _ID = re.compile(r"[A-Za-z0-9_-]{1,64}\Z")
 
 
-class Address:
-    """An IP address and a port."""
-
-    __slots__ = ("host", "port")
-
-    def __init__(self, host: str, port: int) -> None:
-        """Creates an address.
-
-        Args:
-            host: The IP address.
-            port: The port.
-        """
-        self.host = host
-        self.port = port
-
-    def __str__(self) -> str:
-        """Shows the address as it is given."""
-        return f"{self.host}:{self.port}"
-
-
 class AddressType(click.ParamType):
     """Reads HOST:PORT from a flag or an environment variable."""
 
@@ -43,7 +25,7 @@
         value: object,
         param: click.Parameter | None,
         ctx: click.Context | None,
-    ) -> Address:
+    ) -> deployment.Endpoint:
         """Reads an address; see click.ParamType."""
         host, _, port = str(value).rpartition(":")
         try:
@@ -52,7 +34,7 @@
             self.fail(f"{value!r} does not begin with an IP address")
         if not port.isdigit() or not 0 < int(port) <= MAX_PORT:
             self.fail(f"{value!r} does not end with a port from 1 to 65535")
-        return Address(host, int(port))
+        return deployment.Endpoint(host, int(port))
 
 
 class DaemonIdType(click.ParamType):
@@ -95,12 +77,12 @@
         self,
         daemon_id: str,
         data_centre: str,
-        listen: Address,
-        peer_listen: Address,
-        control_listen: Address,
-        store: Address,
+        listen: deployment.Endpoint,
+        peer_listen: deployment.Endpoint,
+        control_listen: deployment.Endpoint,
+        store: deployment.Endpoint,
         store_watchers: int,
-        vm_list: Address,
+        vm_list: deployment.Endpoint,
         drain_grace_s: float,
         drain_timeout_s: float,
         log_level: str,
--- a/src/dotterelpath/cli/calls.py
+++ b/src/dotterelpath/cli/calls.py
@@ -11,13 +11,13 @@
 from dotterelpath import errors
 from dotterelpath.adapters import clock as clock_adapter
 from dotterelpath.adapters import http_client
-from dotterelpath.adapters import settings as settings_adapter
+from dotterelpath.domain import deployment
 from dotterelpath.domain import exchange
 
 CALL_TIMEOUT_S = 20.0
 
 
-def read(at: settings_adapter.Address, target: str) -> typing.Any:
+def read(at: deployment.Endpoint, target: str) -> typing.Any:
     """Reads a resource.
 
     Args:
@@ -33,7 +33,7 @@
     return orjson.loads(_call(at, http_client.get(target)).body)
 
 
-def read_section(at: settings_adapter.Address, section: str) -> tuple[str, str]:
+def read_section(at: deployment.Endpoint, section: str) -> tuple[str, str]:
     """Reads a section.
 
     Args:
@@ -51,7 +51,7 @@
     return answer.body.decode(), etag
 
 
-def current_digest(at: settings_adapter.Address, section: str) -> str | None:
+def current_digest(at: deployment.Endpoint, section: str) -> str | None:
     """Finds the digest of a section.
 
     Args:
@@ -73,7 +73,7 @@
 
 
 def put_section(
-    at: settings_adapter.Address,
+    at: deployment.Endpoint,
     section: str,
     text: str,
     base: str | None,
@@ -114,7 +114,7 @@
 
 
 def addresses(
-    at: settings_adapter.Address, service: str, workspace: str
+    at: deployment.Endpoint, service: str, workspace: str
 ) -> typing.Any:
     """Asks which daemons callers should use.
 
@@ -138,7 +138,7 @@
 
 
 def _call(
-    at: settings_adapter.Address, request: exchange.Request
+    at: deployment.Endpoint, request: exchange.Request
 ) -> exchange.Answer:
     try:
         answer = asyncio.run(_exchange(at, request))
@@ -165,7 +165,7 @@
 
 
 async def _exchange(
-    at: settings_adapter.Address, request: exchange.Request
+    at: deployment.Endpoint, request: exchange.Request
 ) -> exchange.Answer:
     client = http_client.HttpClient(clock_adapter.SystemClock())
     try:
--- a/src/dotterelpath/cli/main.py
+++ b/src/dotterelpath/cli/main.py
@@ -14,6 +14,7 @@
 from dotterelpath.adapters import codec as codec_adapter
 from dotterelpath.adapters import settings as settings_adapter
 from dotterelpath.cli import calls
+from dotterelpath.domain import deployment
 from dotterelpath.domain import edits
 
 EXIT_INVALID = 2
@@ -37,9 +38,7 @@
 
     __slots__ = ("as_json", "control")
 
-    def __init__(
-        self, control: settings_adapter.Address, as_json: bool
-    ) -> None:
+    def __init__(self, control: deployment.Endpoint, as_json: bool) -> None:
         """Creates the shared state.
 
         Args:
@@ -91,7 +90,7 @@
 @click.version_option(package_name="dotterelpath")
 @click.pass_context
 def main(
-    ctx: click.Context, control: settings_adapter.Address, as_json: bool
+    ctx: click.Context, control: deployment.Endpoint, as_json: bool
 ) -> None:
     """Edits the document and shows what the fleet does."""
     ctx.obj = Tool(control, as_json)
@@ -200,7 +199,7 @@
 @click.option("--workspace", default="")
 @click.pass_obj
 def addresses(
-    tool: Tool, at: settings_adapter.Address, service: str, workspace: str
+    tool: Tool, at: deployment.Endpoint, service: str, workspace: str
 ) -> None:
     """Shows which daemons callers of a service should use."""
     data = calls.addresses(at, service, workspace)
@@ -230,6 +229,31 @@
     tool.show(data, lines)
 
 
+@main.command()
+@click.argument("at", type=_address, metavar="STATUS_ADDRESS")
+@click.pass_obj
+def gateway(tool: Tool, at: deployment.Endpoint) -> None:
+    """Shows what a gateway daemon on the platform believes."""
+    data = calls.read(at, "/status")
+    version = data["version"]
+    lines = [
+        f"{data['state']}  configuration {version or 'none'}"
+        f"  in flight {data['in_flight']}  daemons {len(data['daemons'])}"
+    ]
+    for name, service in sorted(data["services"].items()):
+        lines.append(
+            f"service {name}  waiting {service['waiting']}"
+            f"  retries {service['retries']}"
+        )
+        lines += [
+            f"  {instance_id}  load {found['load']} of {found['slots']}"
+            f"  failing {found['failing']}  slow {found['slow']}"
+            + ("  lapsed" if found["lapsed"] else "")
+            for instance_id, found in sorted(service["instances"].items())
+        ]
+    tool.show(data, lines)
+
+
 @main.command()
 @click.pass_obj
 def outcomes(tool: Tool) -> None:
--- a/src/dotterelpath/platform/catalog.py
+++ b/src/dotterelpath/platform/catalog.py
@@ -19,6 +19,7 @@
 DAEMON_PREFIX = "dotterelpath/daemons/"
 
 _VERSION = re.compile(r"r(\d{1,18})\Z")
+_ID = re.compile(r"[A-Za-z0-9._:-]{1,190}\Z")
 _STATES = {"ready": False, "draining": True}
 
 
@@ -72,6 +73,9 @@
     instance_id = item.key[len(INSTANCE_PREFIX) :]
     if item.value is None:
         return catalog.InstanceItem(instance_id, None)
+    if not _ID.match(instance_id):
+        # The id is sent in a header.
+        raise fields.FieldError("the id has another form")
     data = fields.table(orjson.loads(item.value), "the entry")
     state = fields.text(data, "state")
     if state not in _STATES:
--- a/src/dotterelpath/platform/fields.py
+++ b/src/dotterelpath/platform/fields.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import typing
 
 
@@ -101,6 +102,10 @@
         FieldError: It has another form.
     """
     host, _, port = value.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise FieldError(f"{name} does not begin with an IP address") from None
+    if not port.isdigit() or not 0 < int(port) < 65536:
         raise FieldError(f"{name} is no address with a port")
     return host, int(port)
--- a/src/dotterelpath/tasks/_attempts.py
+++ b/src/dotterelpath/tasks/_attempts.py
@@ -17,6 +17,7 @@
 from dotterelpath.ports import timers as timers_port
 from dotterelpath.tasks import _answers
 from dotterelpath.tasks import _exchange
+from dotterelpath.tasks import _streams
 from dotterelpath.tasks import events
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import messages
@@ -77,7 +78,7 @@
         self._end = end
         self._estate: estate.Estate[_exchange.Exchange] = estate.Estate()
         self._tries: dict[int, _exchange.OpenTry] = {}
-        self._streams: dict[int, _exchange.Exchange] = {}
+        self._streams: _streams.Streams[_exchange.Exchange] = _streams.Streams()
         self._told: dict[str, dict[str, float]] = {}
 
     @property
@@ -85,6 +86,11 @@
         """The services of the document in force."""
         return self._estate
 
+    @property
+    def streams(self) -> _streams.Streams[_exchange.Exchange]:
+        """The answers that are passed on in parts."""
+        return self._streams
+
     def begin(self, work: _exchange.Exchange) -> None:
         """Routes a request and sends it, or lets it wait for an instance.
 
@@ -132,32 +138,6 @@
             self._on_answered_try(work, attempt, message)
         self._pump(work)
 
-    def on_answer_part(self, message: messages.AnswerPart) -> None:
-        """Passes on a part of a long answer.
-
-        Args:
-            message: The part.
-        """
-        work = self._streams.get(message.exchange_id)
-        if work is not None and work.reply_to is not None:
-            work.reply_to.inbox.force(message)
-
-    def on_answer_done(
-        self, message: messages.AnswerDone
-    ) -> _exchange.Exchange | None:
-        """Passes on the end of a long answer.
-
-        Args:
-            message: Whether it is whole.
-
-        Returns:
-            The request, which is over now.
-        """
-        work = self._streams.pop(message.exchange_id, None)
-        if work is not None and work.reply_to is not None:
-            work.reply_to.inbox.force(message)
-        return work
-
     def on_ledger_changed(self, message: events.LedgerChanged) -> None:
         """Takes in a service's ejections, and withdraws what they settle.
 
@@ -216,7 +196,7 @@
             Whether the request is over.
         """
         if work.stream_id is not None:
-            self._streams.pop(work.stream_id, None)
+            self._streams.drop(work.stream_id)
             return True
         if work.state is None:
             return True
@@ -303,7 +283,7 @@
     ) -> None:
         if not message.is_whole:
             work.stream_id = message.exchange_id
-            self._streams[message.exchange_id] = work
+            self._streams.begin(message.exchange_id, work)
         self._cancel_tries(work, message.exchange_id)
         outcome = exchange.Outcome(
             errors.ResultCode.ANSWERED,
--- a/src/dotterelpath/tasks/_sending.py
+++ b/src/dotterelpath/tasks/_sending.py
@@ -7,8 +7,6 @@
 import structlog
 
 from dotterelpath import errors
-from dotterelpath.domain import bounds as bounds_domain
-from dotterelpath.domain import configuration
 from dotterelpath.domain import evidence
 from dotterelpath.domain import exchange
 from dotterelpath.domain import placement
@@ -19,23 +17,18 @@
 from dotterelpath.ports import backend
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import metrics as metrics_port
-from dotterelpath.ports import randomness
 from dotterelpath.ports import timers as timers_port
 from dotterelpath.tasks import _forward
-from dotterelpath.tasks import fleet_events
+from dotterelpath.tasks import _services
+from dotterelpath.tasks import _streams
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import messages
 
 # Answers up to this size are given whole, so that a broken one can be made
 # up for elsewhere; longer ones would cost too much memory.
 BUFFER_BYTES = 4 * 1024 * 1024
-# What is assumed of a route without answers: a part of its target.
-FIRST_WORK_PART = 0.3
 # While requests wait, other daemons may free slots unseen, in seconds.
 PUMP_S = 0.05
-# Callers that were refused come back after the work that is ahead of them,
-# but not sooner than this, in seconds.
-LEAST_RETRY_S = 0.2
 # At least this much time must be left for another try, in seconds.
 LEAST_TRY_S = 0.02
 FAILURE_STATUS = 500
@@ -47,24 +40,16 @@
 
 
 class Sending:
-    """A part of the gateway's state: the services and the open tries."""
+    """A part of the gateway's state: the open tries."""
 
     __slots__ = (
         "_back_ends",
-        "_bounds",
-        "_by_service",
-        "_carried",
-        "_carriers",
         "_clock",
-        "_data_centre",
         "_end",
         "_metrics",
-        "_neighbours",
         "_pumping",
-        "_random",
         "_read_signs",
         "_services",
-        "_sharers",
         "_streams",
         "_timers",
         "_tries",
@@ -72,117 +57,40 @@
 
     def __init__(
         self,
-        data_centre: str,
-        bounds: bounds_domain.Bounds,
+        services: _services.Services,
         read_signs: typing.Callable[[exchange.Answer], backend.Signs],
         clock: clock_port.Clock,
-        random: randomness.RandomSource,
         due: timers_port.Timers[typing.Any],
         metrics: metrics_port.Metrics,
         back_ends: mailbox.Mailbox[typing.Any],
-        neighbours: mailbox.Mailbox[typing.Any],
         end: typing.Callable[[_forward.Forward, exchange.Outcome], None],
     ) -> None:
-        """Creates an empty state.
+        """Creates a state without tries.
 
         Args:
-            data_centre: Where this daemon stands.
-            bounds: What must hold.
+            services: The services.
             read_signs: Reads what an answer says besides its body.
             clock: Tells the time.
-            random: Breaks ties.
             due: Keeps due times.
             metrics: Takes in what is measured.
             back_ends: Writes tries.
-            neighbours: Tells other daemons what was seen of instances.
             end: Ends a request.
         """
-        self._data_centre = data_centre
-        self._bounds = bounds
+        self._services = services
         self._read_signs = read_signs
         self._clock = clock
-        self._random = random
         self._timers = due
         self._metrics = metrics
         self._back_ends = back_ends
-        self._neighbours = neighbours
         self._end = end
-        self._services: dict[str, _forward.ServiceState] = {}
-        self._by_service: dict[str, list[registry.Listed]] = {}
         self._tries: dict[int, _forward.OpenTry] = {}
-        self._streams: dict[int, _forward.Forward] = {}
+        self._streams: _streams.Streams[_forward.Forward] = _streams.Streams()
         self._pumping: set[str] = set()
-        self._sharers = 1
-        self._carriers = 1
-        self._carried: frozenset[str] = frozenset()
 
     @property
-    def services(self) -> dict[str, _forward.ServiceState]:
-        """The services of the configuration in force."""
-        return self._services
-
-    def set_services(self, services: dict[str, configuration.Service]) -> None:
-        """Takes in the services of a newer configuration.
-
-        Args:
-            services: The services by name.
-        """
-        for name in services:
-            if name not in self._services:
-                self._services[name] = _forward.ServiceState(
-                    name, self._data_centre
-                )
-                self._set_listed(self._services[name])
-
-    def on_registry_changed(
-        self, message: fleet_events.RegistryChanged
-    ) -> None:
-        """Takes in the listed instances.
-
-        Args:
-            message: The instances of each service.
-        """
-        self._by_service = message.by_service
-        for state in self._services.values():
-            self._set_listed(state)
-            self.pump(state)
-
-    def on_bounds_changed(self, message: fleet_events.BoundsChanged) -> None:
-        """Takes in changed settings.
-
-        Args:
-            message: The bounds.
-        """
-        self._bounds = message.bounds
-
-    def on_sharers_changed(self, message: fleet_events.SharersChanged) -> None:
-        """Takes in how many daemons share the retries of a service.
-
-        Args:
-            message: Their number, and the services that this one shares.
-        """
-        self._sharers = max(1, message.count)
-        self._carriers = max(1, message.carriers)
-        self._carried = message.carried
-
-    def on_evidence_heard(self, message: fleet_events.EvidenceHeard) -> None:
-        """Takes in what another daemon saw of an instance.
-
-        Args:
-            message: The observation.
-        """
-        heard = message.evidence
-        state = self._services.get(heard.service)
-        if state is None:
-            return
-        instance = state.placement.instances.get(heard.instance_id)
-        if instance is None or instance.entry.started_ms != heard.started_ms:
-            return
-        now_s = self._clock.now_s()
-        if heard.symptom is evidence.Symptom.GONE:
-            self._drop(state, instance)
-        else:
-            _observe(state.placement, heard.instance_id, heard.symptom, now_s)
+    def streams(self) -> _streams.Streams[_forward.Forward]:
+        """The answers that are passed on in parts."""
+        return self._streams
 
     def begin(self, work: _forward.Forward, service: str) -> None:
         """Sends a new request, or lets it wait for an instance.
@@ -191,9 +99,7 @@
             work: The request.
             service: The service that is to run it.
         """
-        state = self._services[service]
-        work.service = state
-        state.retries.count(self._bounds.retry_window_s, self._clock.now_s())
+        self._services.begin(work, service)
         self._place(work)
 
     def abandon(self, work: _forward.Forward) -> None:
@@ -206,7 +112,7 @@
             work: The request.
         """
         if work.stream_id is not None:
-            self._streams.pop(work.stream_id, None)
+            self._streams.drop(work.stream_id)
             self._back_ends.force(messages.CancelTry(work.stream_id, False))
         if work.service is None:
             return
@@ -218,10 +124,13 @@
     def time_out(self, work: _forward.Forward) -> None:
         """Ends a request whose deadline has passed.
 
+        One whose caller is gone may still be open at an instance.
+
         Args:
             work: The request.
         """
-        assert work.service is not None
+        if work.service is None or (work.is_ended and not work.open):
+            return
         state = work.service
         state.queue.remove(work)
         if work.open:
@@ -246,10 +155,10 @@
         if now_s < attempt.slow_at_s:
             return
         attempt.is_lagging = True
-        self._suspect(work, attempt.instance, evidence.Symptom.LAGGED)
-        if work.is_idempotent and len(work.open) == 1 and self._spend(work):
-            pick = self._pick(work)
-            if pick.instance is not None:
+        self._services.suspect(work, attempt.instance, evidence.Symptom.LAGGED)
+        if work.is_idempotent and len(work.open) == 1 and work.tries_left:
+            pick = self._services.pick(work)
+            if pick.instance is not None and self._services.spend(work):
                 self._metrics.retried(self._name(work), True)
                 self._send(work, pick.instance)
 
@@ -275,32 +184,6 @@
         if work.service is not None:
             self.pump(work.service)
 
-    def on_answer_part(self, message: messages.AnswerPart) -> None:
-        """Passes on a part of a long answer.
-
-        Args:
-            message: The part.
-        """
-        work = self._streams.get(message.exchange_id)
-        if work is not None:
-            work.reply_to.inbox.force(message)
-
-    def on_answer_done(
-        self, message: messages.AnswerDone
-    ) -> _forward.Forward | None:
-        """Passes on the end of a long answer.
-
-        Args:
-            message: Whether it is whole.
-
-        Returns:
-            The request, which is over now.
-        """
-        work = self._streams.pop(message.exchange_id, None)
-        if work is not None:
-            work.reply_to.inbox.force(message)
-        return work
-
     def pump(self, state: _forward.ServiceState) -> None:
         """Sends waiting requests while instances may take them.
 
@@ -312,7 +195,7 @@
             return
         now_s = self._clock.now_s()
         for waiter in state.queue.ordered(now_s):
-            pick = self._pick(waiter.item)
+            pick = self._services.pick(waiter.item)
             if pick.instance is None:
                 break
             state.queue.remove(waiter.item)
@@ -320,23 +203,9 @@
         self._review(state, now_s)
         self._plan_pump(state, now_s)
 
-    def _set_listed(self, state: _forward.ServiceState) -> None:
-        listed = [
-            item
-            for item in self._by_service.get(state.name, ())
-            if not item.entry.is_draining
-            and (item.entry.id, item.entry.started_ms) not in state.gone
-        ]
-        state.placement.set_listed(listed, self._clock.now_s())
-
-    def _slots(self, state: _forward.ServiceState) -> int:
-        """This daemon's part of the slots of the service's good instances."""
-        slots = state.placement.good_slots(self._clock.now_s())
-        return max(1, slots // self._carriers)
-
     def _place(self, work: _forward.Forward) -> None:
         """Sends a request, lets it wait, or gives it up."""
-        pick = self._pick(work)
+        pick = self._services.pick(work)
         if pick.instance is not None:
             self._send(work, pick.instance)
         elif pick.is_full:
@@ -344,20 +213,6 @@
         else:
             self._give_up(work, errors.ResultCode.NO_BACKEND, self._name(work))
 
-    def _pick(
-        self, work: _forward.Forward, wants_sick: bool = False
-    ) -> placement.Pick:
-        assert work.service is not None
-        can_retry = work.is_idempotent and work.tries_left > 1
-        return work.service.placement.choose(
-            self._random,
-            self._clock.now_s(),
-            can_retry,
-            work.tried,
-            work.service.trouble.is_troubled,
-            wants_sick,
-        )
-
     def _wait(self, work: _forward.Forward) -> None:
         assert work.service is not None and work.route is not None
         now_s = self._clock.now_s()
@@ -369,7 +224,7 @@
             now_s,
             work.arrived_s + work.route.target_s,
             work.deadline_s,
-            self._usual_s(work),
+            self._services.usual_s(work),
         )
         state.queue.add(waiter, now_s)
         self._review(state, now_s)
@@ -386,15 +241,15 @@
         They still answer some requests. If all waited for the healthy ones
         until their last moment, those would serve only late requests.
         """
-        review = state.queue.review(self._slots(state), now_s)
+        review = state.queue.review(self._services.slots(state), now_s)
         for waiter in review.late:
-            pick = self._pick(waiter.item, True)
+            pick = self._services.pick(waiter.item, True)
             if pick.instance is None:
                 break
             state.queue.remove(waiter.item)
             self._send(waiter.item, pick.instance)
         for waiter in review.hopeless:
-            pick = self._pick(waiter.item, True)
+            pick = self._services.pick(waiter.item, True)
             if pick.instance is not None:
                 self._send(waiter.item, pick.instance)
                 continue
@@ -411,10 +266,10 @@
         try_id = _forward.next_try_id()
         assert work.service is not None and work.route is not None
         slow_after_s = work.service.placement.slow_after_s(
-            work.route.name, work.route.target_s * FIRST_WORK_PART
+            work.route.name, work.route.target_s * _services.FIRST_WORK_PART
         )
         work.service.queue.started(
-            work.route.priority, self._usual_s(work), now_s
+            work.route.priority, self._services.usual_s(work), now_s
         )
         attempt = _forward.OpenTry(work, instance, now_s, now_s + slow_after_s)
         work.open[try_id] = attempt
@@ -462,7 +317,7 @@
         )
         if not message.is_whole:
             work.stream_id = message.exchange_id
-            self._streams[message.exchange_id] = work
+            self._streams.begin(message.exchange_id, work)
         self._cancel(work)
         self._end(
             work,
@@ -484,14 +339,14 @@
         """Goes on after an instance certainly did not run a request."""
         assert work.service is not None
         if signs.is_elsewhere:
-            self._drop(work.service, instance)
-            self._tell(work.service, instance, evidence.Symptom.GONE)
+            self._services.drop(work.service, instance)
+            self._services.tell(work.service, instance, evidence.Symptom.GONE)
             detail = "another instance has the address"
         else:
             detail = f"refused with status {message.answer.status}"
             is_full = (signs.running or 0) >= (signs.slots or 0)
             if not is_full:
-                self._suspect(work, instance, evidence.Symptom.FAILED)
+                self._services.suspect(work, instance, evidence.Symptom.FAILED)
         self._retry(work, errors.ResultCode.BACKEND_REFUSED, detail)
 
     def _on_failure(
@@ -510,13 +365,13 @@
         if not self._is_over_time(work, answer):
             at_once = work.service.placement.is_at_once(
                 work.route.name,
-                work.route.target_s * FIRST_WORK_PART,
+                work.route.target_s * _services.FIRST_WORK_PART,
                 self._clock.now_s() - attempt.sent_s,
             )
             symptom = evidence.Symptom.FAILED_LATE
             if at_once:
                 symptom = evidence.Symptom.FAILED
-            self._suspect(work, instance, symptom)
+            self._services.suspect(work, instance, symptom)
         if not message.is_whole:
             self._back_ends.force(
                 messages.CancelTry(message.exchange_id, False)
@@ -556,7 +411,7 @@
             work.unreachable.append(instance.id)
         else:
             work.may_have_run = True
-        self._suspect(work, instance, evidence.Symptom.FAILED)
+        self._services.suspect(work, instance, evidence.Symptom.FAILED)
         self._retry(work, code, message.detail)
 
     def _retry(
@@ -566,8 +421,8 @@
         if work.is_ended or work.open:
             return
         is_safe = work.is_idempotent or not work.may_have_run
-        if is_safe and self._has_time(work) and self._spend(work):
-            pick = self._pick(work)
+        if is_safe and self._has_time(work) and self._services.spend(work):
+            pick = self._services.pick(work)
             _log.info(
                 "request retried",
                 request_id=work.request.request_id,
@@ -588,23 +443,6 @@
     def _has_time(self, work: _forward.Forward) -> bool:
         return self._clock.now_s() + LEAST_TRY_S < work.deadline_s
 
-    def _spend(self, work: _forward.Forward) -> bool:
-        """Takes a further try of a request out of the budgets."""
-        assert work.service is not None
-        if work.tries_left < 1:
-            return False
-        if not work.sent_to:
-            return True
-        slack = 0.0
-        if work.service.name in self._carried:
-            slack = self._bounds.retry_slack / self._sharers
-        return work.service.retries.spend(
-            self._bounds.retry_ratio,
-            slack,
-            self._bounds.retry_window_s,
-            self._clock.now_s(),
-        )
-
     def _give_up(
         self, work: _forward.Forward, code: errors.ResultCode, detail: str
     ) -> None:
@@ -616,16 +454,9 @@
             code = errors.ResultCode.BACKEND_BROKEN
         outcome = exchange.Outcome(code, detail)
         if outcome.is_not_run:
-            outcome.retry_after_s = self._retry_after_s(work)
+            outcome.retry_after_s = self._services.retry_after_s(work)
         self._end(work, outcome)
 
-    def _retry_after_s(self, work: _forward.Forward) -> float:
-        """Spreads those who come back over the time that the queue needs."""
-        assert work.service is not None
-        state = work.service
-        ahead_s = len(state.queue) * self._usual_s(work) / self._slots(state)
-        return max(LEAST_RETRY_S, ahead_s) * (0.5 + self._random.random())
-
     def _cancel(self, work: _forward.Forward, timed_out: bool = False) -> None:
         """Cancels what instances still do for a request."""
         for try_id, attempt in list(work.open.items()):
@@ -635,54 +466,7 @@
             instance.in_flight = max(0, instance.in_flight - 1)
             self._back_ends.force(messages.CancelTry(try_id, timed_out))
             if timed_out and not attempt.is_lagging:
-                self._suspect(work, instance, evidence.Symptom.LAGGED)
-
-    def _suspect(
-        self,
-        work: _forward.Forward,
-        instance: placement.Instance,
-        symptom: evidence.Symptom,
-    ) -> None:
-        """Holds a symptom against an instance, here and elsewhere."""
-        assert work.service is not None
-        now_s = self._clock.now_s()
-        state = work.service
-        chance = _observe(state.placement, instance.id, symptom, now_s)
-        _log.info(
-            "instance suspected",
-            request_id=work.request.request_id,
-            service=state.name,
-            instance=instance.id,
-            symptom=symptom.value,
-            chance=round(chance or 0.0, 3),
-            load=round(instance.load(now_s), 1),
-        )
-        self._tell(state, instance, symptom)
-
-    def _tell(
-        self,
-        state: _forward.ServiceState,
-        instance: placement.Instance,
-        symptom: evidence.Symptom,
-    ) -> None:
-        entry = instance.entry
-        seen = evidence.Evidence(
-            state.name, entry.id, entry.started_ms, symptom
-        )
-        self._neighbours.force(fleet_events.EvidenceSeen(seen))
-
-    def _drop(
-        self, state: _forward.ServiceState, instance: placement.Instance
-    ) -> None:
-        """Gives an instance that is not at its address no more work."""
-        state.gone.add((instance.id, instance.entry.started_ms))
-        state.placement.drop(instance.id)
-
-    def _usual_s(self, work: _forward.Forward) -> float:
-        assert work.service is not None and work.route is not None
-        return work.service.placement.usual_s(
-            work.route.name, work.route.target_s * FIRST_WORK_PART
-        )
+                self._services.suspect(work, instance, evidence.Symptom.LAGGED)
 
     def _name(self, work: _forward.Forward) -> str:
         return work.service.name if work.service else ""
@@ -698,18 +482,6 @@
 }
 
 
-def _observe(
-    placed: placement.Placement,
-    instance_id: str,
-    symptom: evidence.Symptom,
-    now_s: float,
-) -> float | None:
-    if symptom is evidence.Symptom.LAGGED:
-        return placed.lagged(instance_id, now_s)
-    at_once = symptom is evidence.Symptom.FAILED
-    return placed.failed(instance_id, at_once, now_s)
-
-
 def _is_not_run(code: errors.ResultCode) -> bool:
     return code.outcome_class is errors.OutcomeClass.NOT_RUN
 
--- /dev/null
+++ b/src/dotterelpath/tasks/_services.py
@@ -0,0 +1,265 @@
+"""The services: their instances, what is believed of them, and budgets."""
+
+from __future__ import annotations
+
+import typing
+
+import structlog
+
+from dotterelpath.domain import bounds as bounds_domain
+from dotterelpath.domain import configuration
+from dotterelpath.domain import evidence
+from dotterelpath.domain import placement
+from dotterelpath.domain import registry
+from dotterelpath.ports import clock as clock_port
+from dotterelpath.ports import randomness
+from dotterelpath.tasks import _forward
+from dotterelpath.tasks import fleet_events
+from dotterelpath.tasks import mailbox
+
+# What is assumed of a route without answers: a part of its target.
+FIRST_WORK_PART = 0.3
+# Callers that were refused come back after the work that is ahead of them,
+# but not sooner than this, in seconds.
+LEAST_RETRY_S = 0.2
+
+_log = structlog.get_logger()
+
+
+class Services:
+    """A part of the gateway's state: what it knows of each service."""
+
+    __slots__ = (
+        "_bounds",
+        "_by_service",
+        "_carried",
+        "_carriers",
+        "_clock",
+        "_data_centre",
+        "_neighbours",
+        "_random",
+        "_services",
+        "_sharers",
+    )
+
+    def __init__(
+        self,
+        data_centre: str,
+        bounds: bounds_domain.Bounds,
+        clock: clock_port.Clock,
+        random: randomness.RandomSource,
+        neighbours: mailbox.Mailbox[typing.Any],
+    ) -> None:
+        """Creates a state without services.
+
+        Args:
+            data_centre: Where this daemon stands.
+            bounds: What must hold.
+            clock: Tells the time.
+            random: Breaks ties.
+            neighbours: Tells other daemons what was seen of instances.
+        """
+        self._data_centre = data_centre
+        self._bounds = bounds
+        self._clock = clock
+        self._random = random
+        self._neighbours = neighbours
+        self._services: dict[str, _forward.ServiceState] = {}
+        self._by_service: dict[str, list[registry.Listed]] = {}
+        self._sharers = 1
+        self._carriers = 1
+        self._carried: frozenset[str] = frozenset()
+
+    @property
+    def states(self) -> dict[str, _forward.ServiceState]:
+        """The services by name."""
+        return self._services
+
+    def set_services(self, services: dict[str, configuration.Service]) -> None:
+        """Takes in the services of a newer configuration.
+
+        Args:
+            services: The services by name.
+        """
+        for name in services:
+            if name not in self._services:
+                self._services[name] = _forward.ServiceState(
+                    name, self._data_centre
+                )
+                self._set_listed(self._services[name])
+
+    def on_registry_changed(
+        self, message: fleet_events.RegistryChanged
+    ) -> None:
+        """Takes in the listed instances.
+
+        Args:
+            message: The instances of each service.
+        """
+        self._by_service = message.by_service
+        for state in self._services.values():
+            self._set_listed(state)
+
+    def on_bounds_changed(self, message: fleet_events.BoundsChanged) -> None:
+        """Takes in changed settings.
+
+        Args:
+            message: The bounds.
+        """
+        self._bounds = message.bounds
+
+    def on_sharers_changed(self, message: fleet_events.SharersChanged) -> None:
+        """Takes in how many daemons share the retries of a service.
+
+        Args:
+            message: Their number, and the services that this one shares.
+        """
+        self._sharers = max(1, message.count)
+        self._carriers = max(1, message.carriers)
+        self._carried = message.carried
+
+    def on_evidence_heard(self, message: fleet_events.EvidenceHeard) -> None:
+        """Takes in what another daemon saw of an instance.
+
+        Args:
+            message: The observation.
+        """
+        heard = message.evidence
+        state = self._services.get(heard.service)
+        if state is None:
+            return
+        instance = state.placement.instances.get(heard.instance_id)
+        if instance is None or instance.entry.started_ms != heard.started_ms:
+            return
+        now_s = self._clock.now_s()
+        if heard.symptom is evidence.Symptom.GONE:
+            self.drop(state, instance)
+        else:
+            _observe(state.placement, heard.instance_id, heard.symptom, now_s)
+
+    def begin(self, work: _forward.Forward, service: str) -> None:
+        """Gives a new request to a service.
+
+        Args:
+            work: The request.
+            service: The service that is to run it.
+        """
+        state = self._services[service]
+        work.service = state
+        state.retries.count(self._bounds.retry_window_s, self._clock.now_s())
+
+    def pick(
+        self, work: _forward.Forward, wants_sick: bool = False
+    ) -> placement.Pick:
+        assert work.service is not None
+        can_retry = work.is_idempotent and work.tries_left > 1
+        return work.service.placement.choose(
+            self._random,
+            self._clock.now_s(),
+            can_retry,
+            work.tried,
+            work.service.trouble.is_troubled,
+            wants_sick,
+        )
+
+    def slots(self, state: _forward.ServiceState) -> int:
+        """This daemon's part of the slots of the service's good instances."""
+        slots = state.placement.good_slots(self._clock.now_s())
+        return max(1, slots // self._carriers)
+
+    def usual_s(self, work: _forward.Forward) -> float:
+        assert work.service is not None and work.route is not None
+        return work.service.placement.usual_s(
+            work.route.name, work.route.target_s * FIRST_WORK_PART
+        )
+
+    def spend(self, work: _forward.Forward) -> bool:
+        """Takes a further try of a request out of the budgets."""
+        assert work.service is not None
+        if work.tries_left < 1:
+            return False
+        if not work.sent_to:
+            return True
+        slack = 0.0
+        if work.service.name in self._carried:
+            slack = self._bounds.retry_slack / self._sharers
+        return work.service.retries.spend(
+            self._bounds.retry_ratio,
+            slack,
+            self._bounds.retry_window_s,
+            self._clock.now_s(),
+        )
+
+    def retry_after_s(self, work: _forward.Forward) -> float:
+        """Spreads those who come back over the time that the queue needs."""
+        assert work.service is not None
+        state = work.service
+        ahead_s = len(state.queue) * self.usual_s(work) / self.slots(state)
+        return max(LEAST_RETRY_S, ahead_s) * (0.5 + self._random.random())
+
+    def suspect(
+        self,
+        work: _forward.Forward,
+        instance: placement.Instance,
+        symptom: evidence.Symptom,
+    ) -> None:
+        """Holds a symptom against an instance, here and elsewhere."""
+        assert work.service is not None
+        now_s = self._clock.now_s()
+        state = work.service
+        chance = _observe(state.placement, instance.id, symptom, now_s)
+        _log.info(
+            "instance suspected",
+            request_id=work.request.request_id,
+            service=state.name,
+            instance=instance.id,
+            symptom=symptom.value,
+            chance=round(chance or 0.0, 3),
+            load=round(instance.load(now_s), 1),
+        )
+        self.tell(state, instance, symptom)
+
+    def drop(
+        self, state: _forward.ServiceState, instance: placement.Instance
+    ) -> None:
+        """Gives an instance that is not at its address no more work."""
+        state.gone.add((instance.id, instance.entry.started_ms))
+        state.placement.drop(instance.id)
+
+    def _set_listed(self, state: _forward.ServiceState) -> None:
+        known = {
+            (item.entry.id, item.entry.started_ms)
+            for item in self._by_service.get(state.name, ())
+        }
+        state.gone &= known
+        listed = [
+            item
+            for item in self._by_service.get(state.name, ())
+            if not item.entry.is_draining
+            and (item.entry.id, item.entry.started_ms) not in state.gone
+        ]
+        state.placement.set_listed(listed, self._clock.now_s())
+
+    def tell(
+        self,
+        state: _forward.ServiceState,
+        instance: placement.Instance,
+        symptom: evidence.Symptom,
+    ) -> None:
+        entry = instance.entry
+        seen = evidence.Evidence(
+            state.name, entry.id, entry.started_ms, symptom
+        )
+        self._neighbours.force(fleet_events.EvidenceSeen(seen))
+
+
+def _observe(
+    placed: placement.Placement,
+    instance_id: str,
+    symptom: evidence.Symptom,
+    now_s: float,
+) -> float | None:
+    if symptom is evidence.Symptom.LAGGED:
+        return placed.lagged(instance_id, now_s)
+    at_once = symptom is evidence.Symptom.FAILED
+    return placed.failed(instance_id, at_once, now_s)
--- a/src/dotterelpath/tasks/dispatcher.py
+++ b/src/dotterelpath/tasks/dispatcher.py
@@ -165,7 +165,7 @@
         Args:
             message: The part.
         """
-        self._attempts.on_answer_part(message)
+        self._attempts.streams.on_answer_part(message)
 
     def on_answer_done(self, message: messages.AnswerDone) -> None:
         """Passes on the end of a long answer.
@@ -173,7 +173,7 @@
         Args:
             message: Whether it is whole.
         """
-        work = self._attempts.on_answer_done(message)
+        work = self._attempts.streams.on_answer_done(message)
         if work is not None:
             self._forget(work)
 
--- a/src/dotterelpath/tasks/gateway.py
+++ b/src/dotterelpath/tasks/gateway.py
@@ -17,6 +17,7 @@
 from dotterelpath.ports import timers as timers_port
 from dotterelpath.tasks import _forward
 from dotterelpath.tasks import _sending
+from dotterelpath.tasks import _services
 from dotterelpath.tasks import fleet_events
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import messages
@@ -42,6 +43,7 @@
         "_metrics",
         "_random",
         "_sending",
+        "_services",
         "_splits",
         "_timers",
         "_waiting",
@@ -82,16 +84,16 @@
         self._configuration: configuration.Configuration | None = None
         self._splits = configuration.Splits()
         self._waiting: dict[reply.ReplyTo, _forward.Forward] = {}
+        self._services = _services.Services(
+            data_centre, bounds, clock, random, neighbours
+        )
         self._sending = _sending.Sending(
-            data_centre,
-            bounds,
+            self._services,
             read_signs,
             clock,
-            random,
             due,
             metrics,
             back_ends,
-            neighbours,
             self._end,
         )
         self._handlers: dict[type, typing.Callable[[typing.Any], None]] = (
@@ -106,7 +108,7 @@
     @property
     def services(self) -> dict[str, _forward.ServiceState]:
         """The services, for reports on the daemon's state."""
-        return self._sending.services
+        return self._services.states
 
     @property
     def in_flight(self) -> int:
@@ -165,7 +167,19 @@
         """
         self._configuration = message.configuration
         self._splits.keep_only(message.configuration.routes)
-        self._sending.set_services(message.configuration.services)
+        self._services.set_services(message.configuration.services)
+
+    def on_registry_changed(
+        self, message: fleet_events.RegistryChanged
+    ) -> None:
+        """Takes in the listed instances, which may have room now.
+
+        Args:
+            message: The instances of each service.
+        """
+        self._services.on_registry_changed(message)
+        for state in self._services.states.values():
+            self._sending.pump(state)
 
     def on_tick(self, message: messages.Tick) -> None:
         """Ends requests whose deadline has passed, and notes slow instances.
@@ -179,7 +193,7 @@
                 self._sending.lag(item, now_s)
             elif isinstance(item, _forward.ServiceState):
                 self._sending.pump(item)
-            elif not item.is_ended and now_s >= item.deadline_s:
+            elif now_s >= item.deadline_s:
                 self._sending.time_out(item)
 
     def on_answer_done(self, message: messages.AnswerDone) -> None:
@@ -188,26 +202,26 @@
         Args:
             message: Whether it is whole.
         """
-        work = self._sending.on_answer_done(message)
+        work = self._sending.streams.on_answer_done(message)
         if work is not None:
             self._waiting.pop(work.reply_to, None)
 
     def _handler_table(
         self,
     ) -> dict[type, typing.Callable[[typing.Any], None]]:
-        sending = self._sending
+        services = self._services
         return {
             messages.RequestArrived: self.on_request_arrived,
             messages.CallerGone: self.on_caller_gone,
-            messages.TryEnded: sending.on_try_ended,
-            messages.AnswerPart: sending.on_answer_part,
+            messages.TryEnded: self._sending.on_try_ended,
+            messages.AnswerPart: self._sending.streams.on_answer_part,
             messages.AnswerDone: self.on_answer_done,
             messages.Tick: self.on_tick,
             fleet_events.ConfigurationChanged: self.on_configuration_changed,
-            fleet_events.RegistryChanged: sending.on_registry_changed,
-            fleet_events.BoundsChanged: sending.on_bounds_changed,
-            fleet_events.SharersChanged: sending.on_sharers_changed,
-            fleet_events.EvidenceHeard: sending.on_evidence_heard,
+            fleet_events.RegistryChanged: self.on_registry_changed,
+            fleet_events.BoundsChanged: services.on_bounds_changed,
+            fleet_events.SharersChanged: services.on_sharers_changed,
+            fleet_events.EvidenceHeard: services.on_evidence_heard,
         }
 
     def _begin(self, work: _forward.Forward) -> None:
@@ -218,6 +232,8 @@
         work.deadline_s = min(
             work.deadline_s, work.arrived_s + work.route.timeout_s
         )
+        if work.deadline_s <= self._clock.now_s():
+            raise errors.DotterelpathError(errors.ResultCode.DEADLINE_TOO_SHORT)
         if len(self._waiting) > MAX_FORWARDS:
             raise errors.DotterelpathError(errors.ResultCode.OVERLOADED)
         service = self._splits.choose(work.route, self._random.random())
