--- a/src/dotterelpath/domain/placement.py
+++ b/src/dotterelpath/domain/placement.py
@@ -25,7 +25,7 @@
 SLOW_COST = 0.5
 RETRIED_COST = 0.4
 FULLNESS_COST = 0.1
-DISTANCE_COST = 0.02
+DISTANCE_COST = 0.05
 WARM_UP_COST = 0.1
 TIE_COST = 0.005
 # An instance that fails the next request with more than this chance is left
