--- a/src/dotterelpath/domain/placement.py
+++ b/src/dotterelpath/domain/placement.py
@@ -24,7 +24,7 @@
 # Prices of the ways a choice may turn out badly, as parts of a lost request.
 SLOW_COST = 0.5
 RETRIED_COST = 0.4
-FULLNESS_COST = 0.1
+FULLNESS_COST = 0.05
 DISTANCE_COST = 0.05
 WARM_UP_COST = 0.1
 TIE_COST = 0.005
