--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -74,7 +74,7 @@
         self.configure(routes)
         self.list_all()
         self.gateway.handle(
-            fleet_events.SharersChanged(1, 1, frozenset({SERVICE}))
+            fleet_events.SharersChanged(1, frozenset({SERVICE}))
         )
 
     def configure(self, routes, version=1):
--- a/src/dotterelpath/domain/neighbours.py
+++ b/src/dotterelpath/domain/neighbours.py
@@ -203,11 +203,6 @@
         data_centres = {d.data_centre for d in self._daemons.values()}
         return max(1, len(data_centres) * self._per_host)
 
-    def sharers(self) -> int:
-        """Counts the daemons that callers of one host may be sent to."""
-        data_centres = {d.data_centre for d in self._daemons.values()}
-        return max(1, len(data_centres) * (self._per_host + RESERVES))
-
     def _enough(self, usable: list[steering.Daemon]) -> list[steering.Daemon]:
         """Takes as many daemons as are not busy on the whole."""
         chosen: list[steering.Daemon] = []
--- a/src/dotterelpath/tasks/_services.py
+++ b/src/dotterelpath/tasks/_services.py
@@ -39,7 +39,6 @@
         "_neighbours",
         "_random",
         "_services",
-        "_sharers",
     )
 
     def __init__(
@@ -66,7 +65,6 @@
         self._neighbours = neighbours
         self._services: dict[str, _forward.ServiceState] = {}
         self._by_service: dict[str, list[registry.Listed]] = {}
-        self._sharers = 1
         self._carriers = 1
         self._carried: frozenset[str] = frozenset()
 
@@ -114,7 +112,6 @@
         Args:
             message: Their number, and the services that this one shares.
         """
-        self._sharers = max(1, message.count)
         self._carriers = max(1, message.carriers)
         self._carried = message.carried
 
@@ -182,7 +179,7 @@
             return True
         slack = 0.0
         if work.service.name in self._carried:
-            slack = self._bounds.retry_slack / self._sharers
+            slack = self._bounds.retry_slack / self._carriers
         return work.service.retries.spend(
             self._bounds.retry_ratio,
             slack,
--- a/src/dotterelpath/tasks/fleet_events.py
+++ b/src/dotterelpath/tasks/fleet_events.py
@@ -66,21 +66,17 @@
 
 
 class SharersChanged:
-    """Which daemons share the retries of a service changed."""
+    """Which daemons share a service changed."""
 
-    __slots__ = ("carried", "carriers", "count")
+    __slots__ = ("carried", "carriers")
 
-    def __init__(
-        self, count: int, carriers: int, carried: frozenset[str]
-    ) -> None:
+    def __init__(self, carriers: int, carried: frozenset[str]) -> None:
         """Creates the message.
 
         Args:
-            count: The daemons that share one service's retries.
-            carriers: The daemons that share its slots at a time.
+            carriers: The daemons that share a service's slots and retries.
             carried: The services whose callers may be sent to this daemon.
         """
-        self.count = count
         self.carriers = carriers
         self.carried = carried
 
--- a/src/dotterelpath/tasks/neighbourhood.py
+++ b/src/dotterelpath/tasks/neighbourhood.py
@@ -78,7 +78,7 @@
         self._has_instances = False
         self._is_leaving = False
         self._numbers = itertools.count(1)
-        self._told_sharers: tuple[int, int, frozenset[str]] | None = None
+        self._told_sharers: tuple[int, frozenset[str]] | None = None
         self._processor_s = read_processor_s()
         self._since_s = clock.now_s()
         self._busy = 0.0
@@ -238,11 +238,7 @@
             if own_id
             in self._neighbours.carriers(self._configuration.hosts_of(service))
         )
-        told = (
-            self._neighbours.sharers(),
-            self._neighbours.carrying(),
-            carried,
-        )
+        told = (self._neighbours.carrying(), carried)
         if told != self._told_sharers:
             self._told_sharers = told
             self._gateway.force(fleet_events.SharersChanged(*told))
