--- a/src/dotterelpath/tasks/leaving.py
+++ b/src/dotterelpath/tasks/leaving.py
@@ -17,8 +17,8 @@
 # At most this part of the time is spent on waiting for callers to leave; the
 # rest is for their requests.
 LINGER_PART = 0.5
-# What is left for the end of the process, in seconds.
-MARGIN_S = 0.4
+# The part of the time that is left for the end of the process.
+END_PART = 0.12
 
 _log = structlog.get_logger()
 
@@ -68,7 +68,9 @@
         )
         await asyncio.sleep(linger_s)
         self._receivers[0].force(events.DrainBegan())
-        left_s = began_s + self._grace_s - MARGIN_S - self._clock.now_s()
+        left_s = (
+            began_s + self._grace_s * (1.0 - END_PART) - self._clock.now_s()
+        )
         try:
             async with asyncio.timeout(max(0.0, left_s)):
                 await self._front_end.drained.wait()
