--- a/features/path.feature
+++ b/features/path.feature
@@ -10,6 +10,10 @@
     When a caller sends GET /bookings/availability/today to entry-2
     Then the result is 1000 with status 200
 
+  Scenario: HEAD is routed wherever GET is
+    When a caller sends HEAD /bookings/availability/today to entry-1
+    Then the result is 1000 with status 200
+
   Scenario Outline: Requests that cannot be routed get a coded error
     When a caller sends <method> <path> to entry-1
     Then the result is <code> with status <status>
--- a/src/dotterelpath/domain/routing.py
+++ b/src/dotterelpath/domain/routing.py
@@ -56,6 +56,8 @@
     for route in routes:
         if not route.methods or method in route.methods:
             return route
+        if method == "HEAD" and "GET" in route.methods:
+            return route
     raise errors.DotterelpathError(
         errors.ResultCode.METHOD_NOT_ALLOWED,
         f"{method} is not allowed under {prefix or '/'}",
