--- a/src/dotterelpath/domain/neighbours.py
+++ b/src/dotterelpath/domain/neighbours.py
@@ -14,6 +14,8 @@
 # A host that nobody asked for in this time needs no watched daemons, in
 # seconds.
 ASKED_S = 15.0
+# Questions that are remembered; a caller may ask for any name.
+MAX_ASKED = 1024
 # Daemons behind those that are named which are watched too, so that one that
 # dies is followed by one that is known to answer.
 RESERVES = 1
@@ -130,7 +132,9 @@
         Returns:
             The daemons; more than usual where they are busy.
         """
-        self._asked[(host, data_centre, region)] = now_s
+        key = (host, data_centre, region)
+        if key in self._asked or len(self._asked) < MAX_ASKED:
+            self._asked[key] = now_s
         for group in steering.nearest(
             data_centre, region, self._daemons.values()
         ):
--- a/src/dotterelpath/domain/placement.py
+++ b/src/dotterelpath/domain/placement.py
@@ -139,11 +139,6 @@
         """The instances that may get work, by id."""
         return self._instances
 
-    @property
-    def in_flight(self) -> int:
-        """This daemon's requests at all instances."""
-        return sum(i.in_flight for i in self._instances.values())
-
     def set_listed(
         self, listed: typing.Iterable[registry.Listed], now_s: float
     ) -> None:
--- a/src/dotterelpath/tasks/_forward.py
+++ b/src/dotterelpath/tasks/_forward.py
@@ -92,7 +92,6 @@
         "service",
         "stream_id",
         "unreachable",
-        "waited_since_s",
     )
 
     def __init__(self, message: messages.RequestArrived, now_s: float) -> None:
@@ -119,7 +118,6 @@
         self.may_have_run = False
         self.failure: exchange.Outcome | None = None
         self.backend_s = 0.0
-        self.waited_since_s: float | None = None
         self.stream_id: int | None = None
         self.is_ended = False
 
--- a/src/dotterelpath/tasks/_sending.py
+++ b/src/dotterelpath/tasks/_sending.py
@@ -217,7 +217,6 @@
         assert work.service is not None and work.route is not None
         now_s = self._clock.now_s()
         state = work.service
-        work.waited_since_s = now_s
         waiter = waiting.Waiter(
             work,
             work.route.priority,
--- a/src/dotterelpath/tasks/_services.py
+++ b/src/dotterelpath/tasks/_services.py
@@ -107,7 +107,7 @@
         self._bounds = message.bounds
 
     def on_sharers_changed(self, message: fleet_events.SharersChanged) -> None:
-        """Takes in how many daemons share the retries of a service.
+        """Takes in which daemons share a service's slots and retries.
 
         Args:
             message: Their number, and the services that this one shares.
@@ -148,6 +148,15 @@
     def pick(
         self, work: _forward.Forward, wants_sick: bool = False
     ) -> placement.Pick:
+        """Chooses an instance for a request.
+
+        Args:
+            work: The request.
+            wants_sick: Whether a sick instance is wanted.
+
+        Returns:
+            The instance, or whether waiting for one makes sense.
+        """
         assert work.service is not None
         can_retry = work.is_idempotent and work.tries_left > 1
         return work.service.placement.choose(
@@ -165,6 +174,7 @@
         return max(1, slots // self._carriers)
 
     def usual_s(self, work: _forward.Forward) -> float:
+        """How long an instance usually works on a request, in seconds."""
         assert work.service is not None and work.route is not None
         return work.service.placement.usual_s(
             work.route.name, work.route.target_s * FIRST_WORK_PART
@@ -223,6 +233,19 @@
         state.gone.add((instance.id, instance.entry.started_ms))
         state.placement.drop(instance.id)
 
+    def tell(
+        self,
+        state: _forward.ServiceState,
+        instance: placement.Instance,
+        symptom: evidence.Symptom,
+    ) -> None:
+        """Tells other daemons what was seen of an instance."""
+        entry = instance.entry
+        seen = evidence.Evidence(
+            state.name, entry.id, entry.started_ms, symptom
+        )
+        self._neighbours.force(fleet_events.EvidenceSeen(seen))
+
     def _set_listed(self, state: _forward.ServiceState) -> None:
         known = {
             (item.entry.id, item.entry.started_ms)
@@ -237,18 +260,6 @@
         ]
         state.placement.set_listed(listed, self._clock.now_s())
 
-    def tell(
-        self,
-        state: _forward.ServiceState,
-        instance: placement.Instance,
-        symptom: evidence.Symptom,
-    ) -> None:
-        entry = instance.entry
-        seen = evidence.Evidence(
-            state.name, entry.id, entry.started_ms, symptom
-        )
-        self._neighbours.force(fleet_events.EvidenceSeen(seen))
-
 
 def _observe(
     placed: placement.Placement,
