--- a/src/dotterelpath/domain/evidence.py
+++ b/src/dotterelpath/domain/evidence.py
@@ -27,7 +27,7 @@
         Args:
             service: The instance's service.
             instance_id: The instance.
-            started_ms: Which lifetime of it, in milliseconds since 1970.
+            started_ms: Which incarnation of it, in milliseconds since 1970.
             symptom: What was seen.
         """
         self.service = service
--- a/src/dotterelpath/domain/registry.py
+++ b/src/dotterelpath/domain/registry.py
@@ -13,7 +13,7 @@
 # A store that was not heard for this long was away, in seconds; longer than a
 # slow answer takes.
 AWAY_S = 1.0
-# How long an ended lifetime is remembered, in seconds; late writes of it are
+# How long an ended incarnation is remembered, in seconds; its late writes are
 # older than this.
 TOMBSTONE_S = 60.0
 
@@ -103,7 +103,7 @@
     """Believes the newest entry of each instance.
 
     An entry that is older than a known one is a late write and says nothing.
-    Draining is final for a lifetime. A vanished entry is kept for a moment as
+    Draining is final for an incarnation. A vanished entry is kept for a moment as
     lapsed, since a store that was away brings such entries back.
     """
 
--- a/src/dotterelpath/tasks/_sending.py
+++ b/src/dotterelpath/tasks/_sending.py
@@ -159,6 +159,13 @@
         if work.is_idempotent and len(work.open) == 1 and work.tries_left:
             pick = self._services.pick(work)
             if pick.instance is not None and self._services.spend(work):
+                _log.info(
+                    "request hedged",
+                    request_id=work.request.request_id,
+                    late_at=attempt.instance.id,
+                    waited_ms=round((now_s - attempt.sent_s) * 1000.0, 1),
+                    to=pick.instance.id,
+                )
                 self._metrics.retried(self._name(work), True)
                 self._send(work, pick.instance)
 
