--- a/src/dotterelpath/domain/registry.py
+++ b/src/dotterelpath/domain/registry.py
@@ -13,8 +13,8 @@
 # A store that was not heard for this long was away, in seconds; longer than a
 # slow answer takes.
 AWAY_S = 1.0
-# How long an ended incarnation is remembered, in seconds; its late writes are
-# older than this.
+# How long an ended incarnation is remembered, in seconds; late writes of it
+# come sooner.
 TOMBSTONE_S = 60.0
 
 
@@ -103,8 +103,8 @@
     """Believes the newest entry of each instance.
 
     An entry that is older than a known one is a late write and says nothing.
-    Draining is final for an incarnation. A vanished entry is kept for a moment as
-    lapsed, since a store that was away brings such entries back.
+    Draining is final for an incarnation. A vanished entry is kept for a moment
+    as lapsed, since a store that was away brings such entries back.
     """
 
     __slots__ = ("_drain_s", "_ended", "_heard_s", "_known", "_returned_s")
