Serve uploads, and what is unknown in a configuration

An announced size was not checked before the body was read; a body that trickled in, or whose caller no longer waited, was held without a bound; a refused caller that went on sending could lose its response to a reset.

Change: uploads are a kind of their own that runs at most once. A kind that is unknown is served in the same way, logged and counted. Bodies are taken from a budget of the whole process, are checked as soon as the head is known, must keep a lowest rate and the caller's deadline, and are written to the instance without being copied. The connection of a refused request is read for up to 1 s before it is closed. Settings with an empty port_range or a bound that is negative or not finite are refused with a reason.

The scenario that took an unknown kind for invalid is replaced by one that checks that its requests run at most once, as the users ask.

An odd value in each place of settings raised TypeError and IndexError before.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -136,3 +136,9 @@
   Scenario: The tool shows a daemon's view of the platform
     When the operator runs the tool's gateway command for g1
     Then it shows the version, the services and the instances
+
+  Scenario: The tool shows why the newest configuration is not in force
+    When the operator writes a truncated configuration
+    And the operator runs the tool's gateway command for g1
+    Then it shows the version, the services and the instances
+    And it shows that the newest configuration is refused, with a reason
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -151,6 +151,16 @@
     When the settings have drain_s=soon
     Then they are refused with an error that names drain_s
 
+  Scenario Outline: Settings with a bound out of range are refused
+    When the settings have drain_s=<value>
+    Then they are refused with an error that names drain_s
+
+    Examples:
+      | value |
+      | nan   |
+      | inf   |
+      | -1    |
+
   Scenario Outline: An invalid configuration is refused
     When a configuration has <fault>
     Then it is refused with a reason
@@ -162,7 +172,14 @@
       | a bare prefix      |
       | no weight          |
       | no version         |
-      | an unknown kind    |
+
+  Scenario: Requests of an unknown kind run at most once
+    When a configuration has an unknown kind
+    Then it is in force, and the requests of its route run at most once
+
+  Scenario: One odd part in the store or the settings never ends the daemon
+    When each part of a configuration, an entry and the settings is odd in turn
+    Then each of them is used or refused with a reason
 
   Scenario: Names of the platform's interfaces appear in its own folder only
     Then no source outside platform/ contains its fields, headers or keys
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -397,7 +397,15 @@
         for name, weight in (("x", 70), ("y", 20), ("z", 10))
     )
     context.route = configuration.Route(
-        "r", "h", "/", targets, True, 2, 1.0, 1.0, 1
+        "r",
+        "h",
+        "/",
+        targets,
+        configuration.RequestKind.IDEMPOTENT,
+        2,
+        1.0,
+        1.0,
+        1,
     )
 
 
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -643,3 +643,9 @@
     assert f"configuration {context.fleet.version}" in context.output
     assert "service presses" in context.output, context.output
     assert "i-deposits-1" in context.output, context.output
+
+
+@behave.then("it shows that the newest configuration is refused, with a reason")
+def step_tool_shows_refusal(context):
+    found = re.search(r"newest configuration refused: (.+)", context.output)
+    assert found and "unexpected end" in found[1], context.output
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -260,7 +260,9 @@
         HOST,
         prefix,
         (configuration.RouteTarget(SERVICE, 1.0),),
-        idempotent,
+        configuration.RequestKind.IDEMPOTENT
+        if idempotent
+        else configuration.RequestKind.NON_IDEMPOTENT,
         max_attempts,
         4.0,
         target_s,
--- a/features/support/world.py
+++ b/features/support/world.py
@@ -75,6 +75,9 @@
     def set_ejected_count(self, *args):
         pass
 
+    def record_unknown_item(self, *args):
+        pass
+
 
 class Node:
     """The dispatcher of one daemon, with its mailboxes."""
--- a/src/dotterelpath/adapters/caller_codec.py
+++ b/src/dotterelpath/adapters/caller_codec.py
@@ -28,6 +28,14 @@
         """
         self._id_prefix = id_prefix
 
+    def timeout_s(self, head: frontend.Head) -> float | None:
+        """Returns the caller's timeout; see frontend.CallerCodec."""
+        try:
+            return header_names.parse_caller_headers(head.headers).timeout_s
+        except errors.DotterelpathError:
+            # Reported once the request is complete.
+            return None
+
     def decode_request(
         self, head: frontend.Head, body: bytes
     ) -> exchange.Request:
--- a/src/dotterelpath/adapters/gateway_status.py
+++ b/src/dotterelpath/adapters/gateway_status.py
@@ -7,32 +7,46 @@
 
 from dotterelpath.adapters import api
 from dotterelpath.adapters import metrics as metrics_adapter
+from dotterelpath.domain import body_budget
 from dotterelpath.domain import exchange
 from dotterelpath.tasks import gateway as gateway_task
 from dotterelpath.tasks import peer_monitor as peer_monitor_task
+from dotterelpath.tasks import registrar as registrar_task
 
 
 class GatewayStatus:
     """Serves the calls /metrics and /status."""
 
-    __slots__ = ("_gateway", "_metrics", "_peer_monitor")
+    __slots__ = (
+        "_body_budget",
+        "_gateway",
+        "_metrics",
+        "_peer_monitor",
+        "_registrar",
+    )
 
     def __init__(
         self,
         gateway: gateway_task.Gateway,
         peer_monitor: peer_monitor_task.PeerMonitor,
+        registrar: registrar_task.Registrar,
         metrics: metrics_adapter.Metrics,
+        budget: body_budget.BodyBudget,
     ) -> None:
         """Creates the handlers.
 
         Args:
             gateway: Holds the state of the services.
             peer_monitor: Holds this daemon's view of the fleet.
+            registrar: Holds why a configuration was refused.
             metrics: Holds this daemon's counters and histograms.
+            budget: Counts the bytes of the request bodies that are held.
         """
         self._gateway = gateway
         self._peer_monitor = peer_monitor
+        self._registrar = registrar
         self._metrics = metrics
+        self._body_budget = budget
 
     @property
     def handlers(self) -> dict[tuple[str, str], api.Handler]:
@@ -52,7 +66,9 @@
             {
                 "state": self._peer_monitor.state.value,
                 "version": configuration.version if configuration else None,
+                "refused_configuration": self._registrar.refused_configuration,
                 "in_flight": self._gateway.in_flight,
+                "body_bytes": self._body_budget.held_bytes,
                 "store_watched": self._peer_monitor.store_revision is not None,
                 "daemons": sorted(self._peer_monitor.fleet_view.daemons),
                 "services": {
--- a/src/dotterelpath/adapters/h11_backend.py
+++ b/src/dotterelpath/adapters/h11_backend.py
@@ -195,9 +195,9 @@
         self._instance_id = instance_id
         self._timeout_s = timeout_s
         self._expect_response()
-        data = self._encode_request()
-        self._traffic_counter.add(len(data))
-        self._transport.write(data)
+        chunks = self._encode_request()
+        self._traffic_counter.add(sum(map(len, chunks)))
+        self._transport.writelines(chunks)
 
     def _expect_response(self) -> None:
         self._response = None
@@ -205,8 +205,13 @@
         self._body_size = 0
         self._is_late_response = False
 
-    def _encode_request(self) -> bytes:
-        """Encodes the request; h11 then expects the response to it."""
+    def _encode_request(self) -> list[bytes]:
+        """Encodes the request; h11 then expects the response to it.
+
+        Returns:
+            The parts of the request. The body is one of them, since joining
+            them would copy it.
+        """
         request = self._request
         assert request is not None
         fields = self._codec.encode_headers(
@@ -222,7 +227,7 @@
         if request.body:
             chunks.append(self._conn.send(h11.Data(data=request.body)) or b"")
         chunks.append(self._conn.send(h11.EndOfMessage()) or b"")
-        return b"".join(chunks)
+        return [chunk for chunk in chunks if chunk]
 
     def pause(self) -> None:
         """Stops reading; see backend.Connection."""
--- a/src/dotterelpath/adapters/h11_frontend.py
+++ b/src/dotterelpath/adapters/h11_frontend.py
@@ -14,7 +14,10 @@
 
 from dotterelpath import errors
 from dotterelpath.adapters import caller_codec
+from dotterelpath.adapters import headers as header_names
+from dotterelpath.adapters import request_body
 from dotterelpath.adapters import traffic
+from dotterelpath.domain import body_budget
 from dotterelpath.domain import exchange
 from dotterelpath.ports import frontend
 
@@ -22,6 +25,11 @@
 MAX_BODY_BYTES = 1024 * 1024
 # Reading pauses while more received bytes than this wait to be parsed.
 MAX_UNREAD_BYTES = 256 * 1024
+# When a caller may return whose body did not fit into the memory, in seconds:
+# about the duration of a request, after which its body is released.
+BODY_RETRY_AFTER_S = 0.5
+# How long the rest of a refused request is read and discarded, in seconds.
+LINGER_S = 1.0
 # The most connections that wait to be accepted.
 LISTEN_BACKLOG = 1024
 
@@ -41,7 +49,6 @@
 
     __slots__ = (
         "body",
-        "body_size",
         "conn",
         "head",
         "is_answered",
@@ -53,16 +60,17 @@
         "unwritten",
     )
 
-    def __init__(self, max_head_bytes: int) -> None:
+    def __init__(
+        self, max_head_bytes: int, body: request_body.RequestBody
+    ) -> None:
         self.conn = h11.Connection(
             h11.SERVER, max_incomplete_event_size=max_head_bytes
         )
-        self.reset()
+        self.reset(body)
 
-    def reset(self) -> None:
+    def reset(self, body: request_body.RequestBody) -> None:
         self.head: frontend.Head | None = None
-        self.body: list[bytes] = []
-        self.body_size = 0
+        self.body = body
         self.method = b""
         self.request: exchange.Request | None = None
         self.is_received = False
@@ -84,9 +92,11 @@
     """A caller's connection, which delivers complete requests."""
 
     __slots__ = (
+        "_body_budget",
         "_codec",
         "_cycle",
         "_is_closing",
+        "_is_lingering",
         "_is_reading",
         "_last_activity_s",
         "_limits",
@@ -103,6 +113,7 @@
         codec: frontend.CallerCodec,
         limits: frontend.Limits,
         traffic_counter: traffic.TrafficCounter,
+        budget: body_budget.BodyBudget,
     ) -> None:
         """Creates a connection that is not yet open.
 
@@ -112,12 +123,14 @@
             limits: Size and time limits; later changes of the object apply
                 to this connection too.
             traffic_counter: Counts the bytes written.
+            budget: Limits the bytes of the bodies in the whole process.
         """
         self._listener = listener
         self._codec = codec
         self._limits = limits
         self._traffic_counter = traffic_counter
-        self._cycle = _RequestCycle(limits.max_head_bytes)
+        self._body_budget = budget
+        self._cycle = self._new_cycle()
         self._open_cycles: collections.deque[_RequestCycle] = (
             collections.deque()
         )
@@ -125,6 +138,7 @@
         self._unread: list[bytes] = []
         self._is_reading = False
         self._is_closing = False
+        self._is_lingering = False
         self._last_activity_s = time.monotonic()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -135,10 +149,14 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Reports the end of the connection to the listener."""
         self._transport = None
+        for cycle in (*self._open_cycles, self._cycle):
+            cycle.body.release()
         self._listener.on_disconnected(self)
 
     def data_received(self, data: bytes) -> None:
         """Parses the caller's bytes, up to the limit of pipelined requests."""
+        if self._is_lingering:
+            return
         if self._is_reading_body or not self._has_partial_request:
             # The timeout of a head runs from its first byte, so that a caller
             # cannot extend it by sending the head byte by byte.
@@ -248,6 +266,10 @@
         if self._open_cycles or self._transport is None:
             return
         idle_s = now_s - self._last_activity_s
+        if self._is_lingering:
+            if idle_s > LINGER_S:
+                self._transport.abort()
+            return
         limits = self._limits
         is_reading_head = (
             self._has_partial_request and not self._is_reading_body
@@ -255,6 +277,8 @@
         if is_reading_head:
             if limits.head_timeout_s and idle_s > limits.head_timeout_s:
                 self._refuse(errors.ResultCode.REQUEST_TIMEOUT)
+        elif self._is_reading_body and self._cycle.body.is_too_slow(now_s):
+            self._refuse(errors.ResultCode.REQUEST_TIMEOUT)
         elif limits.idle_timeout_s and idle_s > limits.idle_timeout_s:
             if self._is_reading_body:
                 self._refuse(errors.ResultCode.REQUEST_TIMEOUT)
@@ -311,6 +335,7 @@
         """Writes encoded responses in request order."""
         chunks: list[bytes] = []
         must_close = False
+        must_linger = False
         while self._open_cycles and not must_close:
             cycle = self._open_cycles[0]
             chunks.extend(cycle.unwritten)
@@ -318,13 +343,18 @@
             if not cycle.is_answered:
                 break
             self._open_cycles.popleft()
+            cycle.body.release()
             must_close = not cycle.is_done
+            must_linger = cycle.is_refused
         if self._transport is None:
             return
         if chunks:
             data = b"".join(chunks)
             self._traffic_counter.add(len(data))
             self._transport.write(data)
+        if must_linger:
+            self._linger()
+            return
         if must_close or (self._is_closing and not self._open_cycles):
             self._transport.close()
             return
@@ -333,6 +363,19 @@
         self._transport.resume_reading()
         self._read_events()
 
+    def _linger(self) -> None:
+        """Discards what the caller still sends, then closes.
+
+        Closing a socket with unread bytes resets the connection, and the
+        caller would lose the response to its refused request.
+        """
+        assert self._transport is not None
+        self._is_lingering = True
+        self._unread = []
+        self._last_activity_s = time.monotonic()
+        self._transport.write_eof()
+        self._transport.resume_reading()
+
     def _read_events(self) -> None:
         """Parses requests up to the limit of pipelined requests."""
         if self._is_reading:
@@ -368,13 +411,19 @@
             return False
         if cycle.is_answered and cycle.is_done and not self._open_cycles:
             cycle.conn.start_next_cycle()
-            cycle.reset()
+            cycle.reset(self._new_body())
             return True
-        self._cycle = _RequestCycle(self._limits.max_head_bytes)
+        self._cycle = self._new_cycle()
         if unparsed:
             self._cycle.conn.receive_data(unparsed)
         return True
 
+    def _new_cycle(self) -> _RequestCycle:
+        return _RequestCycle(self._limits.max_head_bytes, self._new_body())
+
+    def _new_body(self) -> request_body.RequestBody:
+        return request_body.RequestBody(self._limits, self._body_budget)
+
     def _feed_parser(self) -> None:
         if self._unread:
             data = b"".join(self._unread)
@@ -427,13 +476,16 @@
                 errors.ResultCode.MALFORMED_REQUEST,
                 "the request has both content-length and transfer-encoding",
             )
+        elif header_names.has_body(cycle.head.headers):
+            timeout_s = self._codec.timeout_s(cycle.head)
+            self._refuse_if(
+                cycle.body.begin(
+                    cycle.head.headers, timeout_s, cycle.head.received_s
+                )
+            )
 
     def _on_data(self, cycle: _RequestCycle, event: h11.Data) -> None:
-        cycle.body_size += len(event.data)
-        if cycle.body_size > self._limits.max_body_bytes:
-            self._refuse(errors.ResultCode.BODY_TOO_LARGE)
-            return
-        cycle.body.append(bytes(event.data))
+        self._refuse_if(cycle.body.add(bytes(event.data)))
 
     def _on_complete(self, cycle: _RequestCycle) -> None:
         assert cycle.head is not None
@@ -441,7 +493,7 @@
         self._open_cycles.append(cycle)
         try:
             cycle.request = self._codec.decode_request(
-                cycle.head, b"".join(cycle.body)
+                cycle.head, cycle.body.take()
             )
         except errors.DotterelpathError as error:
             self._listener.on_rejected(self, error)
@@ -449,6 +501,11 @@
             return
         self._listener.on_request(self, cycle.request)
 
+    def _refuse_if(self, code: errors.ResultCode | None) -> None:
+        """Refuses the current request if there is a reason to."""
+        if code is not None:
+            self._refuse(code)
+
     def _refuse(self, code: errors.ResultCode, detail: str = "") -> None:
         """Responds to a request without reading its rest, then closes."""
         cycle = self._cycle
@@ -479,19 +536,23 @@
     def _respond_error(
         self, cycle: _RequestCycle, error: errors.DotterelpathError
     ) -> None:
-        self.respond(exchange.Outcome(error.code, error.detail), cycle.request)
+        outcome = exchange.Outcome(error.code, error.detail)
+        if error.code is errors.ResultCode.OVERLOADED:
+            outcome.retry_after_s = BODY_RETRY_AFTER_S
+        self.respond(outcome, cycle.request)
 
 
 class H11Binder:
     """Opens sockets that serve callers over HTTP/1.1."""
 
-    __slots__ = ("_codec", "_limits", "_traffic_counter")
+    __slots__ = ("_body_budget", "_codec", "_limits", "_traffic_counter")
 
     def __init__(
         self,
         codec: frontend.CallerCodec,
         limits: frontend.Limits,
         traffic_counter: traffic.TrafficCounter | None = None,
+        budget: body_budget.BodyBudget | None = None,
     ) -> None:
         """Creates a binder.
 
@@ -500,10 +561,13 @@
             limits: Limits of each connection; later changes of the object
                 apply to open connections too.
             traffic_counter: Counts the bytes written.
+            budget: Limits the bytes of the bodies in the whole process;
+                without a limit by default.
         """
         self._codec = codec
         self._limits = limits
         self._traffic_counter = traffic_counter or traffic.TrafficCounter()
+        self._body_budget = budget or body_budget.BodyBudget()
 
     async def listen(
         self, host: str, port: int, listener: frontend.Listener
@@ -513,7 +577,11 @@
         try:
             return await loop.create_server(
                 lambda: H11Connection(
-                    listener, self._codec, self._limits, self._traffic_counter
+                    listener,
+                    self._codec,
+                    self._limits,
+                    self._traffic_counter,
+                    self._body_budget,
                 ),
                 host,
                 port,
--- a/src/dotterelpath/adapters/headers.py
+++ b/src/dotterelpath/adapters/headers.py
@@ -152,3 +152,26 @@
     return errors.DotterelpathError(
         errors.ResultCode.BAD_HEADER, f"{name.decode('ascii')} {rule}"
     )
+
+
+def has_body(headers: exchange.Headers) -> bool:
+    """Tells whether a request announces a body.
+
+    Args:
+        headers: The headers of the request.
+    """
+    return any(
+        name in (b"content-length", b"transfer-encoding") for name, _ in headers
+    )
+
+
+def content_length(headers: exchange.Headers) -> int:
+    """Returns the announced size of a body, in bytes; 0 if there is none.
+
+    Args:
+        headers: The headers, whose content length was checked by the parser.
+    """
+    for name, value in headers:
+        if name == b"content-length":
+            return int(value)
+    return 0
--- a/src/dotterelpath/adapters/metrics.py
+++ b/src/dotterelpath/adapters/metrics.py
@@ -44,6 +44,7 @@
         "_retries",
         "_series",
         "_store_calls",
+        "_unknown_items",
         "_workspace_duration",
         "_workspace_series",
     )
@@ -59,6 +60,9 @@
         self._requests = self._counter("requests", "Requests by result.")
         self._retries = self._counter("retries", "Further tries.")
         self._store_calls = self._counter("store_calls", "Calls to the store.")
+        self._unknown_items = self._counter(
+            "unknown_items", "Parts of the store that cannot be used."
+        )
         self._avoided = self._gauge("avoided", "Instances avoided here.")
         self._ejected = self._gauge("ejected", "Instances ejected.")
         self._duration = self._histogram(
@@ -105,6 +109,10 @@
         """Sets the number of ejected instances; see metrics.Metrics."""
         self._ejected.set({"service": service}, count)
 
+    def record_unknown_item(self, kind: str) -> None:
+        """Records an unusable part of the store; see metrics.Metrics."""
+        self._unknown_items.inc({"kind": kind})
+
     def record_store_call(self, call: str, ok: bool) -> None:
         """Records a call to the store; see metrics.Metrics."""
         self._store_calls.inc({"call": call, "ok": str(ok).lower()})
--- /dev/null
+++ b/src/dotterelpath/adapters/request_body.py
@@ -0,0 +1,117 @@
+"""The body of a caller's request while it is received and processed."""
+
+from __future__ import annotations
+
+import math
+
+from dotterelpath import errors
+from dotterelpath.adapters import headers as header_names
+from dotterelpath.domain import body_budget
+from dotterelpath.domain import exchange
+from dotterelpath.ports import frontend
+
+
+class RequestBody:
+    """Collects a body within the limits on size, memory and duration."""
+
+    __slots__ = (
+        "_budget",
+        "_chunks",
+        "_deadline_s",
+        "_limits",
+        "_reserved",
+        "_size",
+        "_window_size",
+        "_window_started_s",
+    )
+
+    def __init__(
+        self, limits: frontend.Limits, budget: body_budget.BodyBudget
+    ) -> None:
+        """Creates an empty body.
+
+        Args:
+            limits: The limits of the caller's connection.
+            budget: The budget from which the bytes are taken.
+        """
+        self._limits = limits
+        self._budget = budget
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._reserved = 0
+        self._deadline_s = math.inf
+        self._window_size = 0
+        self._window_started_s = 0.0
+
+    def begin(
+        self, headers: exchange.Headers, timeout_s: float | None, now_s: float
+    ) -> errors.ResultCode | None:
+        """Checks the announced size before any of the body is read.
+
+        Args:
+            headers: The headers of the request.
+            timeout_s: The time after which the caller no longer waits, in
+                seconds; None if it is unknown.
+            now_s: The current time on the monotonic clock, in seconds.
+
+        Returns:
+            Why the request must be refused; None if it can be received.
+        """
+        self._window_started_s = now_s
+        if timeout_s is not None:
+            self._deadline_s = now_s + timeout_s
+        announced = header_names.content_length(headers)
+        if announced > self._limits.max_body_bytes:
+            return errors.ResultCode.BODY_TOO_LARGE
+        if not self._budget.fits(announced):
+            return errors.ResultCode.OVERLOADED
+        return None
+
+    def add(self, data: bytes) -> errors.ResultCode | None:
+        """Adds received bytes.
+
+        Args:
+            data: The bytes.
+
+        Returns:
+            Why the request must be refused; None if the bytes were added.
+        """
+        self._size += len(data)
+        if self._size > self._limits.max_body_bytes:
+            return errors.ResultCode.BODY_TOO_LARGE
+        if not self._budget.reserve(len(data)):
+            return errors.ResultCode.OVERLOADED
+        self._reserved += len(data)
+        self._chunks.append(data)
+        return None
+
+    def take(self) -> bytes:
+        """Returns the complete body, which stays within the budget."""
+        content = b"".join(self._chunks)
+        self._chunks = []
+        return content
+
+    def release(self) -> None:
+        """Returns the bytes to the budget, once the request has ended."""
+        self._chunks = []
+        self._budget.release(self._reserved)
+        self._reserved = 0
+
+    def is_too_slow(self, now_s: float) -> bool:
+        """Tells whether the rest of the body comes too late or too slowly.
+
+        A caller that sends a byte now and then would hold memory for as long
+        as it likes.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        if now_s > self._deadline_s:
+            return True
+        window_s = self._limits.idle_timeout_s
+        if not window_s or now_s - self._window_started_s < window_s:
+            return False
+        received = self._size - self._window_size
+        self._window_size = self._size
+        self._window_started_s = now_s
+        return received < self._limits.min_body_bytes_per_s * window_s
--- a/src/dotterelpath/cli/main.py
+++ b/src/dotterelpath/cli/main.py
@@ -251,6 +251,10 @@
         f"{data['state']}  configuration {version or 'none'}"
         f"  in flight {data['in_flight']}  daemons {len(data['daemons'])}"
     ]
+    if data["refused_configuration"]:
+        lines.append(
+            f"newest configuration refused: {data['refused_configuration']}"
+        )
     for name, service in sorted(data["services"].items()):
         lines.append(
             f"service {name}  waiting {service['waiting']}"
--- a/src/dotterelpath/domain/configuration.py
+++ b/src/dotterelpath/domain/configuration.py
@@ -6,9 +6,22 @@
 
 from __future__ import annotations
 
+import enum
+
 from dotterelpath import errors
 
 
+class RequestKind(enum.Enum):
+    """What a daemon may do with the requests of a route."""
+
+    # A request may run more than once.
+    IDEMPOTENT = "idempotent"
+    # A request may run at most once.
+    NON_IDEMPOTENT = "non-idempotent"
+    # A request with a large body, which may run at most once.
+    UPLOAD = "upload"
+
+
 class RouteTarget:
     """A service that gets a share of a route's requests."""
 
@@ -30,7 +43,7 @@
 
     __slots__ = (
         "host",
-        "is_idempotent",
+        "kind",
         "max_attempts",
         "name",
         "prefix",
@@ -46,7 +59,7 @@
         host: str,
         prefix: str,
         targets: tuple[RouteTarget, ...],
-        is_idempotent: bool,
+        kind: RequestKind,
         max_attempts: int,
         timeout_s: float,
         target_latency_s: float,
@@ -59,7 +72,7 @@
             host: The requested host, in lower case.
             prefix: Prefix of the path; it begins and ends with a slash.
             targets: The services that share the requests.
-            is_idempotent: Whether a request may run more than once.
+            kind: Whether a request may run more than once.
             max_attempts: The most instances that one request may be sent to.
             timeout_s: The longest time until the caller gets a response, in
                 seconds.
@@ -71,12 +84,17 @@
         self.host = host
         self.prefix = prefix
         self.targets = targets
-        self.is_idempotent = is_idempotent
+        self.kind = kind
         self.max_attempts = max_attempts
         self.timeout_s = timeout_s
         self.target_latency_s = target_latency_s
         self.priority = priority
 
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind is RequestKind.IDEMPOTENT
+
 
 class Service:
     """A service, run by any number of instances."""
--- a/src/dotterelpath/domain/deployment.py
+++ b/src/dotterelpath/domain/deployment.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from dotterelpath.domain import bounds
 from dotterelpath.domain import steering
 
@@ -35,6 +37,7 @@
         "daemon_id",
         "data_centre",
         "directory_endpoint",
+        "memory_bytes",
         "metrics_endpoint",
         "peer_endpoint",
         "readiness_endpoint",
@@ -62,6 +65,7 @@
         store_writes_per_s: float,
         resources: steering.Resources,
         bounds: bounds.Bounds,
+        memory_bytes: float = math.inf,
     ) -> None:
         """Creates a deployment.
 
@@ -83,6 +87,7 @@
                 all daemons together.
             resources: This daemon's processor cores and network link.
             bounds: Time and retry limits of the deployment.
+            memory_bytes: The most memory that this process may use, in bytes.
         """
         self.daemon_id = daemon_id
         self.data_centre = data_centre
@@ -98,6 +103,7 @@
         self.store_writes_per_s = store_writes_per_s
         self.resources = resources
         self.bounds = bounds
+        self.memory_bytes = memory_bytes
 
     @property
     def daemon(self) -> steering.Daemon:
--- a/src/dotterelpath/gateway_daemon.py
+++ b/src/dotterelpath/gateway_daemon.py
@@ -26,6 +26,7 @@
 from dotterelpath.adapters import metrics as metrics_adapter
 from dotterelpath.adapters import store_client
 from dotterelpath.adapters import traffic
+from dotterelpath.domain import body_budget
 from dotterelpath.domain import deployment
 from dotterelpath.platform import caller_codec
 from dotterelpath.platform import discovery_api
@@ -54,6 +55,13 @@
 # The limits until the first configuration arrives, the platform's usual values:
 # head and body size in bytes, head and idle timeout in seconds.
 INITIAL_CALLER_LIMITS = (16 * 1024, 64 * 1024 * 1024, 3.0, 15.0)
+# The lowest rate of a request body, in bytes per second: far below that of the
+# slowest mobile network.
+MIN_BODY_BYTES_PER_S = 100.0
+# The fraction of the process's memory that request bodies may take up. A body
+# takes up to twice its size while it is received, and a process without
+# requests about 60 MB.
+BODY_MEMORY_FRACTION = 0.35
 # The most requests of one connection that are processed concurrently.
 MAX_PIPELINED = 32
 MAX_STATUS_BODY_BYTES = 1024 * 1024
@@ -96,6 +104,7 @@
 
     __slots__ = (
         "_api_servers",
+        "_body_budget",
         "_client",
         "_clock",
         "_settings_content",
@@ -108,6 +117,7 @@
         "_settings_path",
         "_peer_monitor",
         "_random",
+        "_registrar",
         "_settings_watcher",
         "_store",
         "_supervisor",
@@ -134,6 +144,9 @@
         self._random = random.Random()
         self._metrics = metrics_adapter.Metrics()
         self._traffic = traffic.TrafficCounter()
+        self._body_budget = body_budget.BodyBudget(
+            local_deployment.memory_bytes * BODY_MEMORY_FRACTION
+        )
         self._inboxes = Inboxes()
         self._supervisor = supervisor.Supervisor()
         self._client = http_client.HttpClient(self._clock)
@@ -194,10 +207,15 @@
     def _create_tasks(self) -> None:
         inboxes = self._inboxes
         local_deployment = self._deployment
-        limits = frontend.Limits(*INITIAL_CALLER_LIMITS, MAX_PIPELINED, True)
+        limits = frontend.Limits(
+            *INITIAL_CALLER_LIMITS, MAX_PIPELINED, True, MIN_BODY_BYTES_PER_S
+        )
         self._front_end = front_end.FrontEnd(
             h11_frontend.H11Binder(
-                caller_codec.CallerCodec(), limits, self._traffic
+                caller_codec.CallerCodec(),
+                limits,
+                self._traffic,
+                self._body_budget,
             ),
             local_deployment.caller_endpoint.host,
             local_deployment.caller_endpoint.port,
@@ -228,6 +246,7 @@
             inboxes.gateway,
             inboxes.store_reader,
         )
+        self._registrar = self._create_registrar()
         self._settings_watcher = settings_watcher.SettingsWatcher(
             self._settings_path,
             self._settings_content,
@@ -239,7 +258,11 @@
         local_deployment = self._deployment
         discovery = discovery_api.DiscoveryApi(self._peer_monitor)
         status = gateway_status.GatewayStatus(
-            self._gateway, self._peer_monitor, self._metrics
+            self._gateway,
+            self._peer_monitor,
+            self._registrar,
+            self._metrics,
+            self._body_budget,
         )
         handlers_by_endpoint = [
             (local_deployment.readiness_endpoint, discovery.ready_handlers),
@@ -279,7 +302,7 @@
         start("back ends", pool.run())
         item_codec = store_item_codec.StoreItemCodec()
         bounds = self._deployment.bounds
-        start("registrar", self._create_registrar(item_codec).run())
+        start("registrar", self._registrar.run())
         # The reader delivers both configuration changes and draining instances,
         # so the shorter of their time limits applies to it.
         reader = store_reader.StoreReader(
@@ -303,15 +326,14 @@
         # Log lines call this task "enroller".
         start("enroller", registration.run())
 
-    def _create_registrar(
-        self, item_codec: store_item_codec.StoreItemCodec
-    ) -> registrar.Registrar:
+    def _create_registrar(self) -> registrar.Registrar:
         inboxes = self._inboxes
         return registrar.Registrar(
             self._deployment.bounds.drain_s,
-            item_codec,
+            store_item_codec.StoreItemCodec(),
             self._clock,
             timers.Timers(self._clock, inboxes.registrar),
+            self._metrics,
             inboxes.registrar,
             (inboxes.gateway, inboxes.neighbourhood, inboxes.front_end),
             inboxes.neighbourhood,
--- a/src/dotterelpath/platform/caller_codec.py
+++ b/src/dotterelpath/platform/caller_codec.py
@@ -22,6 +22,14 @@
 
     __slots__ = ()
 
+    def timeout_s(self, head: frontend.Head) -> float | None:
+        """Returns the caller's timeout; see frontend.CallerCodec."""
+        try:
+            return _parse_timeout_s(head.headers)
+        except errors.DotterelpathError:
+            # Reported once the request is complete.
+            return None
+
     def decode_request(
         self, head: frontend.Head, body: bytes
     ) -> exchange.Request:
--- a/src/dotterelpath/platform/settings.py
+++ b/src/dotterelpath/platform/settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import reprlib
 import typing
 
 import orjson
@@ -12,6 +14,8 @@
 from dotterelpath.platform import fields
 
 PATH_VARIABLE = "DOTTERELPATH_CONFIG"
+# The first port of the range must leave room for a second one.
+MAX_PORT = 65535
 # Maps attributes of bounds.Bounds to the platform's names.
 _BOUND_NAMES = {
     "drain_s": "drain_s",
@@ -44,7 +48,7 @@
     listen = fields.check_object(data.get("listen"), "listen")
     # Free ports of this machine: the first is for datagrams between daemons,
     # the second for metrics and status.
-    first_port = int(fields.get_list(data, "port_range")[0])
+    first_port = _get_first_port(data)
     # The platform calls a data centre a zone.
     zone = fields.get_string(data, "zone")
     limits = fields.check_object(data.get("limits"), "limits")
@@ -70,9 +74,25 @@
             fields.get_number(limits, "link_mbps"),
         ),
         _parse_bounds(fields.get_list(data, "bounds")),
+        fields.get_number(limits, "memory_mb") * 1024 * 1024
+        if "memory_mb" in limits
+        else math.inf,
     )
 
 
+def _get_first_port(data: dict[str, typing.Any]) -> int:
+    ports = fields.get_list(data, "port_range")
+    first_port = fields.get_integer(
+        {"port_range": next(iter(ports), None)}, "port_range"
+    )
+    if not 0 < first_port < MAX_PORT:
+        raise fields.FieldError(
+            f"port_range starts with {first_port}, not with a port from 1 to"
+            f" {MAX_PORT - 1}"
+        )
+    return first_port
+
+
 def _get_endpoint(
     data: dict[str, typing.Any], name: str
 ) -> deployment.Endpoint:
@@ -86,11 +106,15 @@
     for entry in entries:
         name, _, value = str(entry).partition("=")
         try:
-            values[name.strip()] = float(value)
+            number = float(value)
+            if not 0.0 <= number < math.inf:
+                raise ValueError(value)
+            values[name.strip()] = number
         except ValueError:
             if name.strip() in _BOUND_NAMES.values():
                 raise fields.FieldError(
-                    f"the bound {entry} is not a number"
+                    f"the bound {reprlib.repr(entry)} is not a number of at"
+                    " least 0"
                 ) from None
             # Skips other bounds, which may be true or false: the fleet does
             # not use them.
--- a/src/dotterelpath/platform/store_item_codec.py
+++ b/src/dotterelpath/platform/store_item_codec.py
@@ -22,6 +22,11 @@
 _VERSION_PATTERN = re.compile(r"r(\d{1,18})\Z")
 _INSTANCE_ID_PATTERN = re.compile(r"[A-Za-z0-9._:-]{1,190}\Z")
 _IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
+_KIND_BY_ROUTE_TYPE = {
+    "idempotent": configuration.RequestKind.IDEMPOTENT,
+    "non_idempotent": configuration.RequestKind.NON_IDEMPOTENT,
+    "upload": configuration.RequestKind.UPLOAD,
+}
 
 
 class StoreItemCodec:
@@ -154,22 +159,26 @@
             name, fields.get_integer(service, "max_connections")
         )
     routes = []
+    unknown_request_kinds = {}
     for row in fields.get_list(data, "hosts"):
         host_data = fields.check_object(row, "a host")
         for rule in fields.get_list(host_data, "path_rules"):
             route_data = fields.check_object(rule, "a route")
-            routes.append(
-                _decode_route(
-                    fields.get_string(host_data, "host"), route_data, services
-                )
+            route = _decode_route(
+                fields.get_string(host_data, "host"), route_data, services
             )
+            routes.append(route)
+            route_type = fields.get_string(route_data, "route_type")
+            if route_type not in _KIND_BY_ROUTE_TYPE:
+                unknown_request_kinds[route.name] = reprlib.repr(route_type)
     return store_items.ConfigurationItem(
         configuration.Configuration(
             int(version.group(1)),
             services,
             routes,
             _decode_limits(fields.check_object(data.get("limits"), "limits")),
-        )
+        ),
+        unknown_request_kinds,
     )
 
 
@@ -193,12 +202,6 @@
         raise fields.FieldError(
             f"the prefix {prefix!r} does not start and end with /"
         )
-    # Requests of an idempotent route may run more than once.
-    route_type = fields.get_string(data, "route_type")
-    if route_type not in ("idempotent", "non_idempotent"):
-        raise fields.FieldError(
-            f"route_type is {route_type!r}, not idempotent or non_idempotent"
-        )
     max_attempts = fields.get_integer(data, "max_attempts")
     if max_attempts < 1:
         raise fields.FieldError("max_attempts is less than 1")
@@ -207,7 +210,11 @@
         host.lower(),
         prefix,
         _decode_targets(data, services),
-        route_type == "idempotent",
+        # Requests of an unknown type run at most once, which is safe for all.
+        _KIND_BY_ROUTE_TYPE.get(
+            fields.get_string(data, "route_type"),
+            configuration.RequestKind.NON_IDEMPOTENT,
+        ),
         max_attempts,
         fields.get_number(data, "timeout_s"),
         fields.get_number(data, "target_latency_s"),
--- a/src/dotterelpath/ports/frontend.py
+++ b/src/dotterelpath/ports/frontend.py
@@ -18,6 +18,7 @@
         "max_body_bytes",
         "max_head_bytes",
         "max_pipelined",
+        "min_body_bytes_per_s",
     )
 
     def __init__(
@@ -28,6 +29,7 @@
         idle_timeout_s: float | None = None,
         max_pipelined: int = 1,
         closes_on_eof: bool = False,
+        min_body_bytes_per_s: float = 0.0,
     ) -> None:
         """Creates limits.
 
@@ -43,7 +45,10 @@
             closes_on_eof: Whether to close the connection at once when the
                 caller half-closes it, since the caller then no longer waits
                 for responses; if not, outstanding responses are written.
+            min_body_bytes_per_s: The lowest rate of a body, averaged over the
+                idle timeout.
         """
+        self.min_body_bytes_per_s = min_body_bytes_per_s
         self.max_head_bytes = max_head_bytes
         self.max_body_bytes = max_body_bytes
         self.head_timeout_s = head_timeout_s
@@ -102,6 +107,16 @@
 class CallerCodec(typing.Protocol):
     """Decodes callers' requests and encodes the responses."""
 
+    def timeout_s(self, head: Head) -> float | None:
+        """Returns how long the caller waits for a response, in seconds.
+
+        Args:
+            head: The request's head.
+
+        Returns:
+            The time; None if the head states none or an invalid one.
+        """
+
     def decode_request(self, head: Head, body: bytes) -> exchange.Request:
         """Decodes a request.
 
--- a/src/dotterelpath/ports/metrics.py
+++ b/src/dotterelpath/ports/metrics.py
@@ -55,6 +55,14 @@
             count: The number of instances.
         """
 
+    def record_unknown_item(self, kind: str) -> None:
+        """Records a part of the store that cannot be used as it is.
+
+        Args:
+            kind: The kind of part: a configuration or an instance that is
+                invalid, or a request kind that is unknown.
+        """
+
     def record_store_call(self, call: str, ok: bool) -> None:
         """Records a call to the store.
 
--- a/src/dotterelpath/ports/store_items.py
+++ b/src/dotterelpath/ports/store_items.py
@@ -17,15 +17,22 @@
 class ConfigurationItem:
     """The operators' configuration."""
 
-    __slots__ = ("configuration",)
+    __slots__ = ("configuration", "unknown_request_kinds")
 
-    def __init__(self, configuration: configuration.Configuration) -> None:
+    def __init__(
+        self,
+        configuration: configuration.Configuration,
+        unknown_request_kinds: dict[str, str] | None = None,
+    ) -> None:
         """Creates an item.
 
         Args:
             configuration: The configuration.
+            unknown_request_kinds: The unknown types by the name of their route;
+                the requests of these routes run at most once.
         """
         self.configuration = configuration
+        self.unknown_request_kinds = unknown_request_kinds or {}
 
 
 class InstanceItem:
--- a/src/dotterelpath/tasks/registrar.py
+++ b/src/dotterelpath/tasks/registrar.py
@@ -10,6 +10,7 @@
 from dotterelpath.domain import registry
 from dotterelpath.domain import steering
 from dotterelpath.ports import clock as clock_port
+from dotterelpath.ports import metrics as metrics_port
 from dotterelpath.ports import store as store_port
 from dotterelpath.ports import store_items
 from dotterelpath.ports import timers as timers_port
@@ -38,7 +39,9 @@
         "_is_expiry_scheduled",
         "_item_codec",
         "_mailbox",
+        "_metrics",
         "_peer_monitor",
+        "_refused_configuration",
         "_registry",
         "_subscribers",
         "_timers",
@@ -50,6 +53,7 @@
         item_codec: store_items.StoreItemCodec,
         clock: clock_port.Clock,
         timers: timers_port.Timers[typing.Any],
+        metrics: metrics_port.Metrics,
         inbox: mailbox.Mailbox[typing.Any],
         subscribers: tuple[mailbox.Mailbox[typing.Any], ...],
         peer_monitor: mailbox.Mailbox[typing.Any],
@@ -62,6 +66,7 @@
             item_codec: Decodes the items of the store.
             clock: Tells the time.
             timers: Schedules expiry checks; posts ticks to the inbox.
+            metrics: Counts items that cannot be used as they are.
             inbox: This task's mailbox.
             subscribers: The mailboxes that get each new configuration and the
                 instances.
@@ -71,12 +76,19 @@
         self._item_codec = item_codec
         self._clock = clock
         self._timers = timers
+        self._metrics = metrics
         self._mailbox = inbox
         self._subscribers = subscribers
         self._registry = registry.Registry(drain_s)
         self._configuration: configuration.Configuration | None = None
         self._daemons: dict[str, steering.Daemon] = {}
         self._is_expiry_scheduled = False
+        self._refused_configuration: str | None = None
+
+    @property
+    def refused_configuration(self) -> str | None:
+        """Why the newest configuration is not in force; None if it is."""
+        return self._refused_configuration
 
     async def run(self) -> None:
         """Handles messages until cancelled."""
@@ -131,9 +143,7 @@
     def _apply_configuration(self, items: list[store_items.Item]) -> None:
         for item in items:
             if isinstance(item, store_items.InvalidItem):
-                _log.warning(
-                    "store item invalid", key=item.key, reason=item.reason
-                )
+                self._on_invalid_item(item)
             if not isinstance(item, store_items.ConfigurationItem):
                 continue
             current = self._configuration
@@ -141,6 +151,14 @@
             if current is not None and newer.version <= current.version:
                 continue
             self._configuration = newer
+            self._refused_configuration = None
+            for route, kind in item.unknown_request_kinds.items():
+                _log.warning(
+                    "request kind unknown, requests run at most once",
+                    route=route,
+                    kind=kind,
+                )
+                self._metrics.record_unknown_item("request kind")
             _log.info(
                 "configuration in force",
                 version=newer.version,
@@ -149,6 +167,14 @@
             )
             self._publish(fleet_events.ConfigurationChanged(newer))
 
+    def _on_invalid_item(self, item: store_items.InvalidItem) -> None:
+        _log.warning("store item invalid", key=item.key, reason=item.reason)
+        if item.instance_id is not None:
+            self._metrics.record_unknown_item("instance")
+            return
+        self._metrics.record_unknown_item("configuration")
+        self._refused_configuration = item.reason
+
     def _apply_instances(
         self,
         items: list[store_items.Item],
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -24,6 +24,8 @@
     "budget_window_s": 10,
     "ttl_max_s": 5,
 }
+MAX_BODY_BYTES = 65536
+MEMORY_MB = 300
 SLOTS = 4  # Requests that an instance runs at the same time.
 
 
@@ -67,6 +69,8 @@
         "gateways",
         "instance_epoch",
         "instances",
+        "max_body_bytes",
+        "memory_mb",
         "version",
     )
 
@@ -84,6 +88,8 @@
         self.instances: dict[str, int] = {}
         self.instance_epoch = 1
         self.version = 0
+        self.max_body_bytes = MAX_BODY_BYTES
+        self.memory_mb = MEMORY_MB
 
     def start_store(self) -> None:
         """Starts the store."""
@@ -138,6 +144,8 @@
         """
         self.set_store_faults()
         self.bounds = dict(BOUNDS)
+        self.max_body_bytes = MAX_BODY_BYTES
+        self.memory_mb = MEMORY_MB
         self.instance_epoch += 1
         for instance_id in self.instances:
             self.set_mode(instance_id)
@@ -182,7 +190,7 @@
             ],
             "limits": {
                 "max_header_bytes": 16384,
-                "max_body_bytes": 65536,
+                "max_body_bytes": self.max_body_bytes,
                 "header_timeout_s": 1,
                 "idle_timeout_s": 3,
             },
@@ -230,7 +238,12 @@
             "zones": {"a": "r", "b": "r", "c": "r"},
             "listen": listen,
             "port_range": [node.peer_port, node.peer_port + 1],
-            "limits": {"cpu_share": 0.9, "cores": 1, "link_mbps": 1000},
+            "limits": {
+                "cpu_share": 0.9,
+                "cores": 1,
+                "memory_mb": self.memory_mb,
+                "link_mbps": 1000,
+            },
             "bounds": [f"{name}={v}" for name, v in self.bounds.items()],
             "platform": {
                 "address": f"{fleet.HOST}:{self.store}",
