--- a/features/answers.feature
+++ b/features/answers.feature
@@ -14,6 +14,11 @@
     When 60 callers each send a GET with a unique marker to entry-1
     Then each receives the response with its own marker or an error with a code
 
+  Scenario: Extra bytes that come late do not reach another caller
+    Given the catalogue servers send extra bytes 2 ms after each response
+    When 60 callers each send a GET with a unique marker to entry-1
+    Then each receives the response with its own marker or an error with a code
+
   Scenario: A response without a length or chunks is rejected
     Given the catalogue servers end responses by closing the connection
     When a caller sends GET /catalogue/closing to entry-1
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -56,6 +56,13 @@
       | shed     | 503    |
       | moved    | 503    |
 
+  Scenario: A body without end is cut off visibly at the caller's deadline
+    Given all instances of presses have the fault endless
+    When 12 callers with a deadline of 1.5 seconds read GET /presses/1 at once
+    Then each sees its response break off within 2.5 seconds
+    And the peak memory of g1 grew by less than 16 MB
+    And g1 has no requests in flight, and the instances have cancelled all 12
+
   Scenario: An idempotent request is retried on another instance after a failure
     Given one instance of presses fails
     When 20 GETs of /presses/1 are sent to g1
--- /dev/null
+++ b/features/hostile.feature
@@ -0,0 +1,34 @@
+Feature: Bytes of a server in trouble reach no other caller and use few resources
+
+  Scenario Outline: A late copy of an earlier response is not taken for an answer
+    Given a kept connection to a server of the <interface>
+    When the next request is written, and then a copy of the earlier <response> comes <how>
+    Then the next request <result>
+
+    Examples:
+      | interface | response | how           | result                         |
+      | platform  | answer   | with its id   | gets its own answer            |
+      | platform  | refusal  | with its id   | gets its own answer            |
+      | platform  | refusal  | without an id | fails with an unknown outcome  |
+      | platform  | answer   | without an id | fails with an unknown outcome  |
+      | fleet     | answer   | with its id   | gets its own answer            |
+      | fleet     | refusal  | with its id   | gets its own answer            |
+      | fleet     | refusal  | without an id | fails with an unknown outcome  |
+      | fleet     | answer   | without an id | fails with an unknown outcome  |
+
+  Scenario: A server that names no request gets a new connection for each
+    Given a connection to a server that names no request in its answer
+    Then the connection is not kept
+
+  Scenario Outline: Bytes without end, that are no answer, end the attempt
+    When a server sends <bytes> without end
+    Then the attempt fails after at most 1 MB and holds no memory
+
+    Examples:
+      | bytes                   |
+      | a status line           |
+      | headers                 |
+      | one header              |
+      | informational responses |
+      | a chunk extension       |
+      | trailers                |
--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -103,6 +103,14 @@
     set_mode(context, extra=True)
 
 
+@behave.given(
+    "the catalogue servers send extra bytes {ms:d} ms after each response"
+)
+def step_late_extra(context, ms):
+    set_mode(context, extra=True, extra_after_s=ms / 1000.0)
+    context.add_cleanup(set_mode, context, extra=False, extra_after_s=0.0)
+
+
 @behave.given("the catalogue servers end responses by closing the connection")
 def step_closing(context):
     set_mode(context, closing=True)
@@ -261,9 +269,12 @@
         )
     )
     context.server, _ = server_socket.accept()
-    request = exchange.Request("GET", "/", [])
+    request = exchange.Request("GET", "/", [], request_id="r1")
     context.connection.send(1, request, 1.0, 1000)
-    context.server.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+    context.server.sendall(
+        b"HTTP/1.1 200 OK\r\ndotterelpath-request-id: r1\r\n"
+        b"content-length: 2\r\n\r\nok"
+    )
     response = context.loop.run_until_complete(context.first_response)
     assert response.body == b"ok" and context.connection.is_reusable
 
--- a/features/steps/upload_steps.py
+++ b/features/steps/upload_steps.py
@@ -241,10 +241,14 @@
         assert sent.status == 200 or b"retry-after" in sent.received
 
 
+@behave.then("all of them are answered with the status {status:d}")
+def step_all_answered(context, status):
+    statuses = [sent.status for sent in context.uploads]
+    assert set(statuses) == {status}, statuses
+
+
 @behave.then("the peak memory of g1 grew by less than {limit_mb:d} MB")
 def step_peak_memory(context, limit_mb):
-    statuses = [sent.status for sent in context.uploads]
-    assert set(statuses) == {200}, statuses
     grown_mb = peak_memory_mb(context) - context.memory_mb
     assert grown_mb < limit_mb, grown_mb
 
--- a/features/uploads.feature
+++ b/features/uploads.feature
@@ -52,7 +52,8 @@
   Scenario: A daemon holds the body of each upload once
     Given the instances take 1 second
     When 8 callers upload 4000000 bytes each at once
-    Then the peak memory of g1 grew by less than 64 MB
+    Then all of them are answered with the status 200
+    And the peak memory of g1 grew by less than 64 MB
 
   Scenario: A connection whose server answers before the body is not reused
     When a server answers an upload of 8000000 bytes after its head
--- a/src/dotterelpath/adapters/h11_backend.py
+++ b/src/dotterelpath/adapters/h11_backend.py
@@ -12,10 +12,14 @@
 from dotterelpath.adapters import sockets
 from dotterelpath.adapters import traffic
 from dotterelpath.domain import exchange
+from dotterelpath.domain import response_matching
 from dotterelpath.ports import backend
 from dotterelpath.ports import clock as clock_port
 
 MAX_HEAD_BYTES = 64 * 1024
+# Servers send at most a few responses with a status below 200 before the final
+# one.
+MAX_INFORMATIONAL_RESPONSES = 16
 _BODILESS_STATUSES = frozenset({204, 304})
 
 
@@ -29,6 +33,11 @@
         """False: a truncated response would look like a complete one."""
         return False
 
+    @property
+    def may_repeat_responses(self) -> bool:
+        """True; see backend.ServerCodec."""
+        return True
+
     def encode_headers(
         self,
         request: exchange.Request,
@@ -44,20 +53,34 @@
         fields.append((header_names.REQUEST_ID, request.request_id.encode()))
         return fields
 
-    def is_response_to(
-        self, request: exchange.Request, response: exchange.Response
-    ) -> bool:
-        """Always True, as responses name no request.
+    def named_request_id(self, response: exchange.Response) -> str | None:
+        """Reads the request id; see backend.ServerCodec."""
+        value = response.header(header_names.REQUEST_ID)
+        return None if value is None else value.decode("latin-1")
+
+    def must_name_request(self, response: exchange.Response) -> bool:
+        """Always False: a server that omits the id gets new connections.
 
         See backend.ServerCodec.
         """
-        return True
+        return False
 
     def keep_alive_s(self, response: exchange.Response) -> float | None:
         """Always None: no header states the timeout."""
         return None
 
 
+class TrustedServerCodec(NativeServerCodec):
+    """For servers that respond once to each request, such as other daemons."""
+
+    __slots__ = ()
+
+    @property
+    def may_repeat_responses(self) -> bool:
+        """False; see backend.ServerCodec."""
+        return False
+
+
 class H11Connection(asyncio.Protocol):
     """A connection to a backend server; see backend.Connection."""
 
@@ -71,6 +94,8 @@
         "_conn",
         "_idle_timeout_s",
         "_instance_id",
+        "_informational_count",
+        "_is_first_request",
         "_is_late_response",
         "_is_streaming",
         "_last_received_s",
@@ -115,6 +140,8 @@
         self._max_buffered_bytes = 0
         self._is_streaming = False
         self._is_late_response = False
+        self._is_first_request = True
+        self._informational_count = 0
         self._request: exchange.Request | None = None
         self._instance_id = ""
         self._timeout_s = 0.0
@@ -204,6 +231,7 @@
         self._body = []
         self._body_size = 0
         self._is_late_response = False
+        self._informational_count = 0
 
     def _encode_request(self) -> list[bytes]:
         """Encodes the request; h11 then expects the response to it.
@@ -255,6 +283,8 @@
                     return
             elif isinstance(event, h11.Data):
                 self._on_data(bytes(event.data))
+            elif isinstance(event, h11.InformationalResponse):
+                self._on_informational()
             elif isinstance(event, h11.EndOfMessage):
                 self._on_complete()
             elif isinstance(event, h11.ConnectionClosed):
@@ -265,9 +295,11 @@
         self._response = exchange.Response(
             head.status_code, list(head.headers), b""
         )
-        self._is_late_response = not self._codec.is_response_to(
-            self._request, self._response
-        )
+        matched = self._match(self._request, self._response)
+        if matched is response_matching.Match.UNKNOWN:
+            self._fail("the response names no request", True)
+            return False
+        self._is_late_response = matched is response_matching.Match.EARLIER
         is_bounded = self._has_bounded_body(head)
         if is_bounded or (
             self._codec.allows_close_delimited and not self._is_late_response
@@ -279,6 +311,23 @@
         )
         return False
 
+    def _match(
+        self, request: exchange.Request, response: exchange.Response
+    ) -> response_matching.Match:
+        if not self._codec.may_repeat_responses:
+            return response_matching.Match.CURRENT
+        return response_matching.match(
+            self._codec.named_request_id(response),
+            request.request_id,
+            self._is_first_request,
+            self._codec.must_name_request(response),
+        )
+
+    def _on_informational(self) -> None:
+        self._informational_count += 1
+        if self._informational_count > MAX_INFORMATIONAL_RESPONSES:
+            self._fail("too many informational responses", True)
+
     def _has_bounded_body(self, head: h11.Response) -> bool:
         assert self._request is not None
         if self._request.method == "HEAD":
@@ -337,9 +386,16 @@
             self._conn.our_state is h11.DONE
             and self._conn.their_state is h11.DONE
         )
-        if unparsed or not is_done:
+        is_distinguishable = (
+            not self._codec.may_repeat_responses
+            or self._codec.named_request_id(self._response) is not None
+        )
+        if unparsed or not is_done or not is_distinguishable:
+            # If the server names no request, a late copy of this response
+            # would look like the response to the next request.
             self.close()
             return
+        self._is_first_request = False
         self._conn.start_next_cycle()
 
     def _skip_late_response(self) -> None:
--- a/src/dotterelpath/adapters/http_client.py
+++ b/src/dotterelpath/adapters/http_client.py
@@ -37,7 +37,9 @@
             clock: Gives the time for the idle timeout of connections.
         """
         self._clock = clock
-        self._connector = h11_backend.H11Connector(clock)
+        self._connector = h11_backend.H11Connector(
+            clock, h11_backend.TrustedServerCodec()
+        )
         self._idle: dict[tuple[str, int], list[backend.Connection]] = {}
         self._pending: dict[int, asyncio.Future[exchange.Response]] = {}
         self._ids = itertools.count(1)
--- a/src/dotterelpath/domain/bounds.py
+++ b/src/dotterelpath/domain/bounds.py
@@ -11,6 +11,7 @@
         "apply_s",
         "drain_s",
         "grace_s",
+        "min_used_share",
         "retry_ratio",
         "retry_slack",
         "retry_window_s",
@@ -25,6 +26,7 @@
         retry_slack: float = 10.0,
         retry_window_s: float = 10.0,
         address_ttl_s: float = 5.0,
+        min_used_share: float = 1.0,
     ) -> None:
         """Creates limits.
 
@@ -42,7 +44,10 @@
             retry_window_s: The length of the window, in seconds.
             address_ttl_s: The longest time for which callers cache addresses,
                 in seconds.
+            min_used_share: The share of a service's instances that must get
+                requests while many of its requests are not served.
         """
+        self.min_used_share = min_used_share
         self.drain_s = drain_s
         self.grace_s = grace_s
         self.apply_s = apply_s
--- a/src/dotterelpath/domain/health_filter.py
+++ b/src/dotterelpath/domain/health_filter.py
@@ -1,23 +1,25 @@
-"""Estimates the probability that an instance is unhealthy."""
+"""Estimates how likely an instance is to fail the next request."""
 
 from __future__ import annotations
 
 import enum
 import math
 
-# The rates at which a healthy instance becomes unhealthy and an unhealthy one
-# recovers. Healthy periods last 18 to 38 s on average, unhealthy ones 8 to
-# 13 s.
+# The rates at which a healthy instance becomes impaired or failed, and at which
+# an instance in either state recovers. Healthy periods last 18 to 38 s on
+# average, the others 8 to 13 s.
 ONSET_PER_S = 1.0 / 28.0
 RECOVERY_PER_S = 1.0 / 10.0
-# The probability that the next request to an unhealthy instance shows the
-# symptom, which ranges from 0.54 to 0.82 between deployments.
-UNHEALTHY_SYMPTOM_RATE = 0.75
-# The same probability for a healthy instance.
+# The share of the onsets after which the instance is impaired, not failed.
+IMPAIRED_ONSET_SHARE = 0.3
+# The probability that the next request shows the symptom, in each state.
 HEALTHY_SYMPTOM_RATE = 0.01
-# The probability that an instance without observations is unhealthy: the
-# stationary distribution of the two states.
+IMPAIRED_SYMPTOM_RATE = 0.4
+FAILED_SYMPTOM_RATE = 0.88
+# The probability that an instance without observations is not healthy: the
+# stationary distribution of the model.
 PRIOR_UNHEALTHY = ONSET_PER_S / (ONSET_PER_S + RECOVERY_PER_S)
+PRIOR_IMPAIRED = PRIOR_UNHEALTHY * IMPAIRED_ONSET_SHARE
 
 
 class Observation(enum.Enum):
@@ -33,15 +35,23 @@
     SLOW = "slow"
 
 
-# The likelihood of each observation in the healthy and in the unhealthy state.
+# The likelihood of each observation in the healthy, impaired and failed state.
 # Healthy instances fail about one request in a hundred, and take the typical
 # duration to do so. Instances that fail immediately are nearly always
 # unhealthy.
 _LIKELIHOODS = {
-    Observation.GOOD: (0.98, 1.0 - UNHEALTHY_SYMPTOM_RATE),
-    Observation.FAILED_LATE: (0.012, 0.1),
-    Observation.FAILED_IMMEDIATELY: (0.003, UNHEALTHY_SYMPTOM_RATE),
-    Observation.SLOW: (0.03, UNHEALTHY_SYMPTOM_RATE),
+    Observation.GOOD: (
+        0.98,
+        1.0 - IMPAIRED_SYMPTOM_RATE,
+        1.0 - FAILED_SYMPTOM_RATE,
+    ),
+    Observation.FAILED_LATE: (0.012, 0.1, 0.1),
+    Observation.FAILED_IMMEDIATELY: (
+        0.003,
+        IMPAIRED_SYMPTOM_RATE,
+        FAILED_SYMPTOM_RATE,
+    ),
+    Observation.SLOW: (0.03, IMPAIRED_SYMPTOM_RATE, FAILED_SYMPTOM_RATE),
 }
 
 
@@ -51,13 +61,16 @@
     A filter deals with one symptom: an instance has one filter for failures
     and another for slow responses.
 
-    The model is a hidden Markov model with two states, healthy and unhealthy,
-    and fixed transition rates. Each observation updates the probability of the
-    unhealthy state by Bayes' rule. Between observations the probability decays
-    to that of an instance without observations.
+    The model is a hidden Markov model with three states, healthy, impaired and
+    failed, and fixed transition rates. An impaired instance shows the symptom
+    on some requests, a failed one on most. The distinction matters when the
+    healthy instances are full: the impaired ones then have most of the capacity
+    that is left. Each observation updates the probabilities by Bayes' rule.
+    Between observations they decay to those of an instance without
+    observations.
     """
 
-    __slots__ = ("_at_s", "_probability")
+    __slots__ = ("_at_s", "_impaired", "_unhealthy")
 
     def __init__(self, now_s: float) -> None:
         """Creates the filter of an instance without observations.
@@ -65,18 +78,18 @@
         Args:
             now_s: The current time on the monotonic clock, in seconds.
         """
-        self._probability = PRIOR_UNHEALTHY
+        # The probability of the impaired state, and of both unhealthy states.
+        self._impaired = PRIOR_IMPAIRED
+        self._unhealthy = PRIOR_UNHEALTHY
         self._at_s = now_s
 
     def unhealthy_probability(self, now_s: float) -> float:
-        """Returns the probability that the instance is unhealthy.
+        """Returns the probability that the instance is not healthy.
 
         Args:
             now_s: The current time on the monotonic clock, in seconds.
         """
-        elapsed_s = max(0.0, now_s - self._at_s)
-        decay = math.exp(-(ONSET_PER_S + RECOVERY_PER_S) * elapsed_s)
-        return PRIOR_UNHEALTHY + (self._probability - PRIOR_UNHEALTHY) * decay
+        return self._predict(now_s)[1]
 
     def symptom_probability(self, now_s: float) -> float:
         """Returns the probability that the next request shows the symptom.
@@ -84,22 +97,45 @@
         Args:
             now_s: The current time on the monotonic clock, in seconds.
         """
-        unhealthy = self.unhealthy_probability(now_s)
+        impaired, unhealthy = self._predict(now_s)
         return (
-            unhealthy * UNHEALTHY_SYMPTOM_RATE
-            + (1.0 - unhealthy) * HEALTHY_SYMPTOM_RATE
+            (1.0 - unhealthy) * HEALTHY_SYMPTOM_RATE
+            + impaired * IMPAIRED_SYMPTOM_RATE
+            + (unhealthy - impaired) * FAILED_SYMPTOM_RATE
         )
 
     def observe(self, observation: Observation, now_s: float) -> None:
-        """Updates the probability with the result of a request.
+        """Updates the probabilities with the result of a request.
 
         Args:
             observation: The result of the request.
             now_s: The time of the observation on the monotonic clock, in
                 seconds.
         """
-        probability = self.unhealthy_probability(now_s)
-        healthy, unhealthy = _LIKELIHOODS[observation]
-        evidence = probability * unhealthy + (1.0 - probability) * healthy
-        self._probability = probability * unhealthy / evidence
+        impaired, unhealthy = self._predict(now_s)
+        if_healthy, if_impaired, if_failed = _LIKELIHOODS[observation]
+        joint_impaired = impaired * if_impaired
+        joint_unhealthy = joint_impaired + (unhealthy - impaired) * if_failed
+        evidence = joint_unhealthy + (1.0 - unhealthy) * if_healthy
+        self._impaired = joint_impaired / evidence
+        self._unhealthy = joint_unhealthy / evidence
         self._at_s = max(self._at_s, now_s)
+
+    def _predict(self, now_s: float) -> tuple[float, float]:
+        """Predicts the probabilities at a time after the last observation.
+
+        Returns:
+            The probability of the impaired state, and of both unhealthy states.
+        """
+        elapsed_s = max(0.0, now_s - self._at_s)
+        decay = math.exp(-(ONSET_PER_S + RECOVERY_PER_S) * elapsed_s)
+        unhealthy = (
+            PRIOR_UNHEALTHY + (self._unhealthy - PRIOR_UNHEALTHY) * decay
+        )
+        # New onsets have the share of the prior, and what was known of the
+        # state is lost at the rate of recovery.
+        known = self._impaired - IMPAIRED_ONSET_SHARE * self._unhealthy
+        impaired = IMPAIRED_ONSET_SHARE * unhealthy + known * math.exp(
+            -RECOVERY_PER_S * elapsed_s
+        )
+        return impaired, unhealthy
--- a/src/dotterelpath/domain/load_balancer.py
+++ b/src/dotterelpath/domain/load_balancer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import heapq
 import math
 import typing
 
@@ -38,6 +39,12 @@
 # avoided while the service has healthy instances, even if the request has to
 # wait for one of them.
 UNHEALTHY_THRESHOLD = 0.3
+# An instance that fails the next request with at most this probability rather
+# serves it than not.
+EVEN_CHANCE = 0.5
+# The fraction of the allowance for unused instances that a daemon makes use of.
+# The rest is a margin, since other daemons may leave out other instances.
+UNUSED_MARGIN = 0.75
 # The share of a slot that must be free for another request. The estimated load
 # is fractional, since the reported load decays.
 MIN_FREE_SLOT_SHARE = 0.5
@@ -213,7 +220,8 @@
         can_retry: bool,
         tried: typing.Collection[str] = (),
         is_degraded: bool = False,
-        wants_unhealthy: bool = False,
+        unhealthy_limit: float | None = None,
+        min_used_share: float = 1.0,
     ) -> Selection:
         """Chooses the instance with the lowest cost, or one to probe.
 
@@ -225,8 +233,11 @@
             tried: Ids of the instances that the request was sent to before.
             is_degraded: Whether many requests of the service fail, so that
                 every instance must be probed regularly.
-            wants_unhealthy: Whether to choose an unhealthy instance, since the
-                healthy ones have no capacity.
+            unhealthy_limit: If given, an unhealthy instance is chosen, since
+                the healthy ones have no capacity, and it fails the request at
+                most with this probability.
+            min_used_share: The share of the instances that must get requests
+                while the service is degraded.
 
         Returns:
             The chosen instance; if there is none, whether all are at capacity.
@@ -235,42 +246,47 @@
         # Instances with a missing entry are used only if there are no others.
         usable = [i for i in usable if not i.is_entry_missing] or usable
         probe = None
-        if not tried and not wants_unhealthy:
-            probe = self._probe_target(usable, can_retry, is_degraded, now_s)
+        if not tried and unhealthy_limit is None:
+            exempt: typing.Collection[Instance] = ()
+            if is_degraded and not can_retry:
+                exempt = _worst(usable, min_used_share, now_s)
+            probe = self._probe_target(
+                [i for i in usable if i not in exempt],
+                can_retry,
+                is_degraded,
+                now_s,
+            )
         if probe is not None:
             return Selection(probe, False, Reason.PROBE)
-        unhealthy = [i for i in usable if _is_unhealthy(i, now_s)]
-        reason = Reason.UNHEALTHY
-        if wants_unhealthy:
-            usable = unhealthy
-        elif len(unhealthy) < len(usable):
-            # An instance that fails immediately always has free slots, and
-            # would attract all requests that the healthy ones cannot take.
-            usable = [i for i in usable if i not in unhealthy]
-            reason = Reason.BEST
+        if unhealthy_limit is not None:
+            reason = Reason.UNHEALTHY
+            candidates = [
+                (instance, failing)
+                for instance, failing in _with_failing(usable, now_s)
+                if UNHEALTHY_THRESHOLD < failing <= unhealthy_limit
+            ]
+        else:
+            reason, candidates = _healthiest(usable, now_s)
         best: Instance | None = None
         best_cost = math.inf
-        for instance in usable:
+        for instance, failing in candidates:
             load = instance.load(now_s)
             if load > instance.entry.slots - MIN_FREE_SLOT_SHARE:
                 continue
-            cost = self._cost(instance, load, can_retry, now_s)
+            cost = self._cost(instance, load, failing, can_retry, now_s)
             cost += TIE_BREAK_COST * random.random()
             if cost < best_cost:
                 best, best_cost = instance, cost
-        return Selection(best, best is None and bool(usable), reason)
+        return Selection(best, best is None and bool(candidates), reason)
 
     def healthy_slots(self, now_s: float) -> int:
-        """Counts the slots of the healthy instances.
+        """Counts the slots of the instances that requests wait for.
 
         Args:
             now_s: The current time on the monotonic clock, in seconds.
         """
-        return sum(
-            instance.entry.slots
-            for instance in self._instances.values()
-            if not _is_unhealthy(instance, now_s)
-        )
+        _, candidates = _healthiest(list(self._instances.values()), now_s)
+        return sum(instance.entry.slots for instance, _ in candidates)
 
     def typical_s(self, route: str, default_s: float) -> float:
         """Returns the typical duration of a route's requests, in seconds.
@@ -421,10 +437,14 @@
         return min(candidates, key=_last_sent_s, default=None)
 
     def _cost(
-        self, instance: Instance, load: float, can_retry: bool, now_s: float
+        self,
+        instance: Instance,
+        load: float,
+        failing: float,
+        can_retry: bool,
+        now_s: float,
     ) -> float:
         """Computes the expected cost of sending a request to an instance."""
-        failing = instance.failure_filter.symptom_probability(now_s)
         slow = instance.slow_filter.symptom_probability(now_s)
         utilization = (load + 1.0) / max(1, instance.entry.slots)
         cost = failing * (RETRYABLE_COST if can_retry else 1.0)
@@ -436,6 +456,55 @@
         return cost
 
 
+def _with_failing(
+    instances: list[Instance], now_s: float
+) -> list[tuple[Instance, float]]:
+    """Returns each instance with the probability that it fails a request."""
+    return [
+        (instance, instance.failure_filter.symptom_probability(now_s))
+        for instance in instances
+    ]
+
+
+def _healthiest(
+    instances: list[Instance], now_s: float
+) -> tuple[Reason, list[tuple[Instance, float]]]:
+    """Returns the instances that get requests, with their probability to fail.
+
+    These are the healthy ones; if there are none, those that rather serve a
+    request than fail it; if there are none either, all. Requests wait for a
+    free slot of these, since an instance that fails immediately always has free
+    slots and would attract all requests that the better ones cannot take.
+    """
+    rated = _with_failing(instances, now_s)
+    for reason, limit in (
+        (Reason.BEST, UNHEALTHY_THRESHOLD),
+        (Reason.UNHEALTHY, EVEN_CHANCE),
+    ):
+        found = [item for item in rated if item[1] <= limit]
+        if found:
+            return reason, found
+    return Reason.UNHEALTHY, rated
+
+
+def _worst(
+    instances: list[Instance], min_used_share: float, now_s: float
+) -> list[Instance]:
+    """Returns the instances that a degraded service may leave unused.
+
+    A probe with a request that cannot be retried most likely fails at them.
+    """
+    allowance = (1.0 - min_used_share) * UNUSED_MARGIN
+    count = int(len(instances) * allowance)
+    if not count:
+        return []
+    return heapq.nlargest(
+        count,
+        instances,
+        key=lambda i: i.failure_filter.symptom_probability(now_s),
+    )
+
+
 def _last_sent_s(instance: Instance) -> float:
     return -math.inf if instance.last_sent_s is None else instance.last_sent_s
 
--- a/src/dotterelpath/platform/server_codec.py
+++ b/src/dotterelpath/platform/server_codec.py
@@ -9,6 +9,7 @@
 from dotterelpath.ports import backend
 
 MISDIRECTED_REQUEST_STATUS = 421
+MIN_ERROR_STATUS = 400
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d{1,6})")
 _REPLACED_HEADERS = frozenset(
     {platform_headers.TIMEOUT_MS, platform_headers.TARGET_INSTANCE}
@@ -25,6 +26,11 @@
         """Instances may end a response by closing the connection."""
         return True
 
+    @property
+    def may_repeat_responses(self) -> bool:
+        """True; see backend.ServerCodec."""
+        return True
+
     def encode_headers(
         self,
         request: exchange.Request,
@@ -45,15 +51,17 @@
         )
         return headers
 
-    def is_response_to(
-        self, request: exchange.Request, response: exchange.Response
-    ) -> bool:
-        """Compares the request ids; see backend.ServerCodec."""
-        response_id = response.header(platform_headers.REQUEST_ID)
-        if response_id is None:
-            # An instance that fails before it reads the id omits it.
-            return response.status >= 400
-        return response_id.decode("latin-1") == request.request_id
+    def named_request_id(self, response: exchange.Response) -> str | None:
+        """Reads the request id; see backend.ServerCodec."""
+        value = response.header(platform_headers.REQUEST_ID)
+        return None if value is None else value.decode("latin-1")
+
+    def must_name_request(self, response: exchange.Response) -> bool:
+        """Only an instance that fails before it reads the id omits it.
+
+        See backend.ServerCodec.
+        """
+        return response.status < MIN_ERROR_STATUS
 
     def keep_alive_s(self, response: exchange.Response) -> float | None:
         """Reads the idle timeout; see backend.ServerCodec."""
--- a/src/dotterelpath/platform/settings.py
+++ b/src/dotterelpath/platform/settings.py
@@ -25,6 +25,7 @@
     "retry_slack": "retry_slack",
     "retry_window_s": "budget_window_s",
     "address_ttl_s": "ttl_max_s",
+    "min_used_share": "floor_share",
 }
 
 
--- a/src/dotterelpath/ports/backend.py
+++ b/src/dotterelpath/ports/backend.py
@@ -54,6 +54,10 @@
     def allows_close_delimited(self) -> bool:
         """Whether the end of the connection may delimit a response body."""
 
+    @property
+    def may_repeat_responses(self) -> bool:
+        """Whether a server in trouble may send a response more than once."""
+
     def encode_headers(
         self,
         request: exchange.Request,
@@ -72,15 +76,20 @@
             timeout_s: The time left until the deadline, in seconds.
         """
 
-    def is_response_to(
-        self, request: exchange.Request, response: exchange.Response
-    ) -> bool:
-        """Whether a response belongs to the request.
+    def named_request_id(self, response: exchange.Response) -> str | None:
+        """Reads the id of the request that a response names.
+
+        Args:
+            response: The response; only its head is read.
+
+        Returns:
+            The id, or None if the response names no request.
+        """
 
-        A late response to an earlier request on the connection does not.
+    def must_name_request(self, response: exchange.Response) -> bool:
+        """Whether a response without the id of a request is invalid.
 
         Args:
-            request: The request that was written last.
             response: The response; only its head is read.
         """
 
--- a/src/dotterelpath/tasks/_request_sender.py
+++ b/src/dotterelpath/tasks/_request_sender.py
@@ -25,8 +25,9 @@
 from dotterelpath.tasks import messages
 
 # Responses up to this size are buffered whole, so that a request whose response
-# breaks off can be retried. Buffering longer ones would cost too much memory.
-MAX_BUFFERED_RESPONSE_BYTES = 4 * 1024 * 1024
+# breaks off can be retried. Buffering longer ones would cost too much memory:
+# instances in trouble may send bodies without end to many requests at once.
+MAX_BUFFERED_RESPONSE_BYTES = 512 * 1024
 # How often queued requests are offered to instances, in seconds. Other daemons
 # free slots without this daemon being notified.
 QUEUE_POLL_S = 0.05
@@ -144,6 +145,8 @@
         Args:
             pending: The request.
         """
+        if pending.stream_id is not None:
+            self._cut_off(pending.stream_id)
         if pending.service is None or (
             pending.is_ended and not pending.open_attempts
         ):
@@ -163,6 +166,14 @@
             )
         self.dispatch_queued(state)
 
+    def _cut_off(self, attempt_id: int) -> None:
+        """Ends a streamed response at the deadline.
+
+        An instance in trouble may send bytes without end.
+        """
+        if self._streams.cut_off(attempt_id):
+            self._backend_pool.force(messages.CancelAttempt(attempt_id, False))
+
     def on_attempt_slow(
         self, attempt: _pending.OpenAttempt, now_s: float
     ) -> None:
@@ -289,9 +300,10 @@
         """Sends late requests to unhealthy instances, or fails them.
 
         Unhealthy instances still serve some requests. An idempotent request
-        that will miss its target latency is sent to one if it has not been
-        sent before, since it can then be retried. Other late requests wait
-        for a healthy instance, since a late response is better than a failure.
+        that will miss its target latency is sent to one that rather serves it
+        than not, if it has not been sent before, since it can then be retried.
+        Other late requests wait for a healthy instance, since a late response
+        is better than a failure.
         A request that cannot meet its deadline is sent to an unhealthy
         instance, or fails if there is none.
         """
@@ -302,13 +314,15 @@
             pending = queued.item
             if pending.sent_to or not pending.is_idempotent:
                 continue
-            selection = self._services.select_instance(queued.item, True)
+            selection = self._services.select_instance(
+                pending, load_balancer.EVEN_CHANCE
+            )
             if selection.instance is None:
                 break
             state.queue.remove(queued.item)
             self._send(queued.item, selection)
         for queued in deadline_check.infeasible:
-            selection = self._services.select_instance(queued.item, True)
+            selection = self._services.select_instance(queued.item, 1.0)
             if selection.instance is not None:
                 self._send(queued.item, selection)
                 continue
@@ -505,11 +519,16 @@
             # limit of attempts.
             pending.sent_to.remove(instance.id)
             pending.unreachable_instances.append(instance.id)
+            # Other daemons may reach the instance, and lose no request by
+            # trying.
+            self._services.record_symptom(
+                pending, instance, health_reports.Symptom.FAILED, is_local=True
+            )
         else:
             pending.may_have_run = True
-        self._services.record_symptom(
-            pending, instance, health_reports.Symptom.FAILED
-        )
+            self._services.record_symptom(
+                pending, instance, health_reports.Symptom.FAILED
+            )
         self._retry(pending, code, message.detail)
 
     def _retry(
--- a/src/dotterelpath/tasks/_services.py
+++ b/src/dotterelpath/tasks/_services.py
@@ -175,13 +175,16 @@
         )
 
     def select_instance(
-        self, pending: _pending.PendingRequest, wants_unhealthy: bool = False
+        self,
+        pending: _pending.PendingRequest,
+        unhealthy_limit: float | None = None,
     ) -> load_balancer.Selection:
         """Selects an instance for a request.
 
         Args:
             pending: The request.
-            wants_unhealthy: Whether to choose among the unhealthy instances.
+            unhealthy_limit: If given, an unhealthy instance is selected that
+                fails the request at most with this probability.
 
         Returns:
             The instance, or whether the request can wait for one.
@@ -195,7 +198,8 @@
             can_retry,
             pending.attempted_instances,
             pending.service.degradation.is_degraded(now_s),
-            wants_unhealthy,
+            unhealthy_limit,
+            self._bounds.min_used_share,
         )
 
     def slot_share(self, state: _pending.ServiceState) -> int:
@@ -269,8 +273,17 @@
         pending: _pending.PendingRequest,
         instance: load_balancer.Instance,
         symptom: health_reports.Symptom,
+        is_local: bool = False,
     ) -> None:
-        """Records a symptom of an instance and reports it to other daemons."""
+        """Records a symptom of an instance and reports it to other daemons.
+
+        Args:
+            pending: The request that showed the symptom.
+            instance: The instance.
+            symptom: The symptom.
+            is_local: Whether the symptom may have its cause in the path from
+                this daemon to the instance, so that it is not reported.
+        """
         assert pending.service is not None
         now_s = self._clock.now_s()
         state = pending.service
@@ -286,7 +299,8 @@
             chance=round(probability or 0.0, 3),
             load=round(instance.load(now_s), 1),
         )
-        self.publish_symptom(state, instance, symptom)
+        if not is_local:
+            self.publish_symptom(state, instance, symptom)
 
     def remove_instance(
         self, state: _pending.ServiceState, instance: load_balancer.Instance
--- a/src/dotterelpath/tasks/_streams.py
+++ b/src/dotterelpath/tasks/_streams.py
@@ -38,6 +38,20 @@
         """
         self._requests[attempt_id] = request
 
+    def cut_off(self, attempt_id: int) -> bool:
+        """Ends a response that is not complete at the request's deadline.
+
+        Args:
+            attempt_id: The attempt of the response.
+
+        Returns:
+            Whether the response was still being forwarded.
+        """
+        request = self.on_response_ended(
+            messages.ResponseEnded(attempt_id, False)
+        )
+        return request is not None
+
     def drop(self, attempt_id: int) -> None:
         """Stops forwarding a response whose caller has disconnected.
 
--- a/src/dotterelpath/tasks/gateway.py
+++ b/src/dotterelpath/tasks/gateway.py
@@ -168,6 +168,8 @@
             outcome = exchange.Outcome(errors.ResultCode.CALLER_GONE)
             self._request_sender.cancel(pending)
             self._finish(pending, outcome)
+            # A streamed response has ended before, and is only dropped now.
+            self._pending_requests.pop(reply_to, None)
 
     def on_configuration_changed(
         self, message: fleet_events.ConfigurationChanged
@@ -207,6 +209,7 @@
                 self._request_sender.dispatch_queued(item)
             elif now_s >= item.deadline_s:
                 self._request_sender.time_out(item)
+                self._pending_requests.pop(item.reply_to, None)
 
     def on_response_ended(self, message: messages.ResponseEnded) -> None:
         """Forwards the end of a streamed response.
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -32,6 +32,7 @@
         drop: Runs requests and closes the connection without a response.
         truncate: Sends fewer bytes than the content length.
         extra: Sends another response after each response.
+        extra_after_s: The pause before that response, in seconds.
         flap_s: Switches the faults above on and off at this interval, in
             seconds.
         warm_s: Makes requests five times slower for this time after the mode
@@ -157,6 +158,7 @@
             connection.respond(
                 exchange.Outcome(errors.ResultCode.ANSWERED, response=response)
             )
+            await asyncio.sleep(self._mode.get("extra_after_s", 0.0))
             _write_raw(
                 connection, b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nevil"
             )
--- a/standins/http.py
+++ b/standins/http.py
@@ -8,7 +8,9 @@
 import orjson
 
 from dotterelpath import errors
+from dotterelpath.adapters import caller_codec
 from dotterelpath.adapters import h11_frontend
+from dotterelpath.adapters import headers as header_names
 from dotterelpath.domain import exchange
 from dotterelpath.ports import frontend
 
@@ -22,6 +24,22 @@
 ]
 
 
+class EchoCodec(caller_codec.CallerCodec):
+    """Names in each response the request that the daemon sent."""
+
+    __slots__ = ()
+
+    def decode_request(
+        self, head: frontend.Head, body: bytes
+    ) -> exchange.Request:
+        """Decodes a request; see frontend.CallerCodec."""
+        request = super().decode_request(head, body)
+        for name, value in head.headers:
+            if name == header_names.REQUEST_ID:
+                request.request_id = value.decode("latin-1")
+        return request
+
+
 class Server:
     """Passes each request to a handler and sends the returned response.
 
@@ -47,7 +65,12 @@
             host: The IP address.
             port: The port.
         """
-        binder = h11_frontend.native_binder("standin", MAX_BODY_BYTES, True)
+        binder = h11_frontend.H11Binder(
+            EchoCodec("standin"),
+            frontend.Limits(
+                h11_frontend.MAX_HEAD_BYTES, MAX_BODY_BYTES, closes_on_eof=True
+            ),
+        )
         await binder.listen(host, port, self)
 
     def on_request(
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -18,6 +18,8 @@
 
 # Further requests are refused with 503.
 MAX_QUEUED = 16
+# The pause between two chunks of 64 KiB of a body without end.
+ENDLESS_PAUSE_S = 0.001
 
 
 class Instance:
@@ -30,6 +32,7 @@
         drop: Runs requests and closes the connection without a response.
         truncate: Sends fewer bytes than the content length.
         late: Sends a response to another request before the right one.
+        endless: Sends a body without end, until the connection is closed.
         unframed: Sends a response without a content length.
         unsigned: Leaves out the signature.
         shed: Refuses requests with 503.
@@ -123,9 +126,25 @@
             await asyncio.sleep(3600.0)
         if self._mode.get("drop"):
             return None
+        if self._mode.get("endless"):
+            await self._send_without_end(connection, request_id)
         data = {"instance": self._id, "target": request.target}
         return self._respond_in_mode(connection, request_id, data)
 
+    async def _send_without_end(
+        self, connection: frontend.Connection, request_id: str
+    ) -> None:
+        """Sends chunks until the request is cancelled."""
+        _write_raw(
+            connection,
+            b"HTTP/1.1 200 OK\r\nrequest-id: %b\r\n%b: x\r\n"
+            b"transfer-encoding: chunked\r\n\r\n"
+            % (request_id.encode(), platform_headers.SIGNATURE),
+        )
+        while True:
+            _write_raw(connection, b"10000\r\n" + b"x" * 65536 + b"\r\n")
+            await asyncio.sleep(ENDLESS_PAUSE_S)
+
     def _respond_in_mode(
         self,
         connection: frontend.Connection,
