Limit what is read ahead of a streamed response

Change: a window for each streamed response counts what was read from the instance and not yet written to the caller. A connection that is closing is no longer paused or resumed.

--- a/src/dotterelpath/adapters/h11_backend.py
+++ b/src/dotterelpath/adapters/h11_backend.py
@@ -259,12 +259,12 @@
 
     def pause(self) -> None:
         """Stops reading; see backend.Connection."""
-        if self._transport is not None:
+        if self._transport is not None and not self._transport.is_closing():
             self._transport.pause_reading()
 
     def resume(self) -> None:
         """Resumes reading; see backend.Connection."""
-        if self._transport is not None:
+        if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
 
     def close(self) -> None:
--- a/src/dotterelpath/tasks/backend_pool.py
+++ b/src/dotterelpath/tasks/backend_pool.py
@@ -8,6 +8,7 @@
 
 from dotterelpath.domain import attempts
 from dotterelpath.domain import exchange
+from dotterelpath.domain import stream_window
 from dotterelpath.domain import vms
 from dotterelpath.ports import backend
 from dotterelpath.ports import clock as clock_port
@@ -94,7 +95,7 @@
         "_mailbox",
         "_pool_by_connection",
         "_pools",
-        "_streaming_attempts",
+        "_streams",
         "_sweep_timer",
     )
 
@@ -124,7 +125,7 @@
         self._pools: dict[str, _InstancePool] = {}
         self._active_connections: dict[int, backend.Connection] = {}
         self._pool_by_connection: dict[backend.Connection, _InstancePool] = {}
-        self._streaming_attempts: set[int] = set()
+        self._streams: dict[int, stream_window.StreamWindow] = {}
         self._connect_tasks: set[asyncio.Task[None]] = set()
         self._sweep_timer: asyncio.TimerHandle | None = None
 
@@ -148,7 +149,7 @@
         if is_complete:
             self._release(connection, attempt_id)
         else:
-            self._streaming_attempts.add(attempt_id)
+            self._streams[attempt_id] = stream_window.StreamWindow()
         self._dispatcher.force(
             messages.AttemptEnded(
                 attempt_id,
@@ -161,12 +162,20 @@
 
     def on_body_chunk(self, attempt_id: int, data: bytes) -> None:
         """Forwards a chunk of a body; see backend.Listener."""
+        stream = self._streams.get(attempt_id)
+        if stream is None:
+            return
         self._dispatcher.force(messages.ResponseChunk(attempt_id, data))
+        stream.record_read(len(data))
+        if not stream.is_open:
+            self._active_connections[attempt_id].pause()
 
     def on_response_end(
         self, connection: backend.Connection, attempt_id: int
     ) -> None:
         """Reports the end of a streamed response; see backend.Listener."""
+        # The connection may be paused, since the caller has not got all of it.
+        connection.resume()
         self._release(connection, attempt_id)
         self._end_stream(attempt_id, True)
 
@@ -180,7 +189,7 @@
         """Reports that an attempt failed; see backend.Listener."""
         self._active_connections.pop(attempt_id, None)
         self._remove_connection(connection)
-        if attempt_id in self._streaming_attempts:
+        if attempt_id in self._streams:
             self._end_stream(attempt_id, False)
             return
         result = (
@@ -205,6 +214,8 @@
             self.on_connect_finished(message)
         elif isinstance(message, messages.FlowControlChanged):
             self.on_flow_control_changed(message)
+        elif isinstance(message, messages.ChunkWritten):
+            self.on_chunk_written(message)
 
     def on_send_attempt(self, message: messages.SendAttempt) -> None:
         """Sends an attempt on an idle connection, or opens a new one.
@@ -229,7 +240,7 @@
         Args:
             message: The attempt to cancel.
         """
-        self._streaming_attempts.discard(message.attempt_id)
+        self._streams.pop(message.attempt_id, None)
         connection = self._active_connections.pop(message.attempt_id, None)
         if connection is None:
             self._remove_waiting(message.attempt_id)
@@ -274,13 +285,32 @@
         Args:
             message: The attempt, and whether to pause.
         """
-        connection = self._active_connections.get(message.attempt_id)
+        stream = self._streams.get(message.attempt_id)
+        if stream is not None:
+            stream.set_caller_paused(message.is_paused)
+            self._apply_flow_control(message.attempt_id, stream)
+
+    def on_chunk_written(self, message: messages.ChunkWritten) -> None:
+        """Resumes reading a response once its chunks have been written.
+
+        Args:
+            message: The attempt, and the size of the chunk.
+        """
+        stream = self._streams.get(message.attempt_id)
+        if stream is not None:
+            stream.record_written(message.size)
+            self._apply_flow_control(message.attempt_id, stream)
+
+    def _apply_flow_control(
+        self, attempt_id: int, stream: stream_window.StreamWindow
+    ) -> None:
+        connection = self._active_connections.get(attempt_id)
         if connection is None:
             return
-        if message.is_paused:
-            connection.pause()
-        else:
+        if stream.is_open:
             connection.resume()
+        else:
+            connection.pause()
 
     def _pool_for(self, vm: vms.Vm) -> _InstancePool:
         pool = self._pools.get(vm.id)
@@ -406,7 +436,7 @@
                     return
 
     def _end_stream(self, attempt_id: int, is_complete: bool) -> None:
-        self._streaming_attempts.discard(attempt_id)
+        self._streams.pop(attempt_id, None)
         self._dispatcher.force(messages.ResponseEnded(attempt_id, is_complete))
 
     def _schedule_sweep(self) -> None:
--- a/src/dotterelpath/tasks/front_end.py
+++ b/src/dotterelpath/tasks/front_end.py
@@ -194,6 +194,9 @@
         pending = self._streaming_request(message.attempt_id)
         if pending is not None:
             pending.connection.write_chunk(message.data, pending.request)
+            self._backend_pool.force(
+                messages.ChunkWritten(message.attempt_id, len(message.data))
+            )
 
     def on_response_ended(self, message: messages.ResponseEnded) -> None:
         """Ends a streamed response, or aborts the connection if it is cut off.
--- a/src/dotterelpath/tasks/messages.py
+++ b/src/dotterelpath/tasks/messages.py
@@ -220,6 +220,22 @@
         self.is_paused = is_paused
 
 
+class ChunkWritten:
+    """A chunk of a streamed response was written to the caller."""
+
+    __slots__ = ("attempt_id", "size")
+
+    def __init__(self, attempt_id: int, size: int) -> None:
+        """Creates the message.
+
+        Args:
+            attempt_id: The attempt that the response belongs to.
+            size: The size of the chunk, in bytes.
+        """
+        self.attempt_id = attempt_id
+        self.size = size
+
+
 class ConnectFinished:
     """A connection to an instance was opened, or could not be opened."""
 
