Keep the cost of a choice flat, and offer a full queue by one timer

Cause: each request that ended offered the queue to the instances and started one more timer that offers it again, and each of these timers renewed itself until the queue was empty: 313 timers after 5 s of 200 requests a second on 18 slots. In a simulation of 11 instances of 2 slots at 85 requests a second, 32 s of load took 20 s of processor time. Besides, each choice computed the health of all instances, and each arrival sorted and checked the whole queue.

Change: only the timer itself clears its mark, so that a service has one. A ranking holds the slowly changing costs of the instances for 0.1 s or longer; an observation moves its own instance at once. A choice reads the ranking from the front and stops when no later instance can cost less. The queue keeps its order for 0.05 s, and is checked whole only if the new request may miss its deadline, or 0.02 s after the last check. If all instances are unhealthy, those that are much worse than the best one are left out.

Tried and not taken: requests that must not be retried wait for an instance that was proven lately.

--- /dev/null
+++ b/src/dotterelpath/domain/instance_state.py
@@ -0,0 +1,111 @@
+"""The state that a daemon keeps of an instance that it sends requests to."""
+
+from __future__ import annotations
+
+import math
+
+from dotterelpath.domain import health_filter
+from dotterelpath.domain import registry
+
+# The time constant with which the reported load of other daemons decays, in
+# seconds: about the duration of one request.
+PEER_LOAD_DECAY_S = 0.5
+# The share of a slot that must be free for another request. The estimated load
+# is fractional, since the reported load decays.
+MIN_FREE_SLOT_SHARE = 0.5
+# An instance that fails the next request with a higher probability than this is
+# avoided while the service has healthy instances, even if the request has to
+# wait for one of them.
+UNHEALTHY_THRESHOLD = 0.3
+
+
+class InstanceState:
+    """The load and the health of an instance, as known to this daemon."""
+
+    __slots__ = (
+        "entry",
+        "failure_filter",
+        "in_flight",
+        "is_entry_missing",
+        "joined_s",
+        "last_sent_s",
+        "peer_load",
+        "peer_load_at_s",
+        "slow_filter",
+        "warm_up_ends_s",
+    )
+
+    def __init__(
+        self, entry: registry.Entry, now_s: float, is_late_joiner: bool
+    ) -> None:
+        """Creates the state of an instance without observations.
+
+        Args:
+            entry: The instance's entry in the registry.
+            now_s: The current time on the monotonic clock, in seconds.
+            is_late_joiner: Whether the instance was added to a running service.
+        """
+        self.entry = entry
+        self.failure_filter = health_filter.HealthFilter(now_s)
+        self.slow_filter = health_filter.HealthFilter(now_s)
+        self.in_flight = 0
+        self.is_entry_missing = False
+        self.peer_load = 0.0
+        self.peer_load_at_s = -math.inf
+        self.warm_up_ends_s = now_s + entry.warm_up_s
+        self.joined_s = now_s if is_late_joiner else None
+        self.last_sent_s: float | None = None
+
+    @property
+    def id(self) -> str:
+        """The instance's id."""
+        return self.entry.id
+
+    def load(self, now_s: float) -> float:
+        """Estimates the requests at the instance, from all daemons.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        if not self.peer_load:
+            return self.in_flight
+        age_s = now_s - self.peer_load_at_s
+        return self.in_flight + self.peer_load * math.exp(
+            -age_s / PEER_LOAD_DECAY_S
+        )
+
+    def has_free_slot(self, now_s: float) -> bool:
+        """Tells whether another request would start at once.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        most = self.entry.slots - MIN_FREE_SLOT_SHARE
+        return self.in_flight <= most and self.load(now_s) <= most
+
+    def record_load(self, running: int, waiting: int, now_s: float) -> None:
+        """Records the request counts that the instance reports.
+
+        Args:
+            running: Requests that the instance is processing.
+            waiting: Requests in the instance's queue.
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        self.peer_load = float(max(0, running + waiting - self.in_flight))
+        self.peer_load_at_s = now_s
+
+    def failing(self, now_s: float) -> float:
+        """Returns the probability that the instance fails the next request.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        return self.failure_filter.symptom_probability(now_s)
+
+    def is_unhealthy(self, now_s: float) -> bool:
+        """Tells whether the instance is avoided if there are healthy ones.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        return self.failing(now_s) > UNHEALTHY_THRESHOLD
--- a/src/dotterelpath/domain/load_balancer.py
+++ b/src/dotterelpath/domain/load_balancer.py
@@ -8,7 +8,9 @@
 import typing
 
 from dotterelpath.domain import health_filter
+from dotterelpath.domain import instance_state
 from dotterelpath.domain import probing
+from dotterelpath.domain import ranking
 from dotterelpath.domain import registry
 from dotterelpath.ports import randomness
 
@@ -23,96 +25,16 @@
 IMMEDIATE_SHARE = 0.25
 # The weight of one response in the moving average of durations.
 DURATION_WEIGHT = 0.1
-# The time constant with which the reported load of other daemons decays, in
-# seconds: about the duration of one request.
-PEER_LOAD_DECAY_S = 0.5
-# The costs of sending a request to an instance, relative to the cost of a lost
-# request, which is 1. RETRYABLE_COST is the cost of a failed request that can
-# be retried, SLOW_COST that of a slow response.
-SLOW_COST = 0.5
-RETRYABLE_COST = 0.4
-UTILIZATION_COST = 0.05
-DISTANCE_COST = 0.05
-WARM_UP_COST = 0.1
-TIE_BREAK_COST = 0.005
-# An instance that fails the next request with a higher probability than this is
-# avoided while the service has healthy instances, even if the request has to
-# wait for one of them.
-UNHEALTHY_THRESHOLD = 0.3
 # An instance that fails the next request with at most this probability rather
 # serves it than not.
 EVEN_CHANCE = 0.5
 # The fraction of the allowance for unused instances that a daemon makes use of.
 # The rest is a margin, since other daemons may leave out other instances.
 UNUSED_MARGIN = 0.75
-# The share of a slot that must be free for another request. The estimated load
-# is fractional, since the reported load decays.
-MIN_FREE_SLOT_SHARE = 0.5
-
-
-class Instance:
-    """The state that this daemon keeps of an instance."""
-
-    __slots__ = (
-        "entry",
-        "failure_filter",
-        "in_flight",
-        "is_entry_missing",
-        "joined_s",
-        "last_sent_s",
-        "peer_load",
-        "peer_load_at_s",
-        "slow_filter",
-        "warm_up_ends_s",
-    )
-
-    def __init__(
-        self, entry: registry.Entry, now_s: float, is_late_joiner: bool
-    ) -> None:
-        """Creates the state of an instance without observations.
-
-        Args:
-            entry: The instance's entry in the registry.
-            now_s: The current time on the monotonic clock, in seconds.
-            is_late_joiner: Whether the instance was added to a running service.
-        """
-        self.entry = entry
-        self.failure_filter = health_filter.HealthFilter(now_s)
-        self.slow_filter = health_filter.HealthFilter(now_s)
-        self.in_flight = 0
-        self.is_entry_missing = False
-        self.peer_load = 0.0
-        self.peer_load_at_s = -math.inf
-        self.warm_up_ends_s = now_s + entry.warm_up_s
-        self.joined_s = now_s if is_late_joiner else None
-        self.last_sent_s: float | None = None
-
-    @property
-    def id(self) -> str:
-        """The instance's id."""
-        return self.entry.id
-
-    def load(self, now_s: float) -> float:
-        """Estimates the requests at the instance, from all daemons.
-
-        Args:
-            now_s: The current time on the monotonic clock, in seconds.
-        """
-        age_s = now_s - self.peer_load_at_s
-        return self.in_flight + self.peer_load * math.exp(
-            -age_s / PEER_LOAD_DECAY_S
-        )
-
-    def record_load(self, running: int, waiting: int, now_s: float) -> None:
-        """Records the request counts that the instance reports.
-
-        Args:
-            running: Requests that the instance is processing.
-            waiting: Requests in the instance's queue.
-            now_s: The current time on the monotonic clock, in seconds.
-        """
-        self.peer_load = float(max(0, running + waiting - self.in_flight))
-        self.peer_load_at_s = now_s
+# How often the instances are searched for one to probe, in seconds.
+PROBE_SEARCH_PERIOD_S = 0.05
+# The same for each instance, for services where the sum is longer.
+PROBE_SEARCH_PERIOD_PER_INSTANCE_S = 0.0002
 
 
 class Reason(enum.Enum):
@@ -129,38 +51,37 @@
 class Selection:
     """The instance chosen for a request, or the reason why there is none."""
 
-    __slots__ = ("instance", "is_full", "reason")
+    __slots__ = ("can_wait", "instance", "reason")
 
     def __init__(
         self,
-        instance: Instance | None,
-        is_full: bool,
+        instance: instance_state.InstanceState | None,
+        can_wait: bool,
         reason: Reason = Reason.BEST,
     ) -> None:
         """Creates a selection.
 
         Args:
             instance: The instance that gets the request; None if there is none.
-            is_full: Whether all usable instances are at capacity, so that
-                waiting for a slot makes sense.
+            can_wait: Whether there is none now, but waiting for a slot makes
+                sense.
             reason: Why the instance was chosen.
         """
         self.instance = instance
-        self.is_full = is_full
+        self.can_wait = can_wait
         self.reason = reason
 
 
 class LoadBalancer:
-    """Chooses instances of a service by cost, and tracks their state.
-
-    The cost of an instance is made up of the probabilities that it fails the
-    request or is slow, its utilization, its distance and its warm-up.
-    """
+    """Chooses instances of a service by cost, and tracks their state."""
 
     __slots__ = (
         "_data_centre",
         "_discovery_ends_s",
+        "_ids_of_missing_entries",
         "_instances",
+        "_probe_searched_s",
+        "_ranking",
         "_typical_by_route_s",
     )
 
@@ -171,12 +92,17 @@
             data_centre: This daemon's data centre.
         """
         self._data_centre = data_centre
-        self._instances: dict[str, Instance] = {}
+        self._instances: dict[str, instance_state.InstanceState] = {}
+        self._ids_of_missing_entries: frozenset[str] = frozenset()
+        self._ranking = ranking.Ranking(data_centre)
+        # The time of the last search for an instance to probe that found none,
+        # by whether the request could be retried.
+        self._probe_searched_s = {True: -math.inf, False: -math.inf}
         self._typical_by_route_s: dict[str, float] = {}
         self._discovery_ends_s: float | None = None
 
     @property
-    def instances(self) -> dict[str, Instance]:
+    def instances(self) -> dict[str, instance_state.InstanceState]:
         """The instances that may get requests, by id."""
         return self._instances
 
@@ -200,10 +126,16 @@
             entry = item.entry
             found = before.get(entry.id)
             if found is None or found.entry.started_ms != entry.started_ms:
-                found = Instance(entry, now_s, is_late_joiner)
+                found = instance_state.InstanceState(
+                    entry, now_s, is_late_joiner
+                )
             found.entry = entry
             found.is_entry_missing = item.missing_since_s is not None
             self._instances[entry.id] = found
+        self._ids_of_missing_entries = frozenset(
+            i.id for i in self._instances.values() if i.is_entry_missing
+        )
+        self._ranking.invalidate()
 
     def drop(self, instance_id: str) -> None:
         """Removes an instance, so that it gets no more requests.
@@ -212,6 +144,7 @@
             instance_id: The instance.
         """
         self._instances.pop(instance_id, None)
+        self._ranking.invalidate()
 
     def choose(
         self,
@@ -220,7 +153,6 @@
         can_retry: bool,
         tried: typing.Collection[str] = (),
         is_degraded: bool = False,
-        unhealthy_limit: float | None = None,
         min_used_share: float = 1.0,
     ) -> Selection:
         """Chooses the instance with the lowest cost, or one to probe.
@@ -233,60 +165,76 @@
             tried: Ids of the instances that the request was sent to before.
             is_degraded: Whether many requests of the service fail, so that
                 every instance must be probed regularly.
-            unhealthy_limit: If given, an unhealthy instance is chosen, since
-                the healthy ones have no capacity, and it fails the request at
-                most with this probability.
             min_used_share: The share of the instances that must get requests
                 while the service is degraded.
 
         Returns:
-            The chosen instance; if there is none, whether all are at capacity.
+            The chosen instance; if there is none, whether to wait for one.
         """
-        usable = [i for i in self._instances.values() if i.id not in tried]
-        # Instances with a missing entry are used only if there are no others.
-        usable = [i for i in usable if not i.is_entry_missing] or usable
-        probe = None
-        if not tried and unhealthy_limit is None:
-            exempt: typing.Collection[Instance] = ()
-            if is_degraded and not can_retry:
-                exempt = _worst(usable, min_used_share, now_s)
+        if not tried:
             probe = self._probe_target(
-                [i for i in usable if i not in exempt],
-                can_retry,
-                is_degraded,
-                now_s,
+                can_retry, is_degraded, min_used_share, now_s
             )
-        if probe is not None:
-            return Selection(probe, False, Reason.PROBE)
-        if unhealthy_limit is not None:
+            if probe is not None:
+                return Selection(probe, False, Reason.PROBE)
+        self._update_ranking(now_s)
+        excluded = self._excluded(tried)
+        best = self._ranking.best_failing(excluded)
+        instance = self._ranking.cheapest(
+            random,
+            now_s,
+            can_retry,
+            excluded,
+            0.0,
+            ranking.accepted_failing(best),
+        )
+        if instance is None:
+            can_wait = any(i not in excluded for i in self._instances)
+            return Selection(None, can_wait)
+        reason = Reason.BEST
+        if instance.is_unhealthy(now_s):
             reason = Reason.UNHEALTHY
-            candidates = [
-                (instance, failing)
-                for instance, failing in _with_failing(usable, now_s)
-                if UNHEALTHY_THRESHOLD < failing <= unhealthy_limit
-            ]
-        else:
-            reason, candidates = _healthiest(usable, now_s)
-        best: Instance | None = None
-        best_cost = math.inf
-        for instance, failing in candidates:
-            load = instance.load(now_s)
-            if load > instance.entry.slots - MIN_FREE_SLOT_SHARE:
-                continue
-            cost = self._cost(instance, load, failing, can_retry, now_s)
-            cost += TIE_BREAK_COST * random.random()
-            if cost < best_cost:
-                best, best_cost = instance, cost
-        return Selection(best, best is None and bool(candidates), reason)
-
-    def healthy_slots(self, now_s: float) -> int:
+        return Selection(instance, False, reason)
+
+    def choose_unhealthy(
+        self,
+        random: randomness.RandomSource,
+        now_s: float,
+        can_retry: bool,
+        tried: typing.Collection[str],
+        max_failing: float,
+    ) -> Selection:
+        """Chooses an unhealthy instance for a request that cannot wait longer.
+
+        Args:
+            random: Breaks ties.
+            now_s: The current time on the monotonic clock, in seconds.
+            can_retry: Whether a failed request can be retried at another
+                instance.
+            tried: Ids of the instances that the request was sent to before.
+            max_failing: The highest probability to fail the request that is
+                accepted of an instance.
+        """
+        self._update_ranking(now_s)
+        instance = self._ranking.cheapest(
+            random,
+            now_s,
+            can_retry,
+            self._excluded(tried),
+            instance_state.UNHEALTHY_THRESHOLD,
+            max_failing,
+        )
+        return Selection(instance, False, Reason.UNHEALTHY)
+
+    def accepted_slots(self, now_s: float) -> int:
         """Counts the slots of the instances that requests wait for.
 
         Args:
             now_s: The current time on the monotonic clock, in seconds.
         """
-        _, candidates = _healthiest(list(self._instances.values()), now_s)
-        return sum(instance.entry.slots for instance, _ in candidates)
+        self._update_ranking(now_s)
+        best = self._ranking.best_failing(self._excluded(()))
+        return self._ranking.slots(ranking.accepted_failing(best))
 
     def typical_s(self, route: str, default_s: float) -> float:
         """Returns the typical duration of a route's requests, in seconds.
@@ -347,10 +295,12 @@
         instance = self._instances.get(instance_id)
         if instance is None:
             return False
-        was_unhealthy = _is_unhealthy(instance, now_s)
+        was_unhealthy = instance.is_unhealthy(now_s)
         instance.failure_filter.observe(health_filter.Observation.GOOD, now_s)
         if not is_slow:
             instance.slow_filter.observe(health_filter.Observation.GOOD, now_s)
+        if was_unhealthy:
+            self._ranking.update_one(instance, now_s)
         return was_unhealthy
 
     def record_peer_success(self, instance_id: str, now_s: float) -> None:
@@ -365,6 +315,7 @@
             instance.failure_filter.observe(
                 health_filter.Observation.GOOD, now_s
             )
+            self._ranking.update_one(instance, now_s)
 
     def record_failure(
         self, instance_id: str, is_immediate: bool, now_s: float
@@ -387,6 +338,7 @@
         if is_immediate:
             observation = health_filter.Observation.FAILED_IMMEDIATELY
         instance.failure_filter.observe(observation, now_s)
+        self._ranking.update_one(instance, now_s)
         return instance.failure_filter.unhealthy_probability(now_s)
 
     def record_slow(self, instance_id: str, now_s: float) -> float | None:
@@ -405,91 +357,78 @@
         if instance is None:
             return None
         instance.slow_filter.observe(health_filter.Observation.SLOW, now_s)
+        self._ranking.update_one(instance, now_s)
         return instance.slow_filter.unhealthy_probability(now_s)
 
+    def _update_ranking(self, now_s: float) -> None:
+        self._ranking.update(self._instances.values(), now_s)
+
+    def _excluded(
+        self, tried: typing.Collection[str]
+    ) -> typing.Collection[str]:
+        """Returns the ids of the instances that a request must not get.
+
+        Instances with a missing entry are used only if there are no others.
+
+        Args:
+            tried: Ids of the instances that the request was sent to before.
+        """
+        if not self._ids_of_missing_entries:
+            return tried
+        excluded = self._ids_of_missing_entries.union(tried)
+        if all(i in excluded for i in self._instances):
+            return tried
+        return excluded
+
     def _probe_target(
         self,
-        usable: list[Instance],
         can_retry: bool,
         is_degraded: bool,
+        min_used_share: float,
         now_s: float,
-    ) -> Instance | None:
+    ) -> instance_state.InstanceState | None:
         """Returns the instance that has waited longest for a due probe.
 
         Only instances of this data centre are probed. The daemons of the other
         data centres probe the instances there.
         """
-        candidates = [
+        period_s = max(
+            PROBE_SEARCH_PERIOD_S,
+            len(self._instances) * PROBE_SEARCH_PERIOD_PER_INSTANCE_S,
+        )
+        if now_s - self._probe_searched_s[can_retry] < period_s:
+            return None
+        excluded = self._excluded(())
+        usable = [i for i in self._instances.values() if i.id not in excluded]
+        exempt: typing.Collection[instance_state.InstanceState] = ()
+        if is_degraded and not can_retry:
+            exempt = _worst(usable, min_used_share, now_s)
+        due = [
             instance
             for instance in usable
             if instance.entry.data_centre == self._data_centre
-            and instance.load(now_s)
-            <= instance.entry.slots - MIN_FREE_SLOT_SHARE
+            and not probing.was_just_sent_to(instance.last_sent_s, now_s)
+            and instance not in exempt
             and probing.is_probe_due(
                 instance.last_sent_s,
                 instance.joined_s,
                 can_retry,
                 is_degraded,
-                _is_unhealthy(instance, now_s),
+                can_retry and instance.is_unhealthy(now_s),
                 now_s,
             )
+            and instance.has_free_slot(now_s)
         ]
-        return min(candidates, key=_last_sent_s, default=None)
-
-    def _cost(
-        self,
-        instance: Instance,
-        load: float,
-        failing: float,
-        can_retry: bool,
-        now_s: float,
-    ) -> float:
-        """Computes the expected cost of sending a request to an instance."""
-        slow = instance.slow_filter.symptom_probability(now_s)
-        utilization = (load + 1.0) / max(1, instance.entry.slots)
-        cost = failing * (RETRYABLE_COST if can_retry else 1.0)
-        cost += slow * SLOW_COST + utilization * utilization * UTILIZATION_COST
-        if instance.entry.data_centre != self._data_centre:
-            cost += DISTANCE_COST
-        if now_s < instance.warm_up_ends_s:
-            cost += WARM_UP_COST
-        return cost
-
-
-def _with_failing(
-    instances: list[Instance], now_s: float
-) -> list[tuple[Instance, float]]:
-    """Returns each instance with the probability that it fails a request."""
-    return [
-        (instance, instance.failure_filter.symptom_probability(now_s))
-        for instance in instances
-    ]
-
-
-def _healthiest(
-    instances: list[Instance], now_s: float
-) -> tuple[Reason, list[tuple[Instance, float]]]:
-    """Returns the instances that get requests, with their probability to fail.
-
-    These are the healthy ones; if there are none, those that rather serve a
-    request than fail it; if there are none either, all. Requests wait for a
-    free slot of these, since an instance that fails immediately always has free
-    slots and would attract all requests that the better ones cannot take.
-    """
-    rated = _with_failing(instances, now_s)
-    for reason, limit in (
-        (Reason.BEST, UNHEALTHY_THRESHOLD),
-        (Reason.UNHEALTHY, EVEN_CHANCE),
-    ):
-        found = [item for item in rated if item[1] <= limit]
-        if found:
-            return reason, found
-    return Reason.UNHEALTHY, rated
+        if not due:
+            self._probe_searched_s[can_retry] = now_s
+        return min(due, key=_last_sent_s, default=None)
 
 
 def _worst(
-    instances: list[Instance], min_used_share: float, now_s: float
-) -> list[Instance]:
+    instances: list[instance_state.InstanceState],
+    min_used_share: float,
+    now_s: float,
+) -> list[instance_state.InstanceState]:
     """Returns the instances that a degraded service may leave unused.
 
     A probe with a request that cannot be retried most likely fails at them.
@@ -498,18 +437,8 @@
     count = int(len(instances) * allowance)
     if not count:
         return []
-    return heapq.nlargest(
-        count,
-        instances,
-        key=lambda i: i.failure_filter.symptom_probability(now_s),
-    )
+    return heapq.nlargest(count, instances, key=lambda i: i.failing(now_s))
 
 
-def _last_sent_s(instance: Instance) -> float:
+def _last_sent_s(instance: instance_state.InstanceState) -> float:
     return -math.inf if instance.last_sent_s is None else instance.last_sent_s
-
-
-def _is_unhealthy(instance: Instance, now_s: float) -> bool:
-    return (
-        instance.failure_filter.symptom_probability(now_s) > UNHEALTHY_THRESHOLD
-    )
--- a/src/dotterelpath/domain/probing.py
+++ b/src/dotterelpath/domain/probing.py
@@ -34,6 +34,8 @@
 # The probe period of an unhealthy instance, in seconds, with requests that can
 # be retried. A probe may cost a retry, but detects a recovery soon.
 UNHEALTHY_PERIOD_S = 1.5
+# The shortest of these periods, in seconds.
+SHORTEST_PERIOD_S = min(RETRYABLE_PERIOD_S, ANY_PERIOD_S, UNHEALTHY_PERIOD_S)
 # The time after which a new instance without requests is probed, in seconds:
 # the first with a request that can be retried, the second with any other.
 RETRYABLE_FIRST_PROBE_S = 0.5
@@ -142,6 +144,17 @@
         self._updated_s = now_s
 
 
+def was_just_sent_to(last_sent_s: float | None, now_s: float) -> bool:
+    """Tells whether an instance got a request too recently for any probe.
+
+    Args:
+        last_sent_s: The time at which the instance last got a request, in
+            seconds; None if it never did.
+        now_s: The current time on the monotonic clock, in seconds.
+    """
+    return last_sent_s is not None and now_s - last_sent_s < SHORTEST_PERIOD_S
+
+
 def is_probe_due(
     last_sent_s: float | None,
     joined_s: float | None,
--- a/src/dotterelpath/domain/request_queue.py
+++ b/src/dotterelpath/domain/request_queue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import math
 import typing
 
@@ -19,6 +20,8 @@
 # The share of the slots that is assumed to be free for a request, however much
 # work of higher priority there is.
 MIN_SLOT_SHARE = 0.05
+# How long the order of the queue holds, in seconds. Ranks change slowly.
+ORDER_PERIOD_S = 0.05
 
 
 class _WorkRate:
@@ -128,14 +131,21 @@
     """The queue of one service, ordered by priority and target time."""
 
     __slots__ = (
+        "_by_item",
+        "_ordered_s",
         "_queued",
         "_rates",
+        "_work_s",
     )
 
     def __init__(self) -> None:
         """Creates an empty queue."""
+        self._by_item: dict[T, QueuedRequest[T]] = {}
         self._queued: list[QueuedRequest[T]] = []
+        self._ordered_s = -math.inf
         self._rates: dict[int, _WorkRate] = {}
+        # The typical duration of the queued requests of each priority.
+        self._work_s: dict[int, float] = {}
 
     def __len__(self) -> int:
         """Counts the queued requests."""
@@ -148,8 +158,13 @@
             request: The request.
             now_s: The current time on the monotonic clock, in seconds.
         """
-        self._queued.append(request)
-        self._queued.sort(key=lambda queued: queued.rank(now_s))
+        self._by_item[request.item] = request
+        bisect.insort(
+            self._queued, request, key=lambda queued: queued.rank(now_s)
+        )
+        self._work_s[request.priority] = (
+            self._work_s.get(request.priority, 0.0) + request.work_s
+        )
 
     def record_start(self, priority: int, work_s: float, now_s: float) -> None:
         """Records that a request was sent to an instance.
@@ -162,7 +177,7 @@
         rate = self._rates.setdefault(priority, _WorkRate(now_s))
         rate.add(work_s, now_s)
 
-    def _free_slots(self, priority: int, slots: int, now_s: float) -> float:
+    def _free_slots(self, priority: int, slots: float, now_s: float) -> float:
         """Estimates the slots that requests of higher priority do not need.
 
         The estimate assumes that such requests keep arriving at the current
@@ -175,7 +190,29 @@
         )
         return max(slots - taken, slots * MIN_SLOT_SHARE)
 
-    def check_deadlines(self, slots: int, now_s: float) -> DeadlineCheck[T]:
+    def may_be_infeasible(
+        self, request: QueuedRequest[T], slots: float, now_s: float
+    ) -> bool:
+        """Tells whether a request just added may miss its deadline.
+
+        Costs less than checking all requests. The requests of its priority are
+        assumed to be ahead of it.
+
+        Args:
+            request: The request.
+            slots: The number of concurrent requests allowed to this daemon.
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        free_slots = self._free_slots(request.priority + 1, slots, now_s)
+        queued_s = sum(
+            work_s
+            for priority, work_s in self._work_s.items()
+            if priority <= request.priority
+        )
+        ahead_s = queued_s - request.work_s
+        return request.is_infeasible(now_s + ahead_s / free_slots)
+
+    def check_deadlines(self, slots: float, now_s: float) -> DeadlineCheck[T]:
         """Finds the requests that will miss their deadline or target time.
 
         A request is expected to start when the work ahead of it is done in the
@@ -189,29 +226,29 @@
         Returns:
             The infeasible and the late requests.
         """
-        kept = []
+        free_slots: dict[int, float] = {}
+        for priority in self._work_s:
+            for rank in (priority, priority + 1):
+                free_slots[rank] = self._free_slots(rank, slots, now_s)
         infeasible = []
         late = []
         ahead_s = 0.0
         for request in self._queued:
-            free_slots = self._free_slots(request.priority, slots, now_s)
-            start_s = now_s + ahead_s / free_slots
+            priority = request.priority
+            start_s = now_s + ahead_s / free_slots[priority]
             is_late = start_s + request.work_s > request.target_s
             if is_late:
                 # New requests of the same priority overtake a late one, so
                 # the slots that they need are not free either.
-                free_slots = self._free_slots(
-                    request.priority + 1, slots, now_s
-                )
-                start_s = now_s + ahead_s / free_slots
+                start_s = now_s + ahead_s / free_slots[priority + 1]
             if request.is_infeasible(start_s):
                 infeasible.append(request)
                 continue
             if is_late:
                 late.append(request)
-            kept.append(request)
             ahead_s += request.work_s
-        self._queued = kept
+        for request in infeasible:
+            self.remove(request.item)
         return DeadlineCheck(infeasible, late)
 
     def ordered(self, now_s: float) -> list[QueuedRequest[T]]:
@@ -220,15 +257,22 @@
         Args:
             now_s: The current time on the monotonic clock, in seconds.
         """
-        self._queued.sort(key=lambda queued: queued.rank(now_s))
+        if now_s - self._ordered_s >= ORDER_PERIOD_S:
+            self._ordered_s = now_s
+            self._queued.sort(key=lambda queued: queued.rank(now_s))
         return list(self._queued)
 
     def remove(self, item: T) -> None:
-        """Removes a request.
+        """Removes a request if it is queued.
 
         Args:
             item: The request.
         """
-        self._queued = [
-            queued for queued in self._queued if queued.item is not item
-        ]
+        request = self._by_item.pop(item, None)
+        if request is None:
+            return
+        self._queued.remove(request)
+        self._work_s[request.priority] -= request.work_s
+        if not self._queued:
+            # Rounding errors must not add up.
+            self._work_s.clear()
--- a/src/dotterelpath/tasks/_pending.py
+++ b/src/dotterelpath/tasks/_pending.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import itertools
+import math
 
 from dotterelpath.domain import configuration
 from dotterelpath.domain import exchange
+from dotterelpath.domain import instance_state
 from dotterelpath.domain import load_balancer
 from dotterelpath.domain import probing
 from dotterelpath.domain import request_queue
@@ -24,6 +26,7 @@
 
     __slots__ = (
         "balancer",
+        "deadlines_checked_s",
         "degradation",
         "name",
         "queue",
@@ -41,6 +44,8 @@
         self.name = name
         self.balancer = load_balancer.LoadBalancer(data_centre)
         self.queue: request_queue.Queue[PendingRequest] = request_queue.Queue()
+        # When the deadlines of all queued requests were last checked.
+        self.deadlines_checked_s = -math.inf
         self.retries = retry_window.RetryWindow()
         self.degradation = probing.DegradationMonitor()
         # The id and the start time of each instance that was not found at its
@@ -62,7 +67,7 @@
     def __init__(
         self,
         pending: PendingRequest,
-        instance: load_balancer.Instance,
+        instance: instance_state.InstanceState,
         sent_s: float,
         slow_at_s: float,
     ) -> None:
--- a/src/dotterelpath/tasks/_request_sender.py
+++ b/src/dotterelpath/tasks/_request_sender.py
@@ -10,6 +10,7 @@
 from dotterelpath.domain import attempts
 from dotterelpath.domain import exchange
 from dotterelpath.domain import health_reports
+from dotterelpath.domain import instance_state
 from dotterelpath.domain import load_balancer
 from dotterelpath.domain import registry
 from dotterelpath.domain import request_queue
@@ -31,6 +32,9 @@
 # How often queued requests are offered to instances, in seconds. Other daemons
 # free slots without this daemon being notified.
 QUEUE_POLL_S = 0.05
+# How often it is checked whether all queued requests meet their deadline, in
+# seconds.
+DEADLINE_CHECK_PERIOD_S = 0.02
 # A retry is made only if at least this much time is left, in seconds.
 MIN_ATTEMPT_S = 0.02
 MIN_ERROR_STATUS = 500
@@ -238,13 +242,21 @@
         if pending.service is not None:
             self.dispatch_queued(pending.service)
 
+    def on_dispatch_due(self, state: _pending.ServiceState) -> None:
+        """Offers queued requests to instances again.
+
+        Args:
+            state: The service.
+        """
+        self._scheduled_services.discard(state.name)
+        self.dispatch_queued(state)
+
     def dispatch_queued(self, state: _pending.ServiceState) -> None:
         """Sends queued requests while instances have free slots.
 
         Args:
             state: The service.
         """
-        self._scheduled_services.discard(state.name)
         if not len(state.queue):
             return
         now_s = self._clock.now_s()
@@ -254,7 +266,8 @@
                 break
             state.queue.remove(queued.item)
             self._send(queued.item, selection)
-        self._handle_late_requests(state, now_s)
+        if now_s - state.deadlines_checked_s >= DEADLINE_CHECK_PERIOD_S:
+            self._handle_late_requests(state, now_s)
         self._schedule_dispatch(state, now_s)
 
     def _send_or_enqueue(self, pending: _pending.PendingRequest) -> None:
@@ -262,7 +275,7 @@
         selection = self._services.select_instance(pending)
         if selection.instance is not None:
             self._send(pending, selection)
-        elif selection.is_full:
+        elif selection.can_wait:
             self._enqueue(pending)
         else:
             self._fail(
@@ -284,7 +297,9 @@
             self._services.expected_duration_s(pending),
         )
         state.queue.add(queued, now_s)
-        self._handle_late_requests(state, now_s)
+        slots = self._services.slot_share(state)
+        if state.queue.may_be_infeasible(queued, slots, now_s):
+            self._handle_late_requests(state, now_s)
         self._schedule_dispatch(state, now_s)
 
     def _schedule_dispatch(
@@ -307,6 +322,7 @@
         A request that cannot meet its deadline is sent to an unhealthy
         instance, or fails if there is none.
         """
+        state.deadlines_checked_s = now_s
         deadline_check = state.queue.check_deadlines(
             self._services.slot_share(state), now_s
         )
@@ -314,7 +330,7 @@
             pending = queued.item
             if pending.sent_to or not pending.is_idempotent:
                 continue
-            selection = self._services.select_instance(
+            selection = self._services.select_unhealthy_instance(
                 pending, load_balancer.EVEN_CHANCE
             )
             if selection.instance is None:
@@ -322,7 +338,7 @@
             state.queue.remove(queued.item)
             self._send(queued.item, selection)
         for queued in deadline_check.infeasible:
-            selection = self._services.select_instance(queued.item, 1.0)
+            selection = self._services.select_unhealthy_instance(queued.item)
             if selection.instance is not None:
                 self._send(queued.item, selection)
                 continue
@@ -431,7 +447,7 @@
     def _on_not_run(
         self,
         pending: _pending.PendingRequest,
-        instance: load_balancer.Instance,
+        instance: instance_state.InstanceState,
         metadata: backend.ResponseMetadata,
         message: messages.AttemptEnded,
     ) -> None:
@@ -563,7 +579,7 @@
             if selection.instance is not None:
                 self._send(pending, selection)
                 return
-            if selection.is_full:
+            if selection.can_wait:
                 self._enqueue(pending)
                 return
         self._fail(pending, code, detail)
--- a/src/dotterelpath/tasks/_services.py
+++ b/src/dotterelpath/tasks/_services.py
@@ -9,6 +9,7 @@
 from dotterelpath.domain import bounds as bounds_domain
 from dotterelpath.domain import configuration
 from dotterelpath.domain import health_reports
+from dotterelpath.domain import instance_state
 from dotterelpath.domain import load_balancer
 from dotterelpath.domain import registry
 from dotterelpath.ports import clock as clock_port
@@ -175,37 +176,54 @@
         )
 
     def select_instance(
-        self,
-        pending: _pending.PendingRequest,
-        unhealthy_limit: float | None = None,
+        self, pending: _pending.PendingRequest
     ) -> load_balancer.Selection:
         """Selects an instance for a request.
 
         Args:
             pending: The request.
-            unhealthy_limit: If given, an unhealthy instance is selected that
-                fails the request at most with this probability.
 
         Returns:
             The instance, or whether the request can wait for one.
         """
         assert pending.service is not None
-        can_retry = self.can_retry(pending)
         now_s = self._clock.now_s()
         return pending.service.balancer.choose(
             self._random,
             now_s,
-            can_retry,
+            self.can_retry(pending),
             pending.attempted_instances,
             pending.service.degradation.is_degraded(now_s),
-            unhealthy_limit,
             self._bounds.min_used_share,
         )
 
-    def slot_share(self, state: _pending.ServiceState) -> int:
-        """Returns this daemon's share of the slots of healthy instances."""
-        slots = state.balancer.healthy_slots(self._clock.now_s())
-        return max(1, slots // self._serving_daemons)
+    def select_unhealthy_instance(
+        self, pending: _pending.PendingRequest, max_failing: float = 1.0
+    ) -> load_balancer.Selection:
+        """Selects an unhealthy instance for a request that waited too long.
+
+        Args:
+            pending: The request.
+            max_failing: The highest probability to fail the request that is
+                accepted of an instance.
+        """
+        assert pending.service is not None
+        return pending.service.balancer.choose_unhealthy(
+            self._random,
+            self._clock.now_s(),
+            self.can_retry(pending),
+            pending.attempted_instances,
+            max_failing,
+        )
+
+    def slot_share(self, state: _pending.ServiceState) -> float:
+        """Returns this daemon's share of the slots that requests wait for."""
+        return self._share_of(
+            state.balancer.accepted_slots(self._clock.now_s())
+        )
+
+    def _share_of(self, slots: int) -> float:
+        return max(1.0, slots / self._serving_daemons)
 
     def expected_duration_s(self, pending: _pending.PendingRequest) -> float:
         """Returns the usual duration of a request on its route, in seconds."""
@@ -271,7 +289,7 @@
     def record_symptom(
         self,
         pending: _pending.PendingRequest,
-        instance: load_balancer.Instance,
+        instance: instance_state.InstanceState,
         symptom: health_reports.Symptom,
         is_local: bool = False,
     ) -> None:
@@ -303,7 +321,9 @@
             self.publish_symptom(state, instance, symptom)
 
     def remove_instance(
-        self, state: _pending.ServiceState, instance: load_balancer.Instance
+        self,
+        state: _pending.ServiceState,
+        instance: instance_state.InstanceState,
     ) -> None:
         """Removes an instance that is not at its address any more."""
         state.removed_instances.add((instance.id, instance.entry.started_ms))
@@ -312,7 +332,7 @@
     def publish_symptom(
         self,
         state: _pending.ServiceState,
-        instance: load_balancer.Instance,
+        instance: instance_state.InstanceState,
         symptom: health_reports.Symptom,
     ) -> None:
         """Reports a symptom of an instance to other daemons."""
--- a/src/dotterelpath/tasks/gateway.py
+++ b/src/dotterelpath/tasks/gateway.py
@@ -206,7 +206,7 @@
             if isinstance(item, _pending.OpenAttempt):
                 self._request_sender.on_attempt_slow(item, now_s)
             elif isinstance(item, _pending.ServiceState):
-                self._request_sender.dispatch_queued(item)
+                self._request_sender.on_dispatch_due(item)
             elif now_s >= item.deadline_s:
                 self._request_sender.time_out(item)
                 self._pending_requests.pop(item.reply_to, None)
