Report to peers which instances serve requests

Cause: each daemon knows an instance by its own requests only, and its belief fades in seconds.

A report that may be older than a symptom is ignored, and reports that follow a success within their period add no evidence.

--- a/src/dotterelpath/adapters/datagrams.py
+++ b/src/dotterelpath/adapters/datagrams.py
@@ -60,7 +60,7 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Decodes a datagram; drops it if it is malformed."""
         try:
-            datagram = _from_json(orjson.loads(data))
+            datagram = decode(orjson.loads(data))
         except (ValueError, KeyError, TypeError) as error:
             _log.warning(
                 "malformed datagram dropped", sender=addr[0], reason=repr(error)
@@ -74,9 +74,7 @@
     def send(self, host: str, port: int, datagram: datagrams.Datagram) -> None:
         """Sends a datagram; see datagrams.Datagrams."""
         if self._transport is not None:
-            self._transport.sendto(
-                orjson.dumps(_to_json(datagram)), (host, port)
-            )
+            self._transport.sendto(orjson.dumps(encode(datagram)), (host, port))
 
     def close(self) -> None:
         """Closes the socket."""
@@ -84,7 +82,12 @@
             self._transport.close()
 
 
-def _to_json(datagram: datagrams.Datagram) -> dict[str, typing.Any]:
+def encode(datagram: datagrams.Datagram) -> dict[str, typing.Any]:
+    """Encodes a datagram as a JSON object.
+
+    Args:
+        datagram: The datagram.
+    """
     if isinstance(datagram, datagrams.Ping):
         return {"ping": datagram.sequence, "from": datagram.sender_id}
     if isinstance(datagram, datagrams.Pong):
@@ -96,6 +99,12 @@
             "link_mbps": round(datagram.usage.link_mbps, 3),
             "revision": datagram.revision,
         }
+    if isinstance(datagram, datagrams.SuccessReportDatagram):
+        return {
+            "served": datagram.report.instances,
+            "from": datagram.sender_id,
+            "service": datagram.report.service,
+        }
     report = datagram.report
     return {
         "seen": report.symptom.value,
@@ -106,7 +115,17 @@
     }
 
 
-def _from_json(data: dict[str, typing.Any]) -> datagrams.Datagram:
+def decode(data: dict[str, typing.Any]) -> datagrams.Datagram:
+    """Decodes a datagram.
+
+    Args:
+        data: The JSON object.
+
+    Raises:
+        KeyError: A field is missing.
+        TypeError: A field has another type.
+        ValueError: A field has an invalid value.
+    """
     sender = str(data["from"])
     if "ping" in data:
         return datagrams.Ping(sender, int(data["ping"]))
@@ -118,6 +137,14 @@
         value = data["revision"]
         revision = None if value is None else int(value)
         return datagrams.Pong(sender, int(data["pong"]), state, usage, revision)
+    if "served" in data:
+        return datagrams.SuccessReportDatagram(
+            sender,
+            health_reports.SuccessReport(
+                str(data["service"]),
+                [(str(id), int(started)) for id, started in data["served"]],
+            ),
+        )
     report = health_reports.HealthReport(
         str(data["service"]),
         str(data["instance"]),
--- a/src/dotterelpath/domain/health_reports.py
+++ b/src/dotterelpath/domain/health_reports.py
@@ -20,6 +20,23 @@
     SERVICE_DEGRADED = "troubled"
 
 
+class SuccessReport:
+    """A daemon's report on the instances that served its requests."""
+
+    __slots__ = ("instances", "service")
+
+    def __init__(self, service: str, instances: list[tuple[str, int]]) -> None:
+        """Creates a report.
+
+        Args:
+            service: The instances' service.
+            instances: The id of each instance and its start time, in
+                milliseconds since 1970.
+        """
+        self.service = service
+        self.instances = instances
+
+
 class HealthReport:
     """A daemon's report on an instance, or on a service as a whole."""
 
--- a/src/dotterelpath/domain/instance_state.py
+++ b/src/dotterelpath/domain/instance_state.py
@@ -32,6 +32,8 @@
         "peer_load",
         "peer_load_at_s",
         "slow_filter",
+        "served_s",
+        "symptom_s",
         "warm_up_ends_s",
     )
 
@@ -55,6 +57,10 @@
         self.warm_up_ends_s = now_s + entry.warm_up_s
         self.joined_s = now_s if is_late_joiner else None
         self.last_sent_s: float | None = None
+        # When the instance last served a request, here or at a peer, and when
+        # it last showed a symptom.
+        self.served_s = -math.inf
+        self.symptom_s = -math.inf
 
     @property
     def id(self) -> str:
--- a/src/dotterelpath/domain/load_balancer.py
+++ b/src/dotterelpath/domain/load_balancer.py
@@ -12,6 +12,7 @@
 from dotterelpath.domain import probing
 from dotterelpath.domain import ranking
 from dotterelpath.domain import registry
+from dotterelpath.domain import success_log
 from dotterelpath.ports import randomness
 
 # A response is slow if it takes longer than this factor times the typical
@@ -35,6 +36,8 @@
 PROBE_SEARCH_PERIOD_S = 0.05
 # The same for each instance, for services where the sum is longer.
 PROBE_SEARCH_PERIOD_PER_INSTANCE_S = 0.0002
+# The age of a success that a peer reports, in seconds, at most.
+MAX_REPORT_AGE_S = 2.0 * success_log.REPORT_PERIOD_S
 
 
 class Reason(enum.Enum):
@@ -296,6 +299,7 @@
         if instance is None:
             return False
         was_unhealthy = instance.is_unhealthy(now_s)
+        instance.served_s = now_s
         instance.failure_filter.observe(health_filter.Observation.GOOD, now_s)
         if not is_slow:
             instance.slow_filter.observe(health_filter.Observation.GOOD, now_s)
@@ -317,6 +321,31 @@
             )
             self._ranking.update_one(instance, now_s)
 
+    def record_peer_successes(
+        self, instances: list[tuple[str, int]], now_s: float
+    ) -> None:
+        """Records instances that served requests of another daemon lately.
+
+        A report that may be older than a symptom is ignored. Reports that
+        follow a success within their period add no evidence, since the number
+        of daemons must not make an instance look more reliable than it is.
+
+        Args:
+            instances: The id and the start time of each instance, in
+                milliseconds since 1970.
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        for instance_id, started_ms in instances:
+            instance = self._instances.get(instance_id)
+            if (
+                instance is not None
+                and instance.entry.started_ms == started_ms
+                and now_s - instance.symptom_s > MAX_REPORT_AGE_S
+                and now_s - instance.served_s > success_log.REPORT_PERIOD_S
+            ):
+                instance.served_s = now_s
+                self.record_peer_success(instance_id, now_s)
+
     def record_failure(
         self, instance_id: str, is_immediate: bool, now_s: float
     ) -> float | None:
@@ -337,6 +366,7 @@
         observation = health_filter.Observation.FAILED_LATE
         if is_immediate:
             observation = health_filter.Observation.FAILED_IMMEDIATELY
+        instance.symptom_s = now_s
         instance.failure_filter.observe(observation, now_s)
         self._ranking.update_one(instance, now_s)
         return instance.failure_filter.unhealthy_probability(now_s)
--- a/src/dotterelpath/ports/datagrams.py
+++ b/src/dotterelpath/ports/datagrams.py
@@ -72,7 +72,25 @@
         self.report = report
 
 
-Datagram = Ping | Pong | HealthReportDatagram
+class SuccessReportDatagram:
+    """Reports which instances served a daemon's requests."""
+
+    __slots__ = ("report", "sender_id")
+
+    def __init__(
+        self, sender_id: str, report: health_reports.SuccessReport
+    ) -> None:
+        """Creates a datagram.
+
+        Args:
+            sender_id: The id of the daemon that reports.
+            report: The instances.
+        """
+        self.sender_id = sender_id
+        self.report = report
+
+
+Datagram = Ping | Pong | HealthReportDatagram | SuccessReportDatagram
 
 
 class Datagrams(typing.Protocol):
--- a/src/dotterelpath/tasks/_pending.py
+++ b/src/dotterelpath/tasks/_pending.py
@@ -12,6 +12,7 @@
 from dotterelpath.domain import probing
 from dotterelpath.domain import request_queue
 from dotterelpath.domain import retry_window
+from dotterelpath.domain import success_log
 from dotterelpath.tasks import messages
 from dotterelpath.tasks import reply
 
@@ -32,6 +33,7 @@
         "queue",
         "removed_instances",
         "retries",
+        "success_log",
     )
 
     def __init__(self, name: str, data_centre: str) -> None:
@@ -47,6 +49,7 @@
         # When the deadlines of all queued requests were last checked.
         self.deadlines_checked_s = -math.inf
         self.retries = retry_window.RetryWindow()
+        self.success_log = success_log.SuccessLog()
         self.degradation = probing.DegradationMonitor()
         # The id and the start time of each instance that was not found at its
         # address.
--- a/src/dotterelpath/tasks/_request_sender.py
+++ b/src/dotterelpath/tasks/_request_sender.py
@@ -417,19 +417,7 @@
         if response.status >= MIN_ERROR_STATUS or not metadata.is_authentic:
             self._on_failed_response(pending, attempt, metadata, message)
             return
-        duration_s = now_s - attempt.sent_s
-        was_unhealthy = pending.service.balancer.record_success(
-            instance.id, pending.route.name, duration_s, now_s
-        )
-        if was_unhealthy:
-            _log.info(
-                "instance recovered",
-                request_id=pending.request.request_id,
-                instance=instance.id,
-            )
-            self._services.publish_symptom(
-                pending.service, instance, health_reports.Symptom.RECOVERED
-            )
+        self._services.record_success(pending, instance, now_s - attempt.sent_s)
         if not message.is_complete:
             pending.stream_id = message.attempt_id
             self._streams.begin(message.attempt_id, pending)
--- a/src/dotterelpath/tasks/_services.py
+++ b/src/dotterelpath/tasks/_services.py
@@ -162,6 +162,56 @@
                 state.balancer, report.instance_id, report.symptom, now_s
             )
 
+    def on_success_report_received(
+        self, message: fleet_events.SuccessReportReceived
+    ) -> None:
+        """Applies another daemon's report on instances that served requests.
+
+        Args:
+            message: The report.
+        """
+        state = self._services.get(message.report.service)
+        if state is not None:
+            state.balancer.record_peer_successes(
+                message.report.instances, self._clock.now_s()
+            )
+
+    def record_success(
+        self,
+        pending: _pending.PendingRequest,
+        instance: instance_state.InstanceState,
+        duration_s: float,
+    ) -> None:
+        """Records a successful response and reports it to other daemons.
+
+        Args:
+            pending: The request.
+            instance: The instance that served it.
+            duration_s: The duration of the attempt, in seconds.
+        """
+        assert pending.service is not None and pending.route is not None
+        state = pending.service
+        now_s = self._clock.now_s()
+        was_unhealthy = state.balancer.record_success(
+            instance.id, pending.route.name, duration_s, now_s
+        )
+        if was_unhealthy:
+            _log.info(
+                "instance recovered",
+                request_id=pending.request.request_id,
+                instance=instance.id,
+            )
+            self.publish_symptom(
+                state, instance, health_reports.Symptom.RECOVERED
+            )
+        if instance.is_unhealthy(now_s):
+            return
+        state.success_log.record(instance.id, instance.entry.started_ms)
+        due = state.success_log.take_due(now_s)
+        if due and self._serving_daemons > 1:
+            report = health_reports.SuccessReport(state.name, due)
+            self._peer_monitor.force(fleet_events.SuccessReportIssued(report))
+
     def assign(self, pending: _pending.PendingRequest, service: str) -> None:
         """Assigns a request to a service and counts it for the retry budget.
 
@@ -305,6 +355,7 @@
         assert pending.service is not None
         now_s = self._clock.now_s()
         state = pending.service
+        state.success_log.discard(instance.id)
         probability = _apply_symptom(
             state.balancer, instance.id, symptom, now_s
         )
--- a/src/dotterelpath/tasks/fleet_events.py
+++ b/src/dotterelpath/tasks/fleet_events.py
@@ -162,3 +162,35 @@
         """
         self.daemon_id = daemon_id
         self.report = report
+
+
+class SuccessReportIssued:
+    """This daemon reports instances that served its requests."""
+
+    __slots__ = ("report",)
+
+    def __init__(self, report: health_reports.SuccessReport) -> None:
+        """Creates the message.
+
+        Args:
+            report: The report.
+        """
+        self.report = report
+
+
+class SuccessReportReceived:
+    """Another daemon reported instances that served its requests."""
+
+    __slots__ = ("daemon_id", "report")
+
+    def __init__(
+        self, daemon_id: str, report: health_reports.SuccessReport
+    ) -> None:
+        """Creates the message.
+
+        Args:
+            daemon_id: The daemon that sent the report.
+            report: The report.
+        """
+        self.daemon_id = daemon_id
+        self.report = report
--- a/src/dotterelpath/tasks/peer_monitor.py
+++ b/src/dotterelpath/tasks/peer_monitor.py
@@ -182,6 +182,8 @@
         """
         if isinstance(message, fleet_events.HealthReportIssued):
             self.on_health_report_issued(message)
+        elif isinstance(message, fleet_events.SuccessReportIssued):
+            self.on_success_report_issued(message)
         elif isinstance(message, messages.Tick):
             self.on_tick()
         elif isinstance(message, fleet_events.ConfigurationChanged):
@@ -213,6 +215,12 @@
                 self._store_reader.force(
                     fleet_events.RevisionReceived(datagram.revision, now_s)
                 )
+        elif isinstance(datagram, datagrams.SuccessReportDatagram):
+            self._gateway.force(
+                fleet_events.SuccessReportReceived(
+                    datagram.sender_id, datagram.report
+                )
+            )
         else:
             self._gateway.force(
                 fleet_events.HealthReportReceived(
@@ -242,14 +250,34 @@
         Args:
             message: The report.
         """
+        self._send_to_serving_daemons(
+            datagrams.HealthReportDatagram(
+                self._deployment.daemon_id, message.report
+            )
+        )
+
+    def on_success_report_issued(
+        self, message: fleet_events.SuccessReportIssued
+    ) -> None:
+        """Sends a success report to the other serving daemons.
+
+        Args:
+            message: The report.
+        """
+        self._send_to_serving_daemons(
+            datagrams.SuccessReportDatagram(
+                self._deployment.daemon_id, message.report
+            )
+        )
+
+    def _send_to_serving_daemons(self, datagram: datagrams.Datagram) -> None:
         if self._datagrams is None or self._configuration is None:
             return
         own_id = self._deployment.daemon_id
-        report = datagrams.HealthReportDatagram(own_id, message.report)
         daemons = self._fleet_view.daemons
         for daemon_id in self._fleet_view.serving_ids() - {own_id}:
             peer = daemons[daemon_id]
-            self._datagrams.send(peer.peer_host, peer.peer_port, report)
+            self._datagrams.send(peer.peer_host, peer.peer_port, datagram)
 
     def on_tick(self) -> None:
         """Pings the daemons that callers are, or would next be, sent to."""
