Mend faults at the store, the settings and the connection pool

Cause, each shown by a scenario of invalid_input.feature: a store's response with status 200 and without a field let KeyError or ValueError out of the client, and an invalid response to a write counted as a write without effect. "²" passed isdigit() in a timeout and in ports, and int() raised an error without a code. After a failed connect the pool failed one waiting request and opened no connection for the others. When an instance moved, connections to its old address that were being opened or had a request got further requests; the address may belong to another service by then.

Change: the client turns invalid fields into a store error after a read and into an unknown outcome after a write. Digits must be ASCII. The pool connects again for those that still wait, and gets a new set of connections when the instance has another address; the old ones are closed once they are free.

--- /dev/null
+++ b/features/steps/invalid_input_steps.py
@@ -0,0 +1,257 @@
+"""Steps on invalid responses of the store, and on instances that move."""
+
+from __future__ import annotations
+
+import asyncio
+
+import behave
+import click
+
+from dotterelpath import errors
+from dotterelpath.adapters import settings
+from dotterelpath.adapters import store_client
+from dotterelpath.domain import attempts
+from dotterelpath.domain import exchange
+from dotterelpath.domain import vms
+from dotterelpath.platform import caller_codec
+from dotterelpath.platform import fields
+from dotterelpath.platform import headers as platform_headers
+from dotterelpath.platform import store_codec
+from dotterelpath.tasks import backend_pool
+from dotterelpath.tasks import mailbox
+from dotterelpath.tasks import messages
+from features.support import world
+
+BODIES = {
+    "an empty object": b"{}",
+    "a text for each number": (
+        b'{"revision":"x","store_revision":"x","items":[{"key":"k",'
+        b'"value":"eA==","revision":"x"}],"events":"x","lease":"x",'
+        b'"swapped":1,"entries":[{"key":1}],"value":1,"has_more":"x"}'
+    ),
+    "bytes that are not JSON": b"\xff{",
+}
+
+
+class CannedStore:
+    """Answers each call with status 200 and the same body."""
+
+    def __init__(self):
+        self.body = b""
+
+    async def call(self, host, port, request, timeout_s):
+        return exchange.Response(200, [], self.body)
+
+
+class StoreMetrics(world.NoMetrics):
+    def record_store_call(self, call, is_successful):
+        pass
+
+
+@behave.given("a client of the {store}'s store")
+def step_client(context, store):
+    codecs = {"fleet": None, "platform": store_codec.StoreCodec()}
+    context.canned = CannedStore()
+    context.client = store_client.StoreClient(
+        "h",
+        1,
+        context.canned,
+        world.FakeClock(),
+        StoreMetrics(),
+        codecs[store],
+    )
+
+
+@behave.when("the store responds to each call with {body}")
+def step_respond(context, body):
+    context.canned.body = BODIES[body]
+
+
+def raised(coroutine):
+    try:
+        result = asyncio.run(coroutine)
+    except Exception as error:
+        return error
+    return result
+
+
+@behave.then("reads fail as store errors, and writes have an unknown outcome")
+def step_coded(context):
+    client = context.client
+    for read in (
+        client.get("k"),
+        client.watch("p", 0, 0.0),
+        client.watch("p", 5, 0.0),
+    ):
+        error = raised(read)
+        assert isinstance(error, errors.StoreError), repr(error)
+    for write in (client.create("k", "v"), client.create("k", "v", 10.0)):
+        check_unknown(raised(write), context)
+    check_unknown(raised(client.swap("k", "v", 1)), context)
+
+
+def check_unknown(result, context):
+    # The fleet's own responses to a swap with "swapped" hold the revision only.
+    assert isinstance(result, errors.UnknownOutcomeError), repr(result)
+
+
+@behave.then(
+    '"²" is refused as a timeout, as a port of an entry and of a setting'
+)
+def step_digit(context):
+    header = [(platform_headers.TIMEOUT_MS, "²".encode("latin-1"))]
+    refusals = (
+        (errors.DotterelpathError, caller_codec._parse_timeout_s, (header,)),
+        (fields.FieldError, fields.parse_endpoint, ("10.0.0.1:²", "address")),
+        (
+            click.BadParameter,
+            settings.AddressType().convert,
+            ("10.0.0.1:²", None, None),
+        ),
+    )
+    for expected, parse, arguments in refusals:
+        try:
+            parse(*arguments)
+        except expected as error:
+            assert "invalid literal" not in str(error), error
+        else:
+            raise AssertionError(f"{parse} accepts ²")
+
+
+class FakeConnection:
+    """A connection that never responds by itself."""
+
+    idle_timeout_s = None
+    is_reusable = True
+
+    def __init__(self, host):
+        self.host = host
+        self.last_received_s = 1000.0
+        self.sent = []
+        self.is_closed = False
+
+    def send(self, attempt_id, *args):
+        self.sent.append(attempt_id)
+
+    def close(self):
+        self.is_closed = True
+
+    def resume(self):
+        pass
+
+
+class FakeConnector:
+    """Opens connections when the test says so."""
+
+    def __init__(self):
+        self.opening = []
+
+    async def connect(self, host, port, listener):
+        opened = asyncio.get_running_loop().create_future()
+        self.opening.append((host, opened))
+        return await opened
+
+
+class PoolWorld:
+    """A pool with a connector that the test controls."""
+
+    def __init__(self, max_connections):
+        self.loop = asyncio.new_event_loop()
+        self.connector = FakeConnector()
+        self.inbox = mailbox.Mailbox("pool", 1000)
+        self.results = mailbox.Mailbox("results", 1000)
+        limits = backend_pool.ConnectionLimits(max_connections=max_connections)
+        self.pool = backend_pool.BackendPool(
+            self.connector, world.FakeClock(), self.inbox, self.results, limits
+        )
+        self.attempts = 0
+
+    def send(self, host):
+        self.attempts += 1
+        vm = vms.Vm("i", vms.VmRole.BACKEND, host, 1, "a", service="s")
+        request = exchange.Request("GET", "/", [], request_id="r")
+        self.inbox.force(
+            messages.SendAttempt(self.attempts, vm, request, 2000.0, False, 1)
+        )
+        self.settle()
+        return self.attempts
+
+    def settle(self):
+        async def run():
+            for _ in range(5):
+                await asyncio.sleep(0)
+                while len(self.inbox):
+                    self.pool._handle(self.inbox.poll())
+
+        self.loop.run_until_complete(run())
+
+    def finish_connect(self, error=None):
+        host, opened = self.connector.opening.pop(0)
+        connection = FakeConnection(host)
+        if error is not None:
+            opened.set_exception(error)
+        else:
+            opened.set_result(connection)
+        self.settle()
+        return connection
+
+
+@behave.given("a pool that may open {count:d} connections to an instance")
+@behave.given("a pool that may open {count:d} connection to an instance")
+def step_pool(context, count):
+    context.pool = PoolWorld(count)
+    context.add_cleanup(context.pool.loop.close)
+
+
+@behave.when("3 requests wait and the connect fails")
+def step_connect_fails(context):
+    for _ in range(3):
+        context.pool.send("old")
+    assert len(context.pool.connector.opening) == 1
+    context.pool.finish_connect(OSError("refused"))
+
+
+@behave.then("1 request fails, and a connection is opened for the next one")
+def step_next_connection(context):
+    ended = context.pool.results.poll()
+    assert ended.result is attempts.AttemptResult.UNREACHABLE
+    assert not len(context.pool.results)
+    assert len(context.pool.connector.opening) == 1
+    assert context.pool.finish_connect().sent == [2]
+
+
+@behave.when("the instance moves while a connection to its old address {state}")
+def step_move(context, state):
+    pool = context.pool
+    first = pool.send("old")
+    if state == "is being opened":
+        pool.send("new")
+        context.old = pool.finish_connect()
+        context.sent_before = 0
+        return
+    context.old = pool.finish_connect()
+    context.sent_before = 1
+    response = exchange.Response(200, [], b"")
+    if state == "is idle":
+        pool.pool.on_response(context.old, first, response, True)
+        pool.send("new")
+    else:
+        pool.send("new")
+        pool.pool.on_response(context.old, first, response, True)
+        pool.settle()
+
+
+@behave.then("all further requests are written to the new address")
+def step_new_address(context):
+    pool = context.pool
+    pool.send("new")
+    pool.send("new")
+    written = []
+    while pool.connector.opening:
+        connection = pool.finish_connect()
+        assert connection.host == "new", connection.host
+        written += connection.sent
+    assert len(context.old.sent) == context.sent_before, context.old.sent
+    assert context.old.is_closed
+    # The first request is among them if it had waited for its connection.
+    assert len(written) == pool.attempts - context.sent_before, written
--- a/src/dotterelpath/adapters/settings.py
+++ b/src/dotterelpath/adapters/settings.py
@@ -32,7 +32,10 @@
             ipaddress.ip_address(host)
         except ValueError:
             self.fail(f"{value!r} does not start with an IP address")
-        if not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+        if (
+            not (port.isascii() and port.isdigit())
+            or not 0 < int(port) <= MAX_PORT
+        ):
             self.fail(f"{value!r} does not end with a port from 1 to 65535")
         return deployment.Endpoint(host, int(port))
 
--- a/src/dotterelpath/adapters/store_client.py
+++ b/src/dotterelpath/adapters/store_client.py
@@ -28,6 +28,9 @@
 WATCH_MARGIN_S = 1.0
 
 
+_Decoded = typing.TypeVar("_Decoded")
+
+
 class CallBudget:
     """Limits a daemon to its share of a call rate, as a token bucket."""
 
@@ -99,7 +102,9 @@
     ) -> store.VersionedValue:
         """Decodes a value; see store.StoreCodec."""
         data = decode_json(response)
-        return store.VersionedValue(key, data["value"], data["revision"])
+        return store.VersionedValue(
+            key, data["value"], decode_number(data, "revision")
+        )
 
     def encode_page(
         self, prefix: str, after: str, wait_s: float, may_be_stale: bool
@@ -129,10 +134,12 @@
         """Decodes changes; see store.StoreCodec."""
         data = decode_json(response)
         entries = [
-            store.VersionedValue(item["key"], item["value"], item["revision"])
+            store.VersionedValue(
+                item["key"], item["value"], decode_number(item, "revision")
+            )
             for item in data["entries"]
         ]
-        return store.Changes(entries, data["revision"])
+        return store.Changes(entries, decode_number(data, "revision"))
 
     def encode_grant(self, lease_s: float) -> exchange.Request | None:
         """Returns None, as encode_create states the duration."""
@@ -163,7 +170,7 @@
     def decode_swap(self, response: exchange.Response) -> int | None:
         """Decodes the new revision; see store.StoreCodec."""
         data = decode_json(response)
-        return data["revision"] if data["swapped"] else None
+        return decode_number(data, "revision") if data["swapped"] else None
 
     def encode_delete(self, key: str) -> exchange.Request:
         """Encodes a deletion; see store.StoreCodec."""
@@ -235,7 +242,7 @@
         """Reads a key; see store.Store."""
         call = self._codec.encode_get(key, may_be_stale)
         response = await self._read("get", call, CALL_TIMEOUT_S)
-        return self._codec.decode_get(key, response)
+        return _decode_read(self._codec.decode_get, key, response)
 
     async def create(
         self, key: str, value: str, lease_s: float | None = None
@@ -244,15 +251,18 @@
         lease = 0
         grant = None if lease_s is None else self._codec.encode_grant(lease_s)
         if grant is not None:
-            lease = self._codec.decode_grant(await self._write("grant", grant))
+            lease = _decode_write(
+                self._codec.decode_grant, await self._write("grant", grant)
+            )
         call = self._codec.encode_create(key, value, lease_s, lease)
         response = await self._write("create", call)
-        return self._codec.decode_create(key, value, response)
+        return _decode_write(self._codec.decode_create, key, value, response)
 
     async def swap(self, key: str, value: str, revision: int) -> int | None:
         """Replaces a value if it is at a revision; see store.Store."""
         call = self._codec.encode_swap(key, value, revision)
-        return self._codec.decode_swap(await self._write("swap", call))
+        response = await self._write("swap", call)
+        return _decode_write(self._codec.decode_swap, response)
 
     async def delete(self, key: str) -> None:
         """Deletes a key; see store.Store."""
@@ -272,7 +282,7 @@
             prefix, after_revision, wait_s, may_be_stale
         )
         response = await self._read("watch", call, wait_s + WATCH_MARGIN_S)
-        return self._codec.decode_watch(response)
+        return _decode_read(self._codec.decode_watch, response)
 
     async def renew(self, lease: int) -> bool:
         """Renews a lease; see store.Store."""
@@ -295,7 +305,7 @@
         while after is not None:
             call = self._codec.encode_page(prefix, after, wait_s, may_be_stale)
             response = await self._read("list", call, wait_s + WATCH_MARGIN_S)
-            page = self._codec.decode_page(response)
+            page = _decode_read(self._codec.decode_page, response)
             entries += page.entries
             revision = page.revision if revision is None else revision
             after = page.next_after
@@ -352,6 +362,37 @@
         )
 
 
+def _decode_read(
+    decode: typing.Callable[..., _Decoded], *args: typing.Any
+) -> _Decoded:
+    """Decodes the response to a read.
+
+    Raises:
+        StoreError: The response lacks a field, or a field has another type.
+    """
+    try:
+        return decode(*args)
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise errors.StoreError(
+            f"the response has an invalid field: {error!r}"
+        ) from error
+
+
+def _decode_write(
+    decode: typing.Callable[..., _Decoded], *args: typing.Any
+) -> _Decoded:
+    """Decodes the response to a write.
+
+    Raises:
+        UnknownOutcomeError: The response is invalid. The store may have made
+            the change all the same.
+    """
+    try:
+        return _decode_read(decode, *args)
+    except errors.StoreError as error:
+        raise errors.UnknownOutcomeError(str(error)) from error
+
+
 def decode_json(response: exchange.Response) -> dict[str, typing.Any]:
     """Decodes a response body that holds a JSON object.
 
@@ -373,5 +414,21 @@
     return data
 
 
+def decode_number(data: dict[str, typing.Any], name: str) -> int:
+    """Decodes a field that holds an integer.
+
+    Args:
+        data: The object that has the field.
+        name: The name of the field.
+
+    Raises:
+        StoreError: The field is missing or has another type.
+    """
+    number = data.get(name)
+    if not isinstance(number, int) or isinstance(number, bool):
+        raise errors.StoreError(f"the response has no number {name}")
+    return number
+
+
 def _post(call: str, body: dict[str, typing.Any]) -> exchange.Request:
     return http_client.build_post(f"/v1/{call}", orjson.dumps(body))
--- a/src/dotterelpath/platform/caller_codec.py
+++ b/src/dotterelpath/platform/caller_codec.py
@@ -118,7 +118,7 @@
     text = _single_value(headers, platform_headers.TIMEOUT_MS)
     if text is None:
         return None
-    if not text.isdigit() or len(text) > 9:
+    if not (text.isascii() and text.isdigit()) or len(text) > 9:
         raise errors.DotterelpathError(
             errors.ResultCode.BAD_HEADER,
             "the header deadline-ms is not an integer of at most 9 digits",
--- a/src/dotterelpath/platform/store_codec.py
+++ b/src/dotterelpath/platform/store_codec.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import typing
 import urllib.parse
 
@@ -92,7 +91,9 @@
 
     def decode_grant(self, response: exchange.Response) -> int:
         """Decodes the id of the lease; see store.StoreCodec."""
-        return int(store_client.decode_json(response)["lease"])
+        return store_client.decode_number(
+            store_client.decode_json(response), "lease"
+        )
 
     def encode_create(
         self, key: str, value: str, lease_s: float | None, lease: int
@@ -113,7 +114,9 @@
                     "the response with status 412 has no item"
                 )
             return items[0]
-        return store.VersionedValue(key, value, int(data["revision"]))
+        return store.VersionedValue(
+            key, value, store_client.decode_number(data, "revision")
+        )
 
     def encode_swap(
         self, key: str, value: str, revision: int
@@ -125,7 +128,9 @@
         """Decodes the new revision; see store.StoreCodec."""
         if response.status == 412:
             return None
-        return int(store_client.decode_json(response)["revision"])
+        return store_client.decode_number(
+            store_client.decode_json(response), "revision"
+        )
 
     def encode_delete(self, key: str) -> exchange.Request:
         """Encodes a deletion; see store.StoreCodec."""
@@ -175,10 +180,7 @@
 
 
 def _decode_revision(data: dict[str, typing.Any]) -> int:
-    revision = data.get("store_revision")
-    if not isinstance(revision, int):
-        raise errors.StoreError("the response has no revision")
-    return revision
+    return store_client.decode_number(data, "store_revision")
 
 
 def _decode_items(
@@ -208,5 +210,5 @@
             int(data["revision"]),
             int(data.get("lease") or 0),
         )
-    except (KeyError, TypeError, binascii.Error) as error:
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
         raise errors.StoreError(f"an item is invalid: {error!r}") from error
--- a/src/dotterelpath/tasks/backend_pool.py
+++ b/src/dotterelpath/tasks/backend_pool.py
@@ -76,6 +76,9 @@
         self.connecting = 0
         self.open_count = 0
 
+    def has_address_of(self, vm: vms.Vm) -> bool:
+        return (self.vm.host, self.vm.port) == (vm.host, vm.port)
+
 
 class BackendPool:
     """Sends attempts to instances and reports their results.
@@ -261,14 +264,15 @@
         Args:
             message: The connection, or why it could not be opened.
         """
-        pool = self._pools.get(message.vm_id)
-        if pool is None:
+        pool = self._pools.get(message.vm.id)
+        if pool is None or not pool.has_address_of(message.vm):
             if message.connection is not None:
                 message.connection.close()
             return
         pool.connecting -= 1
         if message.connection is None:
             self._fail_next_waiting(pool, message.detail)
+            self._connect_for_waiting(pool)
             return
         pool.open_count += 1
         self._pool_by_connection[message.connection] = pool
@@ -316,13 +320,25 @@
         pool = self._pools.get(vm.id)
         if pool is None:
             pool = self._pools[vm.id] = _InstancePool(vm)
-        elif (pool.vm.host, pool.vm.port) != (vm.host, vm.port):
-            for connection in list(pool.idle):
-                self._remove_connection(connection)
-                connection.close()
+        elif not pool.has_address_of(vm):
+            pool = self._pools[vm.id] = self._move(pool, vm)
         pool.vm = vm
         return pool
 
+    def _move(self, pool: _InstancePool, vm: vms.Vm) -> _InstancePool:
+        """Replaces the pool of an instance that has another address now.
+
+        Connections to the old address, and those that are being opened, must
+        not get further requests.
+        """
+        moved = _InstancePool(vm)
+        moved.waiting, pool.waiting = pool.waiting, moved.waiting
+        for connection in list(pool.idle):
+            self._remove_connection(connection)
+            connection.close()
+        self._connect_for_waiting(moved)
+        return moved
+
     def _take_idle(
         self, pool: _InstancePool, needs_recent_use: bool
     ) -> backend.Connection | None:
@@ -384,14 +400,15 @@
             detail = f"no connection within {self._limits.connect_timeout_s} s"
         except OSError as error:
             detail = str(error)
-        self._mailbox.force(messages.ConnectFinished(vm.id, connection, detail))
+        self._mailbox.force(messages.ConnectFinished(vm, connection, detail))
 
     def _release(self, connection: backend.Connection, attempt_id: int) -> None:
         self._active_connections.pop(attempt_id, None)
         pool = self._pool_by_connection.get(connection)
         if pool is None:
             return
-        if not connection.is_reusable:
+        is_current = self._pools.get(pool.vm.id) is pool
+        if not connection.is_reusable or not is_current:
             self._remove_connection(connection)
             connection.close()
         elif pool.waiting:
--- a/src/dotterelpath/tasks/messages.py
+++ b/src/dotterelpath/tasks/messages.py
@@ -239,22 +239,22 @@
 class ConnectFinished:
     """A connection to an instance was opened, or could not be opened."""
 
-    __slots__ = ("connection", "detail", "vm_id")
+    __slots__ = ("connection", "detail", "vm")
 
     def __init__(
         self,
-        vm_id: str,
+        vm: vms.Vm,
         connection: backend.Connection | None,
         detail: str = "",
     ) -> None:
         """Creates the message.
 
         Args:
-            vm_id: The instance.
+            vm: The instance, at the address of the connection.
             connection: The connection; None if it could not be opened.
             detail: Why the connection could not be opened.
         """
-        self.vm_id = vm_id
+        self.vm = vm
         self.connection = connection
         self.detail = detail
 
