Spend the retry budget only on retries that are made

Cause: a retry took an attempt out of the shared budget before an instance was looked for. A service with a single instance that fails spent its whole budget on retries that were never sent.

Change: the instance is selected first, the budget is spent last.

--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -75,6 +75,11 @@
     When all fail fast on 60 % from second 2 to 20 at 30 requests a second
     Then no window of 10 seconds has more retries than a fifth and the slack
 
+  Scenario: A retry that finds no other instance costs no budget
+    Given a single simulated instance that fails each idempotent request
+    When 10 requests a second arrive for 2 seconds
+    Then each request was sent once, and no retry is counted
+
   Scenario: A daemon that stops and its successor share the retry budget
     Given two daemons that count the retries of one service separately
     When both see 5 requests, and each gets a slack of 30 retries
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -328,6 +328,28 @@
     assert context.world.served_share() == 1.0, context.world.served_share()
 
 
+@behave.given("a single simulated instance that fails each idempotent request")
+def step_single_instance(context):
+    route = gateway_world.route("/w/", idempotent=True)
+    context.world = gateway_world.GatewayWorld([route], 1)
+    set_faults(context.world, 1, failure_rate=1.0)
+
+
+@behave.when("10 requests a second arrive for 2 seconds")
+def step_ten_a_second(context):
+    context.world.load("/w/1", 10, 0.0, 2.0)
+    context.world.run(10.0)
+
+
+@behave.then("each request was sent once, and no retry is counted")
+def step_no_retry(context):
+    world = context.world
+    (instance,) = world.instances.values()
+    (service,) = world.gateway.services.values()
+    assert len(instance.arrivals) == len(world.sent) == len(world.outcomes)
+    assert service.retries.retries == 0, service.retries.retries
+
+
 def make_entry(sequence=1, started_ms=1, is_draining=False, id="i"):
     return registry.Entry(
         id, "s", "h", 1, "a", 4, is_draining, 0.0, sequence, started_ms
--- a/src/dotterelpath/tasks/_request_sender.py
+++ b/src/dotterelpath/tasks/_request_sender.py
@@ -549,12 +549,13 @@
         if pending.is_ended or pending.open_attempts:
             return
         is_safe = pending.is_idempotent or not pending.may_have_run
-        if (
-            is_safe
-            and self._has_time_for_retry(pending)
-            and self._services.spend_attempt(pending)
-        ):
-            selection = self._services.select_instance(pending)
+        if not is_safe or not self._has_time_for_retry(pending):
+            self._fail(pending, code, detail)
+            return
+        selection = self._services.select_instance(pending)
+        has_target = selection.instance is not None or selection.can_wait
+        # The budget is spent last, so that only retries that are made cost it.
+        if has_target and self._services.spend_attempt(pending):
             _log.info(
                 "request retried",
                 request_id=pending.request.request_id,
@@ -566,10 +567,9 @@
             self._metrics.record_retry(self._service_name(pending), False)
             if selection.instance is not None:
                 self._send(pending, selection)
-                return
-            if selection.can_wait:
+            else:
                 self._enqueue(pending)
-                return
+            return
         self._fail(pending, code, detail)
 
     def _has_time_for_retry(self, pending: _pending.PendingRequest) -> bool:
