Leave out few instances of each data centre while a service is degraded

A daemon probes the instances of its own data centre only, but the share that it may leave out was taken of all instances of the service. With 144 instances in five data centres it left out 32, which may have been all of its own.

Change: the share is taken of the own data centre, and a daemon makes use of half of what the owners allow, since daemons of one data centre differ in what they know.

--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -53,6 +53,11 @@
     When all fail fast on 30 % from second 2 to 12 at 30 requests a second
     Then each instance gets a request at least every 2 seconds meanwhile
 
+  Scenario: While degraded, few instances of each data centre are left out
+    Given 30 instances in three data centres, of which 6 in this one fail
+    When the service is degraded for 2 seconds, with a floor of 70 %
+    Then at least 8 of the 10 instances in this data centre get a request
+
   Scenario: A new instance gets its first request within four seconds
     Given 6 simulated instances of 3 slots, and non-idempotent requests
     When an instance is added at second 8 at 10 requests a second
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import random
+
 import behave
 
 from dotterelpath.domain import configuration
 from dotterelpath.domain import health_reports
+from dotterelpath.domain import load_balancer
 from dotterelpath.domain import probing
 from dotterelpath.domain import registry
 from dotterelpath.domain import retry_window
@@ -159,6 +162,40 @@
         assert max(gaps) <= 2.0, (instance.id, max(gaps))
 
 
+@behave.given("30 instances in three data centres, of which 6 in this one fail")
+def step_failing_nearby(context):
+    context.balancer = load_balancer.LoadBalancer("a")
+    entries = [
+        registry.Entry(f"i{n}", "s", "h", 1, "abc"[n % 3], 4, False, 0.0, 1, 1)
+        for n in range(30)
+    ]
+    context.balancer.set_listed(
+        [registry.RegisteredInstance(entry) for entry in entries], 0.0
+    )
+    for number in range(0, 18, 3):
+        for _ in range(3):
+            context.balancer.record_failure(f"i{number}", True, 10.0)
+
+
+@behave.when("the service is degraded for 2 seconds, with a floor of 70 %")
+def step_degraded(context):
+    context.chosen = set()
+    draw = random.Random(1)
+    for tick in range(200):
+        now_s = 10.0 + tick / 100.0
+        instance = context.balancer.choose(
+            draw, now_s, False, is_degraded=True, min_used_share=0.7
+        ).instance
+        instance.last_sent_s = now_s
+        context.chosen.add(instance)
+
+
+@behave.then("at least 8 of the 10 instances in this data centre get a request")
+def step_floor_nearby(context):
+    nearby = [i for i in context.chosen if i.entry.data_centre == "a"]
+    assert len(nearby) >= 8, len(nearby)
+
+
 @behave.when("an instance is added at second 8 at 10 requests a second")
 def step_add_instance(context):
     world = context.world
--- a/src/dotterelpath/domain/load_balancer.py
+++ b/src/dotterelpath/domain/load_balancer.py
@@ -31,7 +31,7 @@
 EVEN_CHANCE = 0.5
 # The fraction of the allowance for unused instances that a daemon makes use of.
 # The rest is a margin, since other daemons may leave out other instances.
-UNUSED_MARGIN = 0.75
+UNUSED_MARGIN = 0.5
 # How often the instances are searched for one to probe, in seconds.
 PROBE_SEARCH_PERIOD_S = 0.05
 # The same for each instance, for services where the sum is longer.
@@ -429,15 +429,19 @@
         if now_s - self._probe_searched_s[can_retry] < period_s:
             return None
         excluded = self._excluded(())
-        usable = [i for i in self._instances.values() if i.id not in excluded]
+        usable = [
+            instance
+            for instance in self._instances.values()
+            if instance.entry.data_centre == self._data_centre
+            and instance.id not in excluded
+        ]
         exempt: typing.Collection[instance_state.InstanceState] = ()
         if is_degraded and not can_retry:
             exempt = _worst(usable, min_used_share, now_s)
         due = [
             instance
             for instance in usable
-            if instance.entry.data_centre == self._data_centre
-            and not probing.was_just_sent_to(instance.last_sent_s, now_s)
+            if not probing.was_just_sent_to(instance.last_sent_s, now_s)
             and instance not in exempt
             and probing.is_probe_due(
                 instance.last_sent_s,
