Tell the other daemons which instances leave

Change: daemons that watch the store report the instances that begin to drain to the other serving daemons. The datagram waits in the socket of a paused daemon. Leaving is final for a run of an instance, so that a report may come late or twice; a report on an earlier run has no effect.

--- a/src/dotterelpath/adapters/datagrams.py
+++ b/src/dotterelpath/adapters/datagrams.py
@@ -99,6 +99,11 @@
             "link_mbps": round(datagram.usage.link_mbps, 3),
             "revision": datagram.revision,
         }
+    if isinstance(datagram, datagrams.LeavingReportDatagram):
+        return {
+            "leaving": datagram.report.instances,
+            "from": datagram.sender_id,
+        }
     if isinstance(datagram, datagrams.SuccessReportDatagram):
         return {
             "served": datagram.report.instances,
@@ -137,6 +142,16 @@
         value = data["revision"]
         revision = None if value is None else int(value)
         return datagrams.Pong(sender, int(data["pong"]), state, usage, revision)
+    if "leaving" in data:
+        return datagrams.LeavingReportDatagram(
+            sender,
+            health_reports.LeavingReport(
+                [
+                    (str(service), str(id), int(started))
+                    for service, id, started in data["leaving"]
+                ]
+            ),
+        )
     if "served" in data:
         return datagrams.SuccessReportDatagram(
             sender,
--- a/src/dotterelpath/domain/health_reports.py
+++ b/src/dotterelpath/domain/health_reports.py
@@ -4,6 +4,9 @@
 
 import enum
 
+# The most instances in one report, so that it fits into one packet.
+MAX_INSTANCES = 24
+
 
 class Symptom(enum.Enum):
     """The observation that a report is about."""
@@ -20,6 +23,25 @@
     SERVICE_DEGRADED = "troubled"
 
 
+class LeavingReport:
+    """A daemon's report on instances that leave.
+
+    A daemon that cannot read the store, or was paused while the store changed,
+    learns from it that the instances must get no more requests.
+    """
+
+    __slots__ = ("instances",)
+
+    def __init__(self, instances: list[tuple[str, str, int]]) -> None:
+        """Creates a report.
+
+        Args:
+            instances: The service of each instance, its id and its start time,
+                in milliseconds since 1970.
+        """
+        self.instances = instances
+
+
 class SuccessReport:
     """A daemon's report on the instances that served its requests."""
 
--- a/src/dotterelpath/domain/success_log.py
+++ b/src/dotterelpath/domain/success_log.py
@@ -8,10 +8,10 @@
 
 import math
 
+from dotterelpath.domain import health_reports
+
 # The period of a daemon's reports on a service, in seconds.
 REPORT_PERIOD_S = 0.5
-# The most instances in one report, so that it fits into one packet.
-MAX_INSTANCES = 30
 
 
 class SuccessLog:
@@ -57,6 +57,8 @@
         if now_s - self._reported_s < REPORT_PERIOD_S:
             return []
         self._reported_s = now_s
-        taken = list(self._started_ms_by_id.items())[-MAX_INSTANCES:]
+        taken = list(self._started_ms_by_id.items())[
+            -health_reports.MAX_INSTANCES :
+        ]
         self._started_ms_by_id.clear()
         return taken
--- a/src/dotterelpath/ports/datagrams.py
+++ b/src/dotterelpath/ports/datagrams.py
@@ -90,7 +90,31 @@
         self.report = report
 
 
-Datagram = Ping | Pong | HealthReportDatagram | SuccessReportDatagram
+class LeavingReportDatagram:
+    """Reports instances that leave."""
+
+    __slots__ = ("report", "sender_id")
+
+    def __init__(
+        self, sender_id: str, report: health_reports.LeavingReport
+    ) -> None:
+        """Creates a datagram.
+
+        Args:
+            sender_id: The id of the daemon that reports.
+            report: The instances.
+        """
+        self.sender_id = sender_id
+        self.report = report
+
+
+Datagram = (
+    Ping
+    | Pong
+    | HealthReportDatagram
+    | SuccessReportDatagram
+    | LeavingReportDatagram
+)
 
 
 class Datagrams(typing.Protocol):
--- a/src/dotterelpath/tasks/_pending.py
+++ b/src/dotterelpath/tasks/_pending.py
@@ -51,8 +51,8 @@
         self.retries = retry_window.RetryWindow()
         self.success_log = success_log.SuccessLog()
         self.degradation = probing.DegradationMonitor()
-        # The id and the start time of each instance that was not found at its
-        # address.
+        # The id and the start time of each instance that leaves, or was not
+        # found at its address.
         self.removed_instances: set[tuple[str, int]] = set()
 
 
--- a/src/dotterelpath/tasks/_services.py
+++ b/src/dotterelpath/tasks/_services.py
@@ -162,6 +162,33 @@
                 state.balancer, report.instance_id, report.symptom, now_s
             )
 
+    def on_leaving_report_received(
+        self, message: fleet_events.LeavingReportReceived
+    ) -> None:
+        """Removes instances that another daemon reports as leaving.
+
+        Leaving is final for a run of an instance, and an earlier run has ended.
+        A report on a run before the listed one, or on an instance that is not
+        listed yet, has no effect; the store has the entry of the latter.
+
+        Args:
+            message: The report.
+        """
+        for service, instance_id, started_ms in message.report.instances:
+            state = self._services.get(service)
+            if state is None:
+                continue
+            instance = state.balancer.instances.get(instance_id)
+            if instance is None or instance.entry.started_ms > started_ms:
+                continue
+            _log.info(
+                "instance leaves",
+                instance=instance_id,
+                service=service,
+                sender=message.daemon_id,
+            )
+            self.remove_instance(state, instance)
+
     def on_success_report_received(
         self, message: fleet_events.SuccessReportReceived
     ) -> None:
@@ -376,7 +403,7 @@
         state: _pending.ServiceState,
         instance: instance_state.InstanceState,
     ) -> None:
-        """Removes an instance that is not at its address any more."""
+        """Removes an instance that leaves or is not at its address any more."""
         state.removed_instances.add((instance.id, instance.entry.started_ms))
         state.balancer.drop(instance.id)
 
--- a/src/dotterelpath/tasks/fleet_events.py
+++ b/src/dotterelpath/tasks/fleet_events.py
@@ -194,3 +194,35 @@
         """
         self.daemon_id = daemon_id
         self.report = report
+
+
+class LeavingReportIssued:
+    """This daemon has read that instances leave."""
+
+    __slots__ = ("report",)
+
+    def __init__(self, report: health_reports.LeavingReport) -> None:
+        """Creates the message.
+
+        Args:
+            report: The report.
+        """
+        self.report = report
+
+
+class LeavingReportReceived:
+    """Another daemon reported instances that leave."""
+
+    __slots__ = ("daemon_id", "report")
+
+    def __init__(
+        self, daemon_id: str, report: health_reports.LeavingReport
+    ) -> None:
+        """Creates the message.
+
+        Args:
+            daemon_id: The daemon that sent the report.
+            report: The report.
+        """
+        self.daemon_id = daemon_id
+        self.report = report
--- a/src/dotterelpath/tasks/gateway.py
+++ b/src/dotterelpath/tasks/gateway.py
@@ -242,6 +242,9 @@
             fleet_events.HealthReportReceived: (
                 services.on_health_report_received
             ),
+            fleet_events.LeavingReportReceived: (
+                services.on_leaving_report_received
+            ),
             fleet_events.SuccessReportReceived: (
                 services.on_success_report_received
             ),
--- a/src/dotterelpath/tasks/peer_monitor.py
+++ b/src/dotterelpath/tasks/peer_monitor.py
@@ -184,6 +184,8 @@
             self.on_health_report_issued(message)
         elif isinstance(message, fleet_events.SuccessReportIssued):
             self.on_success_report_issued(message)
+        elif isinstance(message, fleet_events.LeavingReportIssued):
+            self.on_leaving_report_issued(message)
         elif isinstance(message, messages.Tick):
             self.on_tick()
         elif isinstance(message, fleet_events.ConfigurationChanged):
@@ -215,6 +217,12 @@
                 self._store_reader.force(
                     fleet_events.RevisionReceived(datagram.revision, now_s)
                 )
+        elif isinstance(datagram, datagrams.LeavingReportDatagram):
+            self._gateway.force(
+                fleet_events.LeavingReportReceived(
+                    datagram.sender_id, datagram.report
+                )
+            )
         elif isinstance(datagram, datagrams.SuccessReportDatagram):
             self._gateway.force(
                 fleet_events.SuccessReportReceived(
@@ -270,6 +278,28 @@
             )
         )
 
+    def on_leaving_report_issued(
+        self, message: fleet_events.LeavingReportIssued
+    ) -> None:
+        """Sends a report on leaving instances to the other serving daemons.
+
+        Only daemons that watch the store do so; they are the first to know.
+
+        Args:
+            message: The report.
+        """
+        if self._store_revision is None:
+            return
+        _log.info(
+            "leaving instances reported",
+            instances=[id for _, id, _ in message.report.instances],
+        )
+        self._send_to_serving_daemons(
+            datagrams.LeavingReportDatagram(
+                self._deployment.daemon_id, message.report
+            )
+        )
+
     def _send_to_serving_daemons(self, datagram: datagrams.Datagram) -> None:
         if self._datagrams is None or self._configuration is None:
             return
--- a/src/dotterelpath/tasks/registrar.py
+++ b/src/dotterelpath/tasks/registrar.py
@@ -7,6 +7,7 @@
 import structlog
 
 from dotterelpath.domain import configuration
+from dotterelpath.domain import health_reports
 from dotterelpath.domain import registry
 from dotterelpath.domain import steering
 from dotterelpath.ports import clock as clock_port
@@ -183,13 +184,20 @@
     ) -> None:
         has_changed = False
         present = set()
+        leaving: list[tuple[str, str, int]] = []
         for item in items:
             if isinstance(item, store_items.InstanceItem):
-                if item.entry is None:
+                entry = item.entry
+                if entry is None:
                     has_changed |= self._registry.mark_missing(item.id, now_s)
-                else:
-                    present.add(item.id)
-                    has_changed |= self._apply_entry(item.entry)
+                    continue
+                present.add(item.id)
+                if self._apply_entry(entry):
+                    has_changed = True
+                    if entry.is_draining:
+                        leaving.append(
+                            (entry.service, entry.id, entry.started_ms)
+                        )
             elif (
                 isinstance(item, store_items.InvalidItem)
                 and item.instance_id is not None
@@ -201,8 +209,17 @@
             has_changed |= self._registry.reconcile(present, now_s)
         if has_changed or changes.is_full:
             self._publish_instances()
+        if not changes.is_full:
+            self._report_leaving(leaving)
         self._schedule_expiry(now_s)
 
+    def _report_leaving(self, leaving: list[tuple[str, str, int]]) -> None:
+        """Tells the other daemons which instances leave."""
+        for start in range(0, len(leaving), health_reports.MAX_INSTANCES):
+            part = leaving[start : start + health_reports.MAX_INSTANCES]
+            report = health_reports.LeavingReport(part)
+            self._peer_monitor.force(fleet_events.LeavingReportIssued(report))
+
     def _apply_entry(self, entry: registry.Entry) -> bool:
         has_changed = self._registry.apply_entry(entry)
         if has_changed:
