Keep few instances idle, since a service may degrade at any moment

In the second before, nothing was wrong yet, so that the probes of a degraded service cannot help. Daemons put their requests on the instances that they know best.

Change: if less than the owners' share and a margin of 5 % of a data centre's instances got a request within a second, the next request goes to the best idle one that is neither unhealthy nor slow.

--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -58,6 +58,13 @@
     When the service is degraded for 2 seconds, with a floor of 70 %
     Then at least 8 of the 10 instances in this data centre get a request
 
+  # All daemons fail at some moment. The floor holds for the second before, when
+  # nothing was wrong yet.
+  Scenario: A service that is about to degrade has few idle instances
+    Given 30 simulated instances, of which 6 always fail, and a floor of 70 %
+    When 60 non-idempotent requests a second arrive for 20 seconds
+    Then in each 1.25 seconds at least 70 % of the instances get a request
+
   Scenario: A new instance gets its first request within four seconds
     Given 6 simulated instances of 3 slots, and non-idempotent requests
     When an instance is added at second 8 at 10 requests a second
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -6,6 +6,7 @@
 
 import behave
 
+from dotterelpath.domain import bounds
 from dotterelpath.domain import configuration
 from dotterelpath.domain import health_reports
 from dotterelpath.domain import load_balancer
@@ -196,6 +197,39 @@
     assert len(nearby) >= 8, len(nearby)
 
 
+@behave.given(
+    "30 simulated instances, of which 6 always fail, and a floor of 70 %"
+)
+def step_floor_world(context):
+    route = gateway_world.route("/w/", idempotent=False)
+    context.world = gateway_world.GatewayWorld([route], 30, 4)
+    limits = bounds.Bounds(
+        retry_ratio=0.2, retry_slack=10.0, min_used_share=0.7
+    )
+    context.world.gateway.handle(fleet_events.BoundsChanged(limits))
+    set_faults(context.world, 6, failure_rate=1.0)
+
+
+@behave.when("60 non-idempotent requests a second arrive for 20 seconds")
+def step_moderate_load(context):
+    context.world.load("/w/1", 60, 0.0, 20.0)
+    context.world.run(30.0)
+
+
+@behave.then(
+    "in each 1.25 seconds at least 70 % of the instances get a request"
+)
+def step_few_idle(context):
+    instances = context.world.instances.values()
+    # The first seconds show which instances fail.
+    for start in range(50, 185, 5):
+        start_s, end_s = start / 10.0, start / 10.0 + 1.25
+        used = sum(
+            any(start_s <= t < end_s for t, _ in i.arrivals) for i in instances
+        )
+        assert used >= 21, (start_s, used)
+
+
 @behave.when("an instance is added at second 8 at 10 requests a second")
 def step_add_instance(context):
     world = context.world
--- a/src/dotterelpath/domain/instance_state.py
+++ b/src/dotterelpath/domain/instance_state.py
@@ -100,6 +100,24 @@
         self.peer_load = float(max(0, running + waiting - self.in_flight))
         self.peer_load_at_s = now_s
 
+    def idle_s(self, now_s: float) -> float:
+        """Returns the time since the last request from here, in seconds.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        return (
+            math.inf if self.last_sent_s is None else now_s - self.last_sent_s
+        )
+
+    def is_slow(self, now_s: float) -> bool:
+        """Tells whether the next response is probably slow.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        return self.slow_filter.symptom_probability(now_s) > UNHEALTHY_THRESHOLD
+
     def failing(self, now_s: float) -> float:
         """Returns the probability that the instance fails the next request.
 
--- a/src/dotterelpath/domain/load_balancer.py
+++ b/src/dotterelpath/domain/load_balancer.py
@@ -441,7 +441,7 @@
         due = [
             instance
             for instance in usable
-            if not probing.was_just_sent_to(instance.last_sent_s, now_s)
+            if instance.idle_s(now_s) >= probing.SHORTEST_PERIOD_S
             and instance not in exempt
             and probing.is_probe_due(
                 instance.last_sent_s,
@@ -453,9 +453,14 @@
             )
             and instance.has_free_slot(now_s)
         ]
-        if not due:
-            self._probe_searched_s[can_retry] = now_s
-        return min(due, key=_last_sent_s, default=None)
+        if due:
+            return min(due, key=_last_sent_s)
+        self._probe_searched_s[can_retry] = now_s
+        idle_times_s = [instance.idle_s(now_s) for instance in usable]
+        if not probing.are_too_many_idle(idle_times_s, min_used_share):
+            return None
+        self._update_ranking(now_s)
+        return self._ranking.cheapest_idle(probing.COVERAGE_PERIOD_S, now_s)
 
 
 def _worst(
--- a/src/dotterelpath/domain/probing.py
+++ b/src/dotterelpath/domain/probing.py
@@ -36,6 +36,13 @@
 UNHEALTHY_PERIOD_S = 1.5
 # The shortest of these periods, in seconds.
 SHORTEST_PERIOD_S = min(RETRYABLE_PERIOD_S, ANY_PERIOD_S, UNHEALTHY_PERIOD_S)
+# The share of a data centre's instances that get a request in each coverage
+# period exceeds the owners' minimum by this margin, but not the second value. A
+# service may become degraded from one moment to the next, for instance when
+# many daemons fail; the minimum then holds for the time before as well.
+COVERAGE_MARGIN = 0.05
+MAX_COVERED_SHARE = 0.8
+COVERAGE_PERIOD_S = 1.0
 # The time after which a new instance without requests is probed, in seconds:
 # the first with a request that can be retried, the second with any other.
 RETRYABLE_FIRST_PROBE_S = 0.5
@@ -144,15 +151,18 @@
         self._updated_s = now_s
 
 
-def was_just_sent_to(last_sent_s: float | None, now_s: float) -> bool:
-    """Tells whether an instance got a request too recently for any probe.
+def are_too_many_idle(idle_times_s: list[float], min_used_share: float) -> bool:
+    """Tells whether an idle instance of the data centre must get a request.
 
     Args:
-        last_sent_s: The time at which the instance last got a request, in
-            seconds; None if it never did.
-        now_s: The current time on the monotonic clock, in seconds.
+        idle_times_s: The time since the last request of each instance, in
+            seconds.
+        min_used_share: The share of the instances that must get requests while
+            the service is degraded.
     """
-    return last_sent_s is not None and now_s - last_sent_s < SHORTEST_PERIOD_S
+    share = min(min_used_share + COVERAGE_MARGIN, MAX_COVERED_SHARE)
+    used = sum(idle_s < COVERAGE_PERIOD_S for idle_s in idle_times_s)
+    return used < share * len(idle_times_s)
 
 
 def is_probe_due(
--- a/src/dotterelpath/domain/ranking.py
+++ b/src/dotterelpath/domain/ranking.py
@@ -205,6 +205,29 @@
                 best, best_cost = instance, cost
         return best
 
+    def cheapest_idle(
+        self, idle_s: float, now_s: float
+    ) -> instance_state.InstanceState | None:
+        """Finds the best instance of this data centre that got no request.
+
+        Unhealthy and slow instances are left out.
+
+        Args:
+            idle_s: The time without a request, in seconds.
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        for ranked in self._ranked:
+            instance = ranked.instance
+            if (
+                ranked.failing <= instance_state.UNHEALTHY_THRESHOLD
+                and instance.entry.data_centre == self._data_centre
+                and instance.idle_s(now_s) >= idle_s
+                and instance.has_free_slot(now_s)
+                and not instance.is_slow(now_s)
+            ):
+                return instance
+        return None
+
     def _lowest_failing(self) -> float:
         return min((r.failing for r in self._ranked), default=1.0)
 
