Count requests to idle instances as regular ones

Cause: requests that keep few instances idle counted as probes. Probes do not count in the share of failed requests, and a daemon with more probes than other requests takes no service for degraded, so that a service with little traffic could hide its own trouble. Instances whose entry is missing were not left out.

Change: these requests are regular choices; the search has its own interval; instances with a missing entry are used only if there are no others.

--- a/src/dotterelpath/domain/load_balancer.py
+++ b/src/dotterelpath/domain/load_balancer.py
@@ -32,10 +32,11 @@
 # The fraction of the allowance for unused instances that a daemon makes use of.
 # The rest is a margin, since other daemons may leave out other instances.
 UNUSED_MARGIN = 0.5
-# How often the instances are searched for one to probe, in seconds.
-PROBE_SEARCH_PERIOD_S = 0.05
+# How often all instances are searched for one to probe, or for an idle one, in
+# seconds.
+SEARCH_PERIOD_S = 0.05
 # The same for each instance, for services where the sum is longer.
-PROBE_SEARCH_PERIOD_PER_INSTANCE_S = 0.0002
+SEARCH_PERIOD_PER_INSTANCE_S = 0.0002
 # The age of a success that a peer reports, in seconds, at most.
 MAX_REPORT_AGE_S = 2.0 * success_log.REPORT_PERIOD_S
 
@@ -81,6 +82,7 @@
     __slots__ = (
         "_data_centre",
         "_discovery_ends_s",
+        "_idle_searched_s",
         "_ids_of_missing_entries",
         "_instances",
         "_probe_searched_s",
@@ -101,6 +103,7 @@
         # The time of the last search for an instance to probe that found none,
         # by whether the request could be retried.
         self._probe_searched_s = {True: -math.inf, False: -math.inf}
+        self._idle_searched_s = -math.inf
         self._typical_by_route_s: dict[str, float] = {}
         self._discovery_ends_s: float | None = None
 
@@ -180,6 +183,9 @@
             )
             if probe is not None:
                 return Selection(probe, False, Reason.PROBE)
+            idle = self._needed_idle_instance(min_used_share, now_s)
+            if idle is not None:
+                return Selection(idle, False)
         self._update_ranking(now_s)
         excluded = self._excluded(tried)
         best = self._ranking.best_failing(excluded)
@@ -422,19 +428,9 @@
         Only instances of this data centre are probed. The daemons of the other
         data centres probe the instances there.
         """
-        period_s = max(
-            PROBE_SEARCH_PERIOD_S,
-            len(self._instances) * PROBE_SEARCH_PERIOD_PER_INSTANCE_S,
-        )
-        if now_s - self._probe_searched_s[can_retry] < period_s:
+        if now_s - self._probe_searched_s[can_retry] < self._search_period_s:
             return None
-        excluded = self._excluded(())
-        usable = [
-            instance
-            for instance in self._instances.values()
-            if instance.entry.data_centre == self._data_centre
-            and instance.id not in excluded
-        ]
+        usable = self._usable_nearby()
         exempt: typing.Collection[instance_state.InstanceState] = ()
         if is_degraded and not can_retry:
             exempt = _worst(usable, min_used_share, now_s)
@@ -456,12 +452,42 @@
         if due:
             return min(due, key=_last_sent_s)
         self._probe_searched_s[can_retry] = now_s
-        idle_times_s = [instance.idle_s(now_s) for instance in usable]
+        return None
+
+    def _needed_idle_instance(
+        self, min_used_share: float, now_s: float
+    ) -> instance_state.InstanceState | None:
+        """Returns the best idle instance if too many are idle.
+
+        Like probes, these are instances of this data centre. Unlike probes,
+        they are expected to serve the request.
+        """
+        if now_s - self._idle_searched_s < self._search_period_s:
+            return None
+        self._idle_searched_s = now_s
+        idle_times_s = [i.idle_s(now_s) for i in self._usable_nearby()]
         if not probing.are_too_many_idle(idle_times_s, min_used_share):
             return None
         self._update_ranking(now_s)
         return self._ranking.cheapest_idle(probing.COVERAGE_PERIOD_S, now_s)
 
+    @property
+    def _search_period_s(self) -> float:
+        return max(
+            SEARCH_PERIOD_S,
+            len(self._instances) * SEARCH_PERIOD_PER_INSTANCE_S,
+        )
+
+    def _usable_nearby(self) -> list[instance_state.InstanceState]:
+        """Returns the usable instances of this data centre."""
+        excluded = self._excluded(())
+        return [
+            instance
+            for instance in self._instances.values()
+            if instance.entry.data_centre == self._data_centre
+            and instance.id not in excluded
+        ]
+
 
 def _worst(
     instances: list[instance_state.InstanceState],
--- a/src/dotterelpath/domain/ranking.py
+++ b/src/dotterelpath/domain/ranking.py
@@ -221,6 +221,7 @@
             if (
                 ranked.failing <= instance_state.UNHEALTHY_THRESHOLD
                 and instance.entry.data_centre == self._data_centre
+                and not instance.is_entry_missing
                 and instance.idle_s(now_s) >= idle_s
                 and instance.has_free_slot(now_s)
                 and not instance.is_slow(now_s)
