--- a/features/gateway_load.feature
+++ b/features/gateway_load.feature
@@ -20,6 +20,13 @@
       | 287   |
       | 1000  |
 
+  # Load: no instance has a free slot, so that a choice finds none and the
+  # request is queued. This is done for each request when load is at its worst.
+  Scenario: A choice that finds 1000 full instances stays within its time
+    Given 1000 instances of 4 slots, each with a few requests in flight
+    And all of them are full
+    Then choosing an instance takes at most 60 microseconds
+
   # Load: all instances are full, and callers press on.
   Scenario Outline: The time to queue a request does not grow with the queue
     Given a queue with <count> requests
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -84,6 +84,12 @@
         context.balancer.record_success(instance.id, "r", WORK_S, 9.0)
 
 
+@behave.given("all of them are full")
+def step_full_instances(context):
+    for instance in context.balancer.instances.values():
+        instance.in_flight = instance.entry.slots
+
+
 @behave.then("choosing an instance takes at most 60 microseconds")
 def step_choice_time(context):
     now_s = [10.0]
