Log who reported a store revision, and how long the store was silent

A follower now logs the first report of each new revision with the daemon that sent it, and a daemon that finds the store unavailable logs how long it had been silent.

At most one line for each change and daemon.

--- a/src/dotterelpath/tasks/fleet_events.py
+++ b/src/dotterelpath/tasks/fleet_events.py
@@ -42,15 +42,17 @@
 class RevisionReceived:
     """Another daemon that watches the store reported its revision."""
 
-    __slots__ = ("at_s", "revision")
+    __slots__ = ("at_s", "daemon_id", "revision")
 
-    def __init__(self, revision: int, at_s: float) -> None:
+    def __init__(self, daemon_id: str, revision: int, at_s: float) -> None:
         """Creates the message.
 
         Args:
+            daemon_id: The daemon that sent the report.
             revision: The store revision up to which it has all changes.
             at_s: When it arrived, on the monotonic clock, in seconds.
         """
+        self.daemon_id = daemon_id
         self.revision = revision
         self.at_s = at_s
 
--- a/src/dotterelpath/tasks/peer_monitor.py
+++ b/src/dotterelpath/tasks/peer_monitor.py
@@ -215,7 +215,9 @@
             )
             if datagram.revision is not None:
                 self._store_reader.force(
-                    fleet_events.RevisionReceived(datagram.revision, now_s)
+                    fleet_events.RevisionReceived(
+                        datagram.sender_id, datagram.revision, now_s
+                    )
                 )
         elif isinstance(datagram, datagrams.LeavingReportDatagram):
             self._gateway.force(
--- a/src/dotterelpath/tasks/store_reader.py
+++ b/src/dotterelpath/tasks/store_reader.py
@@ -56,6 +56,7 @@
     __slots__ = (
         "_apply_s",
         "_clock",
+        "_contact_s",
         "_fallback_watch_s",
         "_follower",
         "_has_read",
@@ -111,6 +112,7 @@
         self._published_revision: int | None = None
         self._fallback_watch_s = MIN_FALLBACK_WATCH_S
         self._reported_s = self._started_s
+        self._contact_s = self._started_s
 
     async def run(self) -> None:
         """Reads until cancelled."""
@@ -144,12 +146,26 @@
                 the fleet.
         """
         if isinstance(message, fleet_events.RevisionReceived):
-            self._follower.record_report(message.revision, message.at_s)
+            self._on_revision_received(message)
         elif isinstance(message, fleet_events.PeerPinged):
             self._follower.record_query(message.at_s)
         elif isinstance(message, fleet_events.DaemonsChanged):
             self._store.set_daemon_count(len(message.daemons))
 
+    def _on_revision_received(
+        self, message: fleet_events.RevisionReceived
+    ) -> None:
+        if message.revision > max(
+            self._revision, self._follower.reported_revision
+        ):
+            _log.info(
+                "store revision reported",
+                daemon=message.daemon_id,
+                revision=message.revision,
+                known_revision=self._revision,
+            )
+        self._follower.record_report(message.revision, message.at_s)
+
     def _handle_messages(self) -> None:
         """Handles all messages in the mailbox."""
         while (message := self._mailbox.poll()) is not None:
@@ -203,7 +219,9 @@
                 self.handle(await self._mailbox.receive())
         except TimeoutError:
             _log.info(
-                "no store revisions from other daemons", revision=self._revision
+                "no store revisions from other daemons",
+                revision=self._revision,
+                reported_revision=self._follower.reported_revision,
             )
 
     def _watch_timeout_s(self) -> float:
@@ -229,6 +247,7 @@
         if changes.revision < self._revision and not changes.is_full:
             _log.warning("store revision decreased", revision=changes.revision)
         self._revision = changes.revision
+        self._contact_s = self._clock.now_s()
         self._report_changes(changes, max_silence_s)
 
     def _report_changes(
@@ -259,6 +278,11 @@
     def _on_failed(self, error: errors.StoreError) -> None:
         self._publish_revision(None)
         if not self._is_store_lost:
-            _log.warning("store unavailable", error=str(error))
+            _log.warning(
+                "store unavailable",
+                error=str(error),
+                revision=self._revision,
+                silent_s=round(self._clock.now_s() - self._contact_s, 3),
+            )
             self._is_store_lost = True
             self._subscriber.force(store_events.StoreLost())
