Show that followers believe a watcher that has lost the store (red)

Callers got 404 for a route, and the service of an older version, more than two seconds after a change was acknowledged (CONFIG).

The store's stand-in can now be silent at single ports, one for each daemon, as the platform turns single machines away: calls and waiting watches get no response, and the connections stay up, so that no keep-alive notices.

--- a/features/following.feature
+++ b/features/following.feature
@@ -16,6 +16,14 @@
     When the operator moves /presses/ and the others are polled
     Then the change was in force everywhere within 2 seconds
 
+  # The watching daemons of a data centre lost the store silently and went on
+  # answering pings with their last revision, so that their followers believed
+  # it to be current until the watch calls timed out.
+  Scenario: Followers do not trust a watcher that has lost the store
+    Given the two daemons of data centre a that watch the store lose it silently
+    When the operator moves /presses/ and the others are polled
+    Then the change was in force everywhere within 2 seconds
+
   Scenario: Instances whose entries expired during an outage stay in use
     Given the platform's store is down for 3 seconds and all entries expire
     When requests are sent to all daemons until the entries reappear
--- a/features/steps/following_steps.py
+++ b/features/steps/following_steps.py
@@ -86,16 +86,30 @@
     context.fleet.set_store_faults(stale_s=3.0)
 
 
+def wait_for_watching(fleet):
+    """Waits until two daemons of data centre a watch, and returns them."""
+    fleet_harness.wait_until(
+        lambda: len(find_watching(fleet, "a")) == 2,
+        "two watching daemons in data centre a",
+    )
+    return find_watching(fleet, "a")
+
+
+@behave.given(
+    "the two daemons of data centre a that watch the store lose it silently"
+)
+def step_lose_store(context):
+    context.excluded = wait_for_watching(context.fleet)
+    ports = [node.store_port for node in context.excluded]
+    context.fleet.set_store_faults(silent_ports=ports)
+
+
 @behave.given(
     "the two daemons of data centre a that watch the store are frozen"
 )
 def step_frozen(context):
-    fleet_harness.wait_until(
-        lambda: len(find_watching(context.fleet, "a")) == 2,
-        "two watching daemons in data centre a",
-    )
-    context.frozen = find_watching(context.fleet, "a")
-    for node in context.frozen:
+    context.excluded = wait_for_watching(context.fleet)
+    for node in context.excluded:
         node.process.send_signal(signal.SIGSTOP)
         context.add_cleanup(node.process.send_signal, signal.SIGCONT)
 
@@ -108,7 +122,7 @@
 @behave.when("the operator moves /presses/ and the others are polled")
 def step_move_others(context):
     nodes = context.fleet.gateways.values()
-    move_route(context, [n for n in nodes if n not in context.frozen])
+    move_route(context, [n for n in nodes if n not in context.excluded])
 
 
 def move_route(context, nodes):
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -26,6 +26,8 @@
 }
 MAX_BODY_BYTES = 65536
 MEMORY_MB = 300
+# The store has a port for each daemon, so that it can turn single ones away.
+MAX_GATEWAYS = 64
 SLOTS = 4  # Requests that an instance runs at the same time.
 
 
@@ -41,12 +43,20 @@
         "process",
         "readiness_port",
         "settings_file",
+        "store_port",
     )
 
-    def __init__(self, id: str, data_centre: str, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        id: str,
+        data_centre: str,
+        folder: pathlib.Path,
+        store_port: int,
+    ) -> None:
         """Picks free ports for a daemon; `start_gateway` starts it."""
         self.id = id
         self.data_centre = data_centre
+        self.store_port = store_port
         self.caller_port, self.readiness_port, self.directory_port = (
             fleet.free_ports(3)
         )
@@ -71,6 +81,7 @@
         "instances",
         "max_body_bytes",
         "memory_mb",
+        "store_ports",
         "version",
     )
 
@@ -90,10 +101,14 @@
         self.version = 0
         self.max_body_bytes = MAX_BODY_BYTES
         self.memory_mb = MEMORY_MB
+        self.store_ports = fleet.free_ports(MAX_GATEWAYS)
 
     def start_store(self) -> None:
         """Starts the store."""
-        self.spawn("-m", "standins.kv_store", "--port", self.store)
+        args: list[typing.Any] = ["-m", "standins.kv_store"]
+        for port in (self.store, *self.store_ports):
+            args += ["--port", port]
+        self.spawn(*args)
         fleet.wait_for_port(self.store)
 
     def start_instances(self, service: str, count: int) -> None:
@@ -208,7 +223,10 @@
         """Starts daemons, in data centres a, b and c in turn."""
         for number in range(len(self.gateways), len(self.gateways) + count):
             node = GatewayProcess(
-                f"g{number + 1}", "abc"[number % 3], self.folder
+                f"g{number + 1}",
+                "abc"[number % 3],
+                self.folder,
+                self.store_ports[number],
             )
             self.gateways[node.id] = node
             self.start_gateway(node)
@@ -246,7 +264,7 @@
             },
             "bounds": [f"{name}={v}" for name, v in self.bounds.items()],
             "platform": {
-                "address": f"{fleet.HOST}:{self.store}",
+                "address": f"{fleet.HOST}:{node.store_port}",
                 "reads_per_s": 2000,
                 "writes_per_s": 400,
             },
--- a/standins/kv_store.py
+++ b/standins/kv_store.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import collections
+import functools
 import time
 import typing
 import urllib.parse
@@ -32,6 +33,8 @@
         slow_s: Delays each response by this many seconds.
         lose: Applies this many next writes, but drops their responses.
         stale_s: Age of the state that stale watches return, in seconds.
+        silent_ports: Never responds to calls at these ports, nor to the
+            watches that wait there.
 
     `/_put` writes items as the operator or an instance does, `/_compact`
     deletes the history of events, and `/_counts` returns the number of calls.
@@ -60,9 +63,18 @@
         self._changed = asyncio.Event()
 
     async def handle(
-        self, request: exchange.Request, connection: frontend.Connection
+        self,
+        port: int,
+        request: exchange.Request,
+        connection: frontend.Connection,
     ) -> exchange.Response | None:
-        """Handles a call, subject to the current faults."""
+        """Handles a call, subject to the current faults.
+
+        Args:
+            port: The port at which the call arrived.
+            request: The call.
+            connection: The caller's connection.
+        """
         path, _, encoded = request.target.partition("?")
         query = dict(urllib.parse.parse_qsl(encoded, True))
         if path.startswith("/_"):
@@ -71,13 +83,12 @@
         self._counts[path.split("/")[2] + " stale" * is_stale] += 1
         if self._faults.get("down"):
             return None
-        if self._faults.get("silent"):
-            await asyncio.sleep(3600.0)
+        await self._hang_if_silent(port)
         if self._faults.get("busy"):
             return http.json_response({}, 503)
         await asyncio.sleep(self._faults.get("slow_s", 0.0))
         if path == "/v1/kv-watch":
-            return await self._watch(query)
+            return await self._watch(port, query)
         response = self._handle_call(path, query, request)
         if request.method == "POST" and self._faults.get("lose", 0) > 0:
             self._faults["lose"] -= 1
@@ -144,7 +155,14 @@
             }
         )
 
-    async def _watch(self, query: dict[str, str]) -> exchange.Response | None:
+    async def _hang_if_silent(self, port: int) -> None:
+        is_silent_port = port in self._faults.get("silent_ports", ())
+        if self._faults.get("silent") or is_silent_port:
+            await asyncio.sleep(3600.0)
+
+    async def _watch(
+        self, port: int, query: dict[str, str]
+    ) -> exchange.Response | None:
         after = int(query["after"])
         if "serializable" in query:
             return self._stale_watch(after, query["prefix"])
@@ -152,6 +170,8 @@
         while True:
             if self._faults.get("down"):
                 return None
+            if port in self._faults.get("silent_ports", ()):
+                await asyncio.sleep(3600.0)
             if after < self._compacted_revision:
                 return http.json_response({}, 410)
             events = [
@@ -242,12 +262,15 @@
 
 
 @click.command()
-@click.option("--port", type=int, required=True)
-def main(port: int) -> None:
-    """Runs the store."""
+@click.option("--port", "ports", type=int, required=True, multiple=True)
+def main(ports: tuple[int, ...]) -> None:
+    """Runs the store, which listens on each of the ports."""
 
     async def serve() -> None:
-        await http.Server(KvStore().handle).listen("127.0.0.1", port)
+        store = KvStore()
+        for port in ports:
+            handle = functools.partial(store.handle, port)
+            await http.Server(handle).listen("127.0.0.1", port)
         await asyncio.Event().wait()
 
     uvloop.run(serve())
