Do not trust a watcher that has lost the store

Cause: only two daemons of each data centre watch the store; the others follow the revision in their pongs. A pong proves that its sender lives, not that the sender still hears the store. A platform that turns single machines away silently keeps their connections up, so that a waiting watch showed the loss only after 5 s, and the old revision was confirmed with each pong until then.

Change: each pong tells how long ago the store confirmed the revision. A follower watches the store itself after 0.6 of the bound without a confirmation (as before, after 0.4 without a pong), and rests no longer than that after a change. A daemon with followers makes a stale read each 0.3 of the bound while its watch waits, at a tenth of the price; a stale read that has later changes replaces the watch, so that a single silent connection shows as well. The age counts from when the ping was sent, so that a pong which arrives late is not taken for a young one. A daemon of an older build sends no age, and its revisions are not used.

The worst case at 2 s: 1.2 s until the confirmation is too old, and one call.

--- a/features/following.feature
+++ b/features/following.feature
@@ -35,3 +35,4 @@
     And it reads the store when a peer reports a newer revision
     And it watches again after 0.8 seconds without reports
     And it watches while it has followers
+    And it watches again if peers report, but heard the store 1.2 seconds ago
--- a/features/steps/following_steps.py
+++ b/features/steps/following_steps.py
@@ -190,13 +190,13 @@
     context.follower.record_first_read(0.1)
     assert context.follower.next_step(5, 0.2) is store_following.Step.FOLLOW
     assert context.follower.next_step(5, 1.0) is store_following.Step.WATCH
-    context.follower.record_report(5, 1.0)
+    context.follower.record_report(5, 1.0, 1.0)
     assert context.follower.next_step(5, 1.1) is store_following.Step.FOLLOW
 
 
 @behave.then("it reads the store when a peer reports a newer revision")
 def step_catch_up(context):
-    context.follower.record_report(7, 1.2)
+    context.follower.record_report(7, 1.2, 1.2)
     assert context.follower.next_step(5, 1.3) is store_following.Step.CATCH_UP
     assert context.follower.next_step(7, 1.3) is store_following.Step.FOLLOW
 
@@ -209,8 +209,22 @@
 
 @behave.then("it watches while it has followers")
 def step_followers(context):
-    context.follower.record_report(7, 3.0)
+    context.follower.record_report(7, 3.0, 3.0)
     context.follower.record_query(3.0)
     assert context.follower.next_step(7, 3.1) is store_following.Step.WATCH
-    context.follower.record_report(7, 4.1)
+    context.follower.record_report(7, 4.1, 4.1)
     assert context.follower.next_step(7, 4.1) is store_following.Step.FOLLOW
+
+
+@behave.then(
+    "it watches again if peers report, but heard the store 1.2 seconds ago"
+)
+def step_old_confirmation(context):
+    for tenths in range(1, 13):
+        now_s = 4.1 + tenths / 10
+        context.follower.record_report(7, 4.1, now_s)
+        step = context.follower.next_step(7, now_s)
+        is_old = now_s - 4.1 >= 1.2
+        assert (step is store_following.Step.WATCH) == is_old, now_s
+    context.follower.record_report(7, 5.2, 5.3)
+    assert context.follower.next_step(7, 5.3) is store_following.Step.FOLLOW
--- a/src/dotterelpath/adapters/datagrams.py
+++ b/src/dotterelpath/adapters/datagrams.py
@@ -98,6 +98,9 @@
             "cores": round(datagram.usage.cores, 3),
             "link_mbps": round(datagram.usage.link_mbps, 3),
             "revision": datagram.revision,
+            "revision_age_s": round(datagram.revision_age_s, 3)
+            if datagram.revision is not None
+            else None,
         }
     if isinstance(datagram, datagrams.LeavingReportDatagram):
         return {
@@ -139,9 +142,13 @@
         usage = steering.Resources(
             float(data["cores"]), float(data["link_mbps"])
         )
-        value = data["revision"]
-        revision = None if value is None else int(value)
-        return datagrams.Pong(sender, int(data["pong"]), state, usage, revision)
+        pong = datagrams.Pong(sender, int(data["pong"]), state, usage, None)
+        # A daemon of an older build does not send the age. Its revision may be
+        # of any age, so that it is of no use.
+        if data["revision"] is not None and "revision_age_s" in data:
+            pong.revision = int(data["revision"])
+            pong.revision_age_s = max(0.0, float(data["revision_age_s"]))
+        return pong
     if "leaving" in data:
         return datagrams.LeavingReportDatagram(
             sender,
--- a/src/dotterelpath/domain/store_following.py
+++ b/src/dotterelpath/domain/store_following.py
@@ -15,6 +15,13 @@
 # of the time within which a change must be in force. The rest is enough to
 # watch the store and to apply a change.
 MAX_SILENCE_SHARE = 0.4
+# The same if they respond, but the store last confirmed their revision longer
+# ago than this share: they may have lost the store without knowing it.
+MAX_CONFIRMED_AGE_SHARE = 0.6
+# A daemon with followers lets the store confirm its revision at intervals of
+# this share. With the pings' interval and a lost ping, the confirmation that
+# followers know stays younger than its highest age.
+CONFIRMATION_SHARE = 0.3
 
 
 class Step(enum.Enum):
@@ -35,10 +42,16 @@
     that each must be renewed by another call. Therefore only daemons with
     followers watch the store. They report the newest revision in each response
     to a ping, and their followers read the store only if that revision is new.
-    A daemon that gets no reports watches the store itself.
+    A response proves that its sender lives, not that the sender still hears the
+    store, so each report tells when the store last confirmed the revision.
+    A daemon that gets no reports, or only reports of old confirmations, watches
+    the store itself.
     """
 
     __slots__ = (
+        "_confirmation_interval_s",
+        "_confirmed_s",
+        "_max_confirmed_age_s",
         "_max_silence_s",
         "_queried_s",
         "_reported_revision",
@@ -53,6 +66,9 @@
                 seconds.
         """
         self._max_silence_s = apply_s * MAX_SILENCE_SHARE
+        self._max_confirmed_age_s = apply_s * MAX_CONFIRMED_AGE_SHARE
+        self._confirmation_interval_s = apply_s * CONFIRMATION_SHARE
+        self._confirmed_s = -math.inf
         self._queried_s = -math.inf
         self._reported_s = -math.inf
         self._reported_revision = 0
@@ -62,6 +78,11 @@
         """The newest revision that a peer has reported."""
         return self._reported_revision
 
+    @property
+    def confirmation_interval_s(self) -> float:
+        """How often the store is to confirm a watched revision, in seconds."""
+        return self._confirmation_interval_s
+
     def record_query(self, now_s: float) -> None:
         """Records a query from a peer.
 
@@ -77,15 +98,21 @@
             now_s: The current time on the monotonic clock, in seconds.
         """
         self._reported_s = max(self._reported_s, now_s)
+        self._confirmed_s = max(self._confirmed_s, now_s)
 
-    def record_report(self, revision: int, now_s: float) -> None:
+    def record_report(
+        self, revision: int, confirmed_s: float, now_s: float
+    ) -> None:
         """Records a report from a peer that watches the store.
 
         Args:
             revision: The revision of the store that the peer knows.
+            confirmed_s: When the store confirmed to the peer that it has no
+                later changes, on this daemon's monotonic clock, in seconds.
             now_s: The time of the report on the monotonic clock, in seconds.
         """
         self._reported_s = max(self._reported_s, now_s)
+        self._confirmed_s = max(self._confirmed_s, confirmed_s)
         self._reported_revision = max(self._reported_revision, revision)
 
     def next_step(self, revision: int, now_s: float) -> Step:
@@ -117,4 +144,18 @@
         Args:
             now_s: The current time on the monotonic clock, in seconds.
         """
-        return self._reported_s + self._max_silence_s - now_s
+        return (
+            min(
+                self._reported_s + self._max_silence_s,
+                self._confirmed_s + self._max_confirmed_age_s,
+            )
+            - now_s
+        )
+
+    def confirmed_age_s(self, now_s: float) -> float:
+        """Returns the age of the newest confirmation by the store, in seconds.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        return now_s - self._confirmed_s
--- a/src/dotterelpath/ports/datagrams.py
+++ b/src/dotterelpath/ports/datagrams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 from dotterelpath.domain import health_reports
@@ -27,7 +28,14 @@
 class Pong:
     """Reports a daemon's state in response to a ping."""
 
-    __slots__ = ("revision", "sender_id", "sequence", "state", "usage")
+    __slots__ = (
+        "revision",
+        "revision_age_s",
+        "sender_id",
+        "sequence",
+        "state",
+        "usage",
+    )
 
     def __init__(
         self,
@@ -36,6 +44,7 @@
         state: steering.DaemonState,
         usage: steering.Resources,
         revision: int | None,
+        revision_age_s: float = math.inf,
     ) -> None:
         """Creates a pong.
 
@@ -46,12 +55,14 @@
             usage: The daemon's use of its processor and link.
             revision: The revision of the store up to which the daemon knows
                 all changes; None if it does not watch the store.
+            revision_age_s: How long ago the store confirmed this, in seconds.
         """
         self.sender_id = sender_id
         self.sequence = sequence
         self.state = state
         self.usage = usage
         self.revision = revision
+        self.revision_age_s = revision_age_s
 
 
 class HealthReportDatagram:
--- a/src/dotterelpath/tasks/fleet_events.py
+++ b/src/dotterelpath/tasks/fleet_events.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from dotterelpath.domain import bounds
 from dotterelpath.domain import configuration
 from dotterelpath.domain import health_reports
@@ -42,18 +44,23 @@
 class RevisionReceived:
     """Another daemon that watches the store reported its revision."""
 
-    __slots__ = ("at_s", "daemon_id", "revision")
+    __slots__ = ("at_s", "confirmed_s", "daemon_id", "revision")
 
-    def __init__(self, daemon_id: str, revision: int, at_s: float) -> None:
+    def __init__(
+        self, daemon_id: str, revision: int, confirmed_s: float, at_s: float
+    ) -> None:
         """Creates the message.
 
         Args:
             daemon_id: The daemon that sent the report.
             revision: The store revision up to which it has all changes.
+            confirmed_s: When the store confirmed this to it at the latest, on
+                the monotonic clock, in seconds.
             at_s: When it arrived, on the monotonic clock, in seconds.
         """
         self.daemon_id = daemon_id
         self.revision = revision
+        self.confirmed_s = confirmed_s
         self.at_s = at_s
 
 
@@ -72,18 +79,23 @@
 
 
 class WatchedRevisionChanged:
-    """The store revision that this daemon watches from has changed."""
+    """The watched store revision has changed or was confirmed by the store."""
 
-    __slots__ = ("revision",)
+    __slots__ = ("confirmed_s", "revision")
 
-    def __init__(self, revision: int | None) -> None:
+    def __init__(
+        self, revision: int | None, confirmed_s: float = -math.inf
+    ) -> None:
         """Creates the message.
 
         Args:
             revision: The store revision up to which this daemon has all
                 changes; None if it does not watch the store.
+            confirmed_s: The time for which the store confirmed this, on the
+                monotonic clock, in seconds.
         """
         self.revision = revision
+        self.confirmed_s = confirmed_s
 
 
 class DaemonsChanged:
--- a/src/dotterelpath/tasks/peer_monitor.py
+++ b/src/dotterelpath/tasks/peer_monitor.py
@@ -27,6 +27,8 @@
 # The resource usage of this daemon is averaged over this time, in seconds,
 # which is long enough to smooth out single requests.
 MEASUREMENT_PERIOD_S = 1.0
+# The number of past ticks whose pings may still be answered.
+MAX_OPEN_PINGS = 8
 
 _log = structlog.get_logger()
 
@@ -52,9 +54,11 @@
         "_measured_s",
         "_ping_reported_s",
         "_ping_sequence",
+        "_pinged_s",
         "_published_serving_daemons",
         "_read_cpu_time_s",
         "_read_sent_bytes",
+        "_store_confirmed_s",
         "_store_reader",
         "_store_revision",
         "_tick_timer",
@@ -90,6 +94,7 @@
         self._gateway = gateway
         self._store_reader = store_reader
         self._store_revision: int | None = None
+        self._store_confirmed_s = -math.inf
         self._ping_reported_s = -math.inf
         self._datagrams: datagrams.Datagrams | None = None
         self._fleet_view = fleet_view.FleetView(
@@ -100,6 +105,7 @@
         self._has_instance_list = False
         self._is_leaving = False
         self._ping_sequence = itertools.count(1)
+        self._pinged_s: dict[int, float] = {}
         self._published_serving_daemons: tuple[int, bool] | None = None
         self._last_cpu_time_s = read_cpu_time_s()
         self._last_sent_bytes = read_sent_bytes()
@@ -198,6 +204,7 @@
             self.on_daemons_changed(message)
         elif isinstance(message, fleet_events.WatchedRevisionChanged):
             self._store_revision = message.revision
+            self._store_confirmed_s = message.confirmed_s
         elif isinstance(message, events.LeaveBegan):
             self._is_leaving = True
 
@@ -213,12 +220,7 @@
             self._fleet_view.record_response(
                 datagram.sender_id, datagram.state, datagram.usage, now_s
             )
-            if datagram.revision is not None:
-                self._store_reader.force(
-                    fleet_events.RevisionReceived(
-                        datagram.sender_id, datagram.revision, now_s
-                    )
-                )
+            self._report_revision(datagram, now_s)
         elif isinstance(datagram, datagrams.LeavingReportDatagram):
             self._gateway.force(
                 fleet_events.LeavingReportReceived(
@@ -318,11 +320,13 @@
         self._fleet_view.record_response(
             self._deployment.daemon_id, self.state, self._usage, now_s
         )
-        if self._datagrams is not None:
+        if self._datagrams is not None and peers:
+            ping = datagrams.Ping(
+                self._deployment.daemon_id, next(self._ping_sequence)
+            )
+            self._pinged_s[ping.sequence] = now_s
+            self._pinged_s.pop(ping.sequence - MAX_OPEN_PINGS, None)
             for daemon in peers:
-                ping = datagrams.Ping(
-                    self._deployment.daemon_id, next(self._ping_sequence)
-                )
                 self._datagrams.send(daemon.peer_host, daemon.peer_port, ping)
         self._measure_usage(now_s)
         self._tick_timer = None
@@ -352,16 +356,36 @@
             self._ping_reported_s = now_s
             self._store_reader.force(fleet_events.PeerPinged(now_s))
 
+    def _report_revision(self, pong: datagrams.Pong, now_s: float) -> None:
+        """Reports the store revision of a pong to the store reader.
+
+        The age in a pong counts from when it was sent. A pong may arrive late,
+        and was sent no earlier than the ping that it responds to.
+        """
+        pinged_s = self._pinged_s.get(pong.sequence)
+        if pong.revision is None or pinged_s is None:
+            return
+        self._store_reader.force(
+            fleet_events.RevisionReceived(
+                pong.sender_id,
+                pong.revision,
+                pinged_s - pong.revision_age_s,
+                now_s,
+            )
+        )
+
     def _respond(self, host: str, port: int, ping: datagrams.Ping) -> None:
         if self._datagrams is None:
             return
-        self._measure_usage(self._clock.now_s())
+        now_s = self._clock.now_s()
+        self._measure_usage(now_s)
         pong = datagrams.Pong(
             self._deployment.daemon_id,
             ping.sequence,
             self.state,
             self._usage,
             self._store_revision,
+            now_s - self._store_confirmed_s,
         )
         self._datagrams.send(host, port, pong)
 
--- a/src/dotterelpath/tasks/store_reader.py
+++ b/src/dotterelpath/tasks/store_reader.py
@@ -51,12 +51,16 @@
     Watches the store if other daemons follow this one, or if no other daemon
     reports revisions. Otherwise reads the store when another daemon reports a
     newer revision.
+
+    A watch that waits does not show whether the store still responds. While
+    other daemons follow this one, it also makes stale reads, which cost little:
+    each response confirms the watched revision, unless it has later changes.
     """
 
     __slots__ = (
         "_apply_s",
         "_clock",
-        "_contact_s",
+        "_confirmed_s",
         "_fallback_watch_s",
         "_follower",
         "_has_read",
@@ -112,7 +116,7 @@
         self._published_revision: int | None = None
         self._fallback_watch_s = MIN_FALLBACK_WATCH_S
         self._reported_s = self._started_s
-        self._contact_s = self._started_s
+        self._confirmed_s = self._started_s
 
     async def run(self) -> None:
         """Reads until cancelled."""
@@ -164,7 +168,9 @@
                 revision=message.revision,
                 known_revision=self._revision,
             )
-        self._follower.record_report(message.revision, message.at_s)
+        self._follower.record_report(
+            message.revision, message.confirmed_s, message.at_s
+        )
 
     def _handle_messages(self) -> None:
         """Handles all messages in the mailbox."""
@@ -176,13 +182,46 @@
         if not self._revision:
             await self._read_all()
             return
-        changes = await self._store.watch(
+        sent_s = self._clock.now_s()
+        watch = self._store.watch(
             self._prefix, self._revision, self._watch_timeout_s()
         )
-        self._on_changes(changes)
+        if self._published_revision is None:
+            changes = await watch
+        else:
+            changes = await _first_result(watch, self._confirm_until_changed())
+        self._on_changes(changes, sent_s)
         self._publish_revision(self._revision)
         await self._wait_for_batch(changes)
 
+    async def _confirm_until_changed(self) -> store_port.Changes:
+        """Confirms the watched revision until the store has later changes."""
+        while True:
+            await asyncio.sleep(self._confirmation_due_s())
+            changes = await self._confirm()
+            if changes.entries:
+                return changes
+
+    async def _confirm(self) -> store_port.Changes:
+        """Lets the store confirm the watched revision.
+
+        Returns:
+            The later changes. If there are none, the revision is confirmed.
+        """
+        sent_s = self._clock.now_s()
+        changes = await self._store.watch(
+            self._prefix, self._revision, 0.0, may_be_stale=True
+        )
+        if not changes.entries:
+            self._confirmed_s = max(self._confirmed_s, sent_s)
+            self._publish_revision(self._revision)
+        return changes
+
+    def _confirmation_due_s(self) -> float:
+        """Returns the time until the next confirmation, in seconds."""
+        due_s = self._confirmed_s + self._follower.confirmation_interval_s
+        return max(0.0, due_s - self._clock.now_s())
+
     async def _read_all(self) -> None:
         """Reads all keys.
 
@@ -190,21 +229,23 @@
         that it misses.
         """
         may_be_stale = not self._has_read
+        sent_s = self._clock.now_s()
         changes = await self._store.watch(self._prefix, 0, 0.0, may_be_stale)
         if may_be_stale:
             self._follower.record_first_read(self._clock.now_s())
         self._has_read = True
-        self._on_changes(changes)
+        self._on_changes(changes, sent_s)
 
     async def _catch_up(self) -> None:
         """Reads the changes up to the revision that another daemon reported."""
         target_revision = self._follower.reported_revision
+        sent_s = self._clock.now_s()
         changes = await self._store.watch(
             self._prefix, self._revision, 0.0, may_be_stale=True
         )
         if changes.revision < target_revision:
             changes = await self._store.watch(self._prefix, self._revision, 0.0)
-        self._on_changes(changes)
+        self._on_changes(changes, sent_s)
         await self._wait_for_batch(changes)
 
     async def _follow(self) -> None:
@@ -222,6 +263,9 @@
                 "no store revisions from other daemons",
                 revision=self._revision,
                 reported_revision=self._follower.reported_revision,
+                confirmed_age_s=round(
+                    self._follower.confirmed_age_s(self._clock.now_s()), 3
+                ),
             )
 
     def _watch_timeout_s(self) -> float:
@@ -236,7 +280,13 @@
         # revision that it publishes.
         return WATCH_TIMEOUT_S if self._published_revision is not None else 0.0
 
-    def _on_changes(self, changes: store_port.Changes) -> None:
+    def _on_changes(self, changes: store_port.Changes, sent_s: float) -> None:
+        """Passes the response to a call on.
+
+        Args:
+            changes: The response.
+            sent_s: When the call was sent, on the monotonic clock, in seconds.
+        """
         # The store was available before this call, which may have been a watch
         # that waited for up to its timeout.
         max_silence_s = WATCH_TIMEOUT_S
@@ -247,7 +297,7 @@
         if changes.revision < self._revision and not changes.is_full:
             _log.warning("store revision decreased", revision=changes.revision)
         self._revision = changes.revision
-        self._contact_s = self._clock.now_s()
+        self._confirmed_s = max(self._confirmed_s, sent_s)
         self._report_changes(changes, max_silence_s)
 
     def _report_changes(
@@ -259,21 +309,46 @@
         )
 
     async def _wait_for_batch(self, changes: store_port.Changes) -> None:
-        """Waits for further changes, to read them in one call."""
-        if changes.entries:
-            is_start = self._clock.now_s() - self._started_s < STARTUP_S
-            fraction = STARTUP_BATCH_FRACTION if is_start else BATCH_FRACTION
-            await asyncio.sleep(self._apply_s * fraction)
+        """Waits for further changes, to read them in one call.
+
+        A daemon that follows others waits no longer than it trusts them.
+        """
+        if not changes.entries:
+            return
+        now_s = self._clock.now_s()
+        is_start = now_s - self._started_s < STARTUP_S
+        fraction = STARTUP_BATCH_FRACTION if is_start else BATCH_FRACTION
+        wait_s = self._apply_s * fraction
+        if self._published_revision is not None:
+            await self._confirm_for(now_s + wait_s)
+        elif (left_s := self._follower.silence_left_s(now_s)) > 0.0:
+            await asyncio.sleep(min(wait_s, left_s))
+        else:
+            await asyncio.sleep(wait_s)
+
+    async def _confirm_for(self, until_s: float) -> None:
+        """Confirms the watched revision until a time or until it is old.
+
+        Args:
+            until_s: The time on the monotonic clock, in seconds.
+        """
+        while (left_s := until_s - self._clock.now_s()) > 0.0:
+            due_s = self._confirmation_due_s()
+            await asyncio.sleep(min(due_s, left_s))
+            if due_s < left_s and (await self._confirm()).entries:
+                await asyncio.sleep(until_s - self._clock.now_s())
 
     def _publish_revision(self, revision: int | None) -> None:
         """Publishes the watched revision, or None if the watch ends."""
-        if revision != self._published_revision:
-            if revision is None or self._published_revision is None:
-                _log.info("store watch changed", revision=revision)
-            self._published_revision = revision
-            self._peer_monitor.force(
-                fleet_events.WatchedRevisionChanged(revision)
-            )
+        is_change = (revision is None) != (self._published_revision is None)
+        if revision is None and not is_change:
+            return
+        if is_change:
+            _log.info("store watch changed", revision=revision)
+        self._published_revision = revision
+        self._peer_monitor.force(
+            fleet_events.WatchedRevisionChanged(revision, self._confirmed_s)
+        )
 
     def _on_failed(self, error: errors.StoreError) -> None:
         self._publish_revision(None)
@@ -282,7 +357,31 @@
                 "store unavailable",
                 error=str(error),
                 revision=self._revision,
-                silent_s=round(self._clock.now_s() - self._contact_s, 3),
+                silent_s=round(self._clock.now_s() - self._confirmed_s, 3),
             )
             self._is_store_lost = True
             self._subscriber.force(store_events.StoreLost())
+
+
+async def _first_result(
+    *calls: typing.Coroutine[typing.Any, typing.Any, store_port.Changes],
+) -> store_port.Changes:
+    """Runs calls until one of them ends, and cancels the others.
+
+    Args:
+        *calls: The calls, the most important one first.
+
+    Returns:
+        The result of the first call that has ended.
+
+    Raises:
+        StoreError: That call failed.
+    """
+    tasks = [asyncio.create_task(call) for call in calls]
+    try:
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        return next(task for task in tasks if task.done()).result()
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
