Let stale reads not use up the rate that all daemons share

Found while the cost of confirmations was checked at 900 daemons: each call to the store was taken out of the daemon's share of the platform's read rate, although stale reads do not count towards it. With 1.1 reads a second left to each of 900 daemons, a watching daemon that confirms its revision twice a second would have run out after some minutes, lost its own watch, and sent its followers to the store.

Stale reads have a budget of their own, the daemon's maximum.

--- a/features/capacity.feature
+++ b/features/capacity.feature
@@ -11,6 +11,14 @@
       | 48      | writes | 200  |
       | 900     | writes | 200  |
 
+  # A watching daemon confirms its revision twice a second, which is more than
+  # its share of the rate in a large fleet.
+  Scenario: A daemon of a large fleet confirms its revision by stale reads
+    Given one of 900 daemons, which share 1000 reads a second of the store
+    When it makes 2 stale reads a second for 10 minutes
+    Then none of them is refused
+    And at most 1.2 exact reads a second are left to it after the burst
+
   Scenario: At most the configured number of daemons watch the store
     Given 900 live daemons of which 64 may watch the store
     Then 64 of them watch
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 
 import behave
 
 from dotterelpath import errors
+from dotterelpath.adapters import metrics as metrics_adapter
 from dotterelpath.adapters import store_client
 from dotterelpath.domain import addresses
+from dotterelpath.domain import exchange
 from dotterelpath.domain import fleet_membership
 from dotterelpath.domain import hashing
 from dotterelpath.domain import keys
 from dotterelpath.domain import vms
+from dotterelpath.platform import store_codec
+from dotterelpath.ports import store
 from features.support import world as world_module
 
 WINDOW_S = 100.0
@@ -52,6 +57,76 @@
         calls += 1
 
 
+class AnsweringClient:
+    """Answers each call of the store client with no changes."""
+
+    async def call(self, host, port, request, timeout_s):
+        body = b'{"events": [], "store_revision": 7}'
+        return exchange.Response(200, [], body)
+
+
+@behave.given(
+    "one of {count:d} daemons, which share {rate:d} reads a second of the store"
+)
+def step_one_of_many(context, count, rate):
+    context.clock = world_module.FakeClock()
+    context.store = store_client.StoreClient(
+        "127.0.0.1",
+        1,
+        AnsweringClient(),
+        context.clock,
+        metrics_adapter.Metrics(),
+        store_codec.StoreCodec(),
+        store.CallRates(float(rate), 200.0),
+    )
+    context.store.set_daemon_count(count)
+
+
+@behave.when("it makes {rate:d} stale reads a second for {minutes:d} minutes")
+def step_stale_reads(context, rate, minutes):
+    async def read():
+        refused = 0
+        for _ in range(minutes * 60 * rate):
+            context.clock.time_s += 1.0 / rate
+            try:
+                await context.store.watch("", 7, 0.0, may_be_stale=True)
+            except errors.StoreError:
+                refused += 1
+        return refused
+
+    context.refused = asyncio.run(read())
+
+
+@behave.then("none of them is refused")
+def step_none_refused(context):
+    assert context.refused == 0, context.refused
+
+
+@behave.then(
+    "at most {rate:g} exact reads a second are left to it after the burst"
+)
+def step_exact_reads(context, rate):
+    async def read_all():
+        made = 0
+        while True:
+            try:
+                await context.store.watch("", 7, 0.0)
+            except errors.StoreError:
+                return made
+            made += 1
+
+    async def read():
+        await read_all()
+        made = 0
+        for _ in range(int(WINDOW_S)):
+            context.clock.time_s += 1.0
+            made += await read_all()
+        return made
+
+    made = asyncio.run(read())
+    assert made / WINDOW_S <= rate, made
+
+
 @behave.given(
     "{count:d} live daemons of which {watcher_count:d} may watch the store"
 )
--- a/src/dotterelpath/adapters/store_client.py
+++ b/src/dotterelpath/adapters/store_client.py
@@ -199,6 +199,7 @@
         "_metrics",
         "_port",
         "_reads",
+        "_stale_reads",
         "_writes",
     )
 
@@ -230,6 +231,10 @@
         self._codec: store.StoreCodec = codec or NativeStoreCodec()
         self._reads = CallBudget(clock, rates.reads_per_s, BURST_READS)
         self._writes = CallBudget(clock, rates.writes_per_s, BURST_WRITES)
+        # Stale reads do not count towards the rate that all daemons share.
+        self._stale_reads = CallBudget(
+            clock, MAX_DAEMON_CALLS_PER_S, BURST_READS
+        )
 
     def set_daemon_count(self, count: int) -> None:
         """Sets how many daemons share the rates; see store.Store."""
@@ -241,7 +246,7 @@
     ) -> store.VersionedValue:
         """Reads a key; see store.Store."""
         call = self._codec.encode_get(key, may_be_stale)
-        response = await self._read("get", call, CALL_TIMEOUT_S)
+        response = await self._read("get", call, CALL_TIMEOUT_S, may_be_stale)
         return _decode_read(self._codec.decode_get, key, response)
 
     async def create(
@@ -281,7 +286,9 @@
         call = self._codec.encode_watch(
             prefix, after_revision, wait_s, may_be_stale
         )
-        response = await self._read("watch", call, wait_s + WATCH_MARGIN_S)
+        response = await self._read(
+            "watch", call, wait_s + WATCH_MARGIN_S, may_be_stale
+        )
         return _decode_read(self._codec.decode_watch, response)
 
     async def renew(self, lease: int) -> bool:
@@ -304,7 +311,9 @@
         after: str | None = ""
         while after is not None:
             call = self._codec.encode_page(prefix, after, wait_s, may_be_stale)
-            response = await self._read("list", call, wait_s + WATCH_MARGIN_S)
+            response = await self._read(
+                "list", call, wait_s + WATCH_MARGIN_S, may_be_stale
+            )
             page = _decode_read(self._codec.decode_page, response)
             entries += page.entries
             revision = page.revision if revision is None else revision
@@ -312,9 +321,14 @@
         return store.Changes(entries, revision or 0, True)
 
     async def _read(
-        self, call: str, request: exchange.Request, timeout_s: float
+        self,
+        call: str,
+        request: exchange.Request,
+        timeout_s: float,
+        may_be_stale: bool = False,
     ) -> exchange.Response:
-        self._reads.spend()
+        budget = self._stale_reads if may_be_stale else self._reads
+        budget.spend()
         try:
             response = await self._client.call(
                 self._host, self._port, request, timeout_s
