--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -36,6 +36,8 @@
         self.data_centre = "a"
         self.work_s = work_s
         self.failure_rate = 0.0
+        # The limit that the instance names in its responses, as text.
+        self.named_limit = None
         self.is_silent = False
         self.running = {}
         self.waiting = collections.deque()
@@ -208,6 +210,9 @@
                 (load + str(instance.slots)).encode(),
             ),
         ]
+        if instance.named_limit is not None:
+            limit = instance.named_limit.encode()
+            headers.append((b"server-limit", limit))
         self.gateway.handle(
             messages.AttemptEnded(
                 message.attempt_id,
