Keep the limits that instances name, by one daemon at a time

Callers saw nothing of it.

Cause: the header was read nowhere. The limit is one for all machines together, so that reading it is not enough: at 40 daemons, 3 requests a second leave none of them one.

Change: domain/request_limits. One daemon at a time, the holder, sends requests to a limited instance, from a token bucket of the whole limit that every attempt draws on. All daemons rank themselves in one order; a holder reports twice a second while it has requests, and the next one takes its place 2 s after the last report. A choice leaves out instances whose limit others hold, so that nothing waits for them; if there are no others, the request is refused at once. Requests that wait for a limit count its next start, and urgent ones go first. A limit ends with a later response that names none, a new run, or 30 s after the last news.

Measured: the scenario found 16 to 20 requests in 4 s before (11 allowed), and passes.

--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -79,7 +79,9 @@
         )
         self.configure(routes)
         self.list_all()
-        self.gateway.handle(fleet_events.ServingDaemonsChanged(1, True))
+        self.gateway.handle(
+            fleet_events.ServingDaemonsChanged(1, True, "d0", [("d0", "a")])
+        )
 
     def configure(self, routes, version=1):
         """Applies a configuration with the given routes."""
@@ -212,7 +214,7 @@
         ]
         if instance.named_limit is not None:
             limit = instance.named_limit.encode()
-            headers.append((b"server-limit", limit))
+            headers.append((platform_headers.SERVER_LIMIT, limit))
         self.gateway.handle(
             messages.AttemptEnded(
                 message.attempt_id,
--- a/src/dotterelpath/adapters/datagrams.py
+++ b/src/dotterelpath/adapters/datagrams.py
@@ -107,6 +107,12 @@
             "leaving": datagram.report.instances,
             "from": datagram.sender_id,
         }
+    if isinstance(datagram, datagrams.LimitReportDatagram):
+        return {
+            "limits": datagram.report.limits,
+            "from": datagram.sender_id,
+            "service": datagram.report.service,
+        }
     if isinstance(datagram, datagrams.SuccessReportDatagram):
         return {
             "served": datagram.report.instances,
@@ -159,6 +165,21 @@
                 ]
             ),
         )
+    if "limits" in data:
+        return datagrams.LimitReportDatagram(
+            sender,
+            health_reports.LimitReport(
+                str(data["service"]),
+                [
+                    (
+                        str(id),
+                        int(started),
+                        None if per_s is None else float(per_s),
+                    )
+                    for id, started, per_s in data["limits"]
+                ],
+            ),
+        )
     if "served" in data:
         return datagrams.SuccessReportDatagram(
             sender,
--- a/src/dotterelpath/adapters/gateway_status.py
+++ b/src/dotterelpath/adapters/gateway_status.py
@@ -9,6 +9,7 @@
 from dotterelpath.adapters import metrics as metrics_adapter
 from dotterelpath.domain import body_budget
 from dotterelpath.domain import exchange
+from dotterelpath.domain import request_limits
 from dotterelpath.tasks import gateway as gateway_task
 from dotterelpath.tasks import peer_monitor as peer_monitor_task
 from dotterelpath.tasks import registrar as registrar_task
@@ -79,6 +80,19 @@
         )
 
 
+def _limit_status(
+    limit: request_limits.RequestLimit | None, now_s: float
+) -> dict[str, typing.Any] | None:
+    if limit is None:
+        return None
+    return {
+        "per_s": limit.per_s,
+        "held": limit.is_held(now_s),
+        "rank": limit.rank,
+        "age_s": round(now_s - limit.learnt_s, 1),
+    }
+
+
 def _service_status(state: typing.Any) -> dict[str, typing.Any]:
     now_s = time.monotonic()
     return {
@@ -97,6 +111,7 @@
                     instance.slow_filter.unhealthy_probability(now_s), 3
                 ),
                 "lapsed": instance.is_entry_missing,
+                "request_limit": _limit_status(instance.request_limit, now_s),
             }
             for instance in state.balancer.instances.values()
         },
--- a/src/dotterelpath/cli/main.py
+++ b/src/dotterelpath/cli/main.py
@@ -264,6 +264,7 @@
             f"  {instance_id}  load {instance['load']} of {instance['slots']}"
             f"  failing {instance['failing']}  slow {instance['slow']}"
             + ("  lapsed" if instance["lapsed"] else "")
+            + _limit_text(instance["request_limit"])
             for instance_id, instance in sorted(service["instances"].items())
         ]
     context.print_result(data, lines)
@@ -283,6 +284,13 @@
     context.print_result(data, lines)
 
 
+def _limit_text(limit: dict[str, typing.Any] | None) -> str:
+    if limit is None:
+        return ""
+    holder = "here" if limit["held"] else "elsewhere"
+    return f"  limit {limit['per_s']:g}/s held {holder}"
+
+
 def _service_lines(services: dict[str, typing.Any]) -> list[str]:
     return [
         f"service {name}  in use {state['in_use']}/{state['instances']}"
--- a/src/dotterelpath/domain/fleet_view.py
+++ b/src/dotterelpath/domain/fleet_view.py
@@ -4,6 +4,7 @@
 
 import math
 
+from dotterelpath.domain import request_limits
 from dotterelpath.domain import steering
 
 # Callers are not sent to a daemon that has not responded for this long, in
@@ -265,6 +266,21 @@
             for daemon in daemons[:most]
         }
 
+    def serving_daemons(self) -> list[request_limits.ServingDaemon]:
+        """Lists the same daemons, the best of each data centre first.
+
+        Returns:
+            The id and the data centre of each daemon.
+        """
+        most = self._chosen_count + RESERVE_COUNT
+        return [
+            (daemon.id, data_centre)
+            for data_centre, daemons in sorted(
+                self._ranked_by_data_centre().items()
+            )
+            for daemon in daemons[:most]
+        ]
+
     def serving_count(self) -> int:
         """Estimates the number of daemons that callers are sent to."""
         return max(1, len(self._ranked_by_data_centre()) * self._chosen_count)
--- a/src/dotterelpath/domain/health_reports.py
+++ b/src/dotterelpath/domain/health_reports.py
@@ -42,6 +42,30 @@
         self.instances = instances
 
 
+class LimitReport:
+    """A daemon's report on the limits of requests that instances name.
+
+    A daemon that holds limits repeats it. One that has just heard of a limit,
+    or that an instance names none any more, sends it once.
+    """
+
+    __slots__ = ("limits", "service")
+
+    def __init__(
+        self, service: str, limits: list[tuple[str, int, float | None]]
+    ) -> None:
+        """Creates a report.
+
+        Args:
+            service: The instances' service.
+            limits: The id of each instance, its start time, in milliseconds
+                since 1970, and the requests a second that it takes; None if it
+                names no limit any more.
+        """
+        self.service = service
+        self.limits = limits
+
+
 class SuccessReport:
     """A daemon's report on the instances that served its requests."""
 
--- a/src/dotterelpath/domain/instance_state.py
+++ b/src/dotterelpath/domain/instance_state.py
@@ -6,6 +6,7 @@
 
 from dotterelpath.domain import health_filter
 from dotterelpath.domain import registry
+from dotterelpath.domain import request_limits
 
 # The time constant with which the reported load of other daemons decays, in
 # seconds: about the duration of one request.
@@ -31,6 +32,7 @@
         "last_sent_s",
         "peer_load",
         "peer_load_at_s",
+        "request_limit",
         "slow_filter",
         "served_s",
         "symptom_s",
@@ -54,6 +56,8 @@
         self.is_entry_missing = False
         self.peer_load = 0.0
         self.peer_load_at_s = -math.inf
+        # The limit that the instance names, if it does.
+        self.request_limit: request_limits.RequestLimit | None = None
         self.warm_up_ends_s = now_s + entry.warm_up_s
         self.joined_s = now_s if is_late_joiner else None
         self.last_sent_s: float | None = None
@@ -87,7 +91,21 @@
             now_s: The current time on the monotonic clock, in seconds.
         """
         most = self.entry.slots - MIN_FREE_SLOT_SHARE
-        return self.in_flight <= most and self.load(now_s) <= most
+        if self.in_flight > most or self.load(now_s) > most:
+            return False
+        limit = self.request_limit
+        return limit is None or limit.may_send(now_s)
+
+    def record_sent(self, now_s: float) -> None:
+        """Records that a request was sent to the instance.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        self.in_flight += 1
+        self.last_sent_s = now_s
+        if self.request_limit is not None:
+            self.request_limit.record_sent(now_s)
 
     def record_load(self, running: int, waiting: int, now_s: float) -> None:
         """Records the request counts that the instance reports.
--- a/src/dotterelpath/domain/load_balancer.py
+++ b/src/dotterelpath/domain/load_balancer.py
@@ -12,6 +12,7 @@
 from dotterelpath.domain import probing
 from dotterelpath.domain import ranking
 from dotterelpath.domain import registry
+from dotterelpath.domain import request_limits
 from dotterelpath.domain import success_log
 from dotterelpath.ports import randomness
 
@@ -85,9 +86,12 @@
         "_idle_searched_s",
         "_ids_of_missing_entries",
         "_instances",
+        "_limited",
         "_probe_searched_s",
         "_ranking",
         "_typical_by_route_s",
+        "_withheld",
+        "_withheld_s",
     )
 
     def __init__(self, data_centre: str) -> None:
@@ -98,6 +102,11 @@
         """
         self._data_centre = data_centre
         self._instances: dict[str, instance_state.InstanceState] = {}
+        self._limited: dict[str, instance_state.InstanceState] = {}
+        # The instances whose limit another daemon holds, and when they were
+        # last searched.
+        self._withheld: frozenset[str] = frozenset()
+        self._withheld_s = -math.inf
         self._ids_of_missing_entries: frozenset[str] = frozenset()
         self._ranking = ranking.Ranking(data_centre)
         # The time of the last search for an instance to probe that found none,
@@ -112,6 +121,30 @@
         """The instances that may get requests, by id."""
         return self._instances
 
+    @property
+    def limited(self) -> dict[str, instance_state.InstanceState]:
+        """The instances that name a limit of requests, by id."""
+        return self._limited
+
+    def set_request_limit(
+        self,
+        instance: instance_state.InstanceState,
+        limit: request_limits.RequestLimit | None,
+    ) -> None:
+        """Sets or lifts the limit of requests of an instance.
+
+        Args:
+            instance: The instance.
+            limit: The limit; None if the instance does not name one any more.
+        """
+        instance.request_limit = limit
+        if limit is None:
+            self._limited.pop(instance.id, None)
+        else:
+            self._limited[instance.id] = instance
+        self._withheld_s = -math.inf
+        self._ranking.invalidate()
+
     def set_listed(
         self, listed: typing.Iterable[registry.RegisteredInstance], now_s: float
     ) -> None:
@@ -141,6 +174,11 @@
         self._ids_of_missing_entries = frozenset(
             i.id for i in self._instances.values() if i.is_entry_missing
         )
+        self._limited = {
+            i.id: i
+            for i in self._instances.values()
+            if i.request_limit is not None
+        }
         self._ranking.invalidate()
 
     def drop(self, instance_id: str) -> None:
@@ -150,6 +188,7 @@
             instance_id: The instance.
         """
         self._instances.pop(instance_id, None)
+        self._limited.pop(instance_id, None)
         self._ranking.invalidate()
 
     def choose(
@@ -187,7 +226,7 @@
             if idle is not None:
                 return Selection(idle, False)
         self._update_ranking(now_s)
-        excluded = self._excluded(tried)
+        excluded = self._excluded(tried, now_s)
         best = self._ranking.best_failing(excluded)
         instance = self._ranking.cheapest(
             random,
@@ -229,7 +268,7 @@
             random,
             now_s,
             can_retry,
-            self._excluded(tried),
+            self._excluded(tried, now_s),
             instance_state.UNHEALTHY_THRESHOLD,
             max_failing,
         )
@@ -238,13 +277,56 @@
     def accepted_slots(self, now_s: float) -> int:
         """Counts the slots of the instances that requests wait for.
 
+        Those of instances that name a limit are not shared by the daemons; see
+        limited_slots.
+
         Args:
             now_s: The current time on the monotonic clock, in seconds.
         """
         self._update_ranking(now_s)
-        best = self._ranking.best_failing(self._excluded(()))
+        best = self._ranking.best_failing(self._excluded((), now_s))
         return self._ranking.slots(ranking.accepted_failing(best))
 
+    def limited_slots(self, now_s: float) -> float:
+        """Counts the slots that this daemon can use at limited instances.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        durations_s = self._typical_by_route_s.values()
+        work_s = request_limits.ASSUMED_WORK_S
+        if durations_s:
+            work_s = sum(durations_s) / len(durations_s)
+        return sum(
+            min(
+                float(instance.entry.slots),
+                instance.request_limit.slots(work_s, now_s),
+            )
+            for instance in self._limited.values()
+            if instance.request_limit is not None
+        )
+
+    def next_start_s(self, now_s: float) -> float:
+        """Returns when the limits of instances next allow a request.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+
+        Returns:
+            A time on the monotonic clock, in seconds: now_s while an instance
+            names no limit.
+        """
+        if len(self._limited) < len(self._instances):
+            return now_s
+        return min(
+            (
+                instance.request_limit.next_start_s(now_s)
+                for instance in self._limited.values()
+                if instance.request_limit is not None
+            ),
+            default=now_s,
+        )
+
     def typical_s(self, route: str, default_s: float) -> float:
         """Returns the typical duration of a route's requests, in seconds.
 
@@ -400,15 +482,20 @@
         self._ranking.update(self._instances.values(), now_s)
 
     def _excluded(
-        self, tried: typing.Collection[str]
+        self, tried: typing.Collection[str], now_s: float
     ) -> typing.Collection[str]:
         """Returns the ids of the instances that a request must not get.
 
         Instances with a missing entry are used only if there are no others.
+        Those whose limit another daemon holds are not used at all, and a
+        request must not wait for them.
 
         Args:
             tried: Ids of the instances that the request was sent to before.
+            now_s: The current time on the monotonic clock, in seconds.
         """
+        if self._limited:
+            tried = self._withheld_ids(now_s).union(tried)
         if not self._ids_of_missing_entries:
             return tried
         excluded = self._ids_of_missing_entries.union(tried)
@@ -416,6 +503,20 @@
             return tried
         return excluded
 
+    def _withheld_ids(self, now_s: float) -> frozenset[str]:
+        """Returns the ids of the instances whose limit another daemon holds.
+
+        Looks at all limited instances, but not for each request.
+        """
+        if now_s - self._withheld_s >= SEARCH_PERIOD_S:
+            self._withheld_s = now_s
+            self._withheld = frozenset(
+                instance.id
+                for instance in self._limited.values()
+                if _is_withheld(instance, now_s)
+            )
+        return self._withheld
+
     def _probe_target(
         self,
         can_retry: bool,
@@ -430,7 +531,7 @@
         """
         if now_s - self._probe_searched_s[can_retry] < self._search_period_s:
             return None
-        usable = self._usable_nearby()
+        usable = self._usable_nearby(now_s)
         exempt: typing.Collection[instance_state.InstanceState] = ()
         if is_degraded and not can_retry:
             exempt = _worst(usable, min_used_share, now_s)
@@ -465,7 +566,7 @@
         if now_s - self._idle_searched_s < self._search_period_s:
             return None
         self._idle_searched_s = now_s
-        idle_times_s = [i.idle_s(now_s) for i in self._usable_nearby()]
+        idle_times_s = [i.idle_s(now_s) for i in self._usable_nearby(now_s)]
         if not probing.are_too_many_idle(idle_times_s, min_used_share):
             return None
         self._update_ranking(now_s)
@@ -478,9 +579,11 @@
             len(self._instances) * SEARCH_PERIOD_PER_INSTANCE_S,
         )
 
-    def _usable_nearby(self) -> list[instance_state.InstanceState]:
+    def _usable_nearby(
+        self, now_s: float
+    ) -> list[instance_state.InstanceState]:
         """Returns the usable instances of this data centre."""
-        excluded = self._excluded(())
+        excluded = self._excluded((), now_s)
         return [
             instance
             for instance in self._instances.values()
@@ -489,6 +592,12 @@
         ]
 
 
+def _is_withheld(instance: instance_state.InstanceState, now_s: float) -> bool:
+    """Returns whether another daemon holds the limit of an instance."""
+    limit = instance.request_limit
+    return limit is not None and limit.next_start_s(now_s) == math.inf
+
+
 def _worst(
     instances: list[instance_state.InstanceState],
     min_used_share: float,
--- a/src/dotterelpath/domain/ranking.py
+++ b/src/dotterelpath/domain/ranking.py
@@ -25,6 +25,9 @@
 DISTANCE_COST = 0.05
 WARM_UP_COST = 0.1
 TIE_BREAK_COST = 0.005
+# Requests that an instance in need takes go there first, since other daemons
+# can use the other instances, but not this one.
+LIMITED_DISCOUNT = 0.1
 # If the best instance is unhealthy, those that fail a request with at most this
 # much more probability are used as well.
 UNHEALTHY_MARGIN = 0.15
@@ -147,6 +150,8 @@
     def slots(self, max_failing: float) -> int:
         """Counts the slots of the instances up to a probability of failure.
 
+        Instances that name a limit of requests are left out.
+
         Args:
             max_failing: The highest probability that an instance fails the next
                 request.
@@ -155,6 +160,7 @@
             ranked.instance.entry.slots
             for ranked in self._ranked
             if ranked.failing <= max_failing
+            and ranked.instance.request_limit is None
         )
 
     def cheapest(
@@ -240,6 +246,8 @@
             other_cost += DISTANCE_COST
         if now_s < instance.warm_up_ends_s:
             other_cost += WARM_UP_COST
+        if instance.request_limit is not None:
+            other_cost -= LIMITED_DISCOUNT
         return _RankedInstance(instance, instance.failing(now_s), other_cost)
 
 
--- a/src/dotterelpath/domain/request_queue.py
+++ b/src/dotterelpath/domain/request_queue.py
@@ -191,7 +191,11 @@
         return max(slots - taken, slots * MIN_SLOT_SHARE)
 
     def may_be_infeasible(
-        self, request: QueuedRequest[T], slots: float, now_s: float
+        self,
+        request: QueuedRequest[T],
+        slots: float,
+        now_s: float,
+        first_start_s: float = -math.inf,
     ) -> bool:
         """Tells whether a request just added may miss its deadline.
 
@@ -202,6 +206,7 @@
             request: The request.
             slots: The number of concurrent requests allowed to this daemon.
             now_s: The current time on the monotonic clock, in seconds.
+            first_start_s: When an instance takes the next request.
         """
         free_slots = self._free_slots(request.priority + 1, slots, now_s)
         queued_s = sum(
@@ -210,9 +215,12 @@
             if priority <= request.priority
         )
         ahead_s = queued_s - request.work_s
-        return request.is_infeasible(now_s + ahead_s / free_slots)
+        start_s = max(now_s, first_start_s)
+        return request.is_infeasible(start_s + ahead_s / free_slots)
 
-    def check_deadlines(self, slots: float, now_s: float) -> DeadlineCheck[T]:
+    def check_deadlines(
+        self, slots: float, now_s: float, first_start_s: float = -math.inf
+    ) -> DeadlineCheck[T]:
         """Finds the requests that will miss their deadline or target time.
 
         A request is expected to start when the work ahead of it is done in the
@@ -222,10 +230,12 @@
         Args:
             slots: The number of concurrent requests allowed to this daemon.
             now_s: The current time on the monotonic clock, in seconds.
+            first_start_s: When an instance takes the next request.
 
         Returns:
             The infeasible and the late requests.
         """
+        first_start_s = max(now_s, first_start_s)
         free_slots: dict[int, float] = {}
         for priority in self._work_s:
             for rank in (priority, priority + 1):
@@ -235,12 +245,12 @@
         ahead_s = 0.0
         for request in self._queued:
             priority = request.priority
-            start_s = now_s + ahead_s / free_slots[priority]
+            start_s = first_start_s + ahead_s / free_slots[priority]
             is_late = start_s + request.work_s > request.target_s
             if is_late:
                 # New requests of the same priority overtake a late one, so
                 # the slots that they need are not free either.
-                start_s = now_s + ahead_s / free_slots[priority + 1]
+                start_s = first_start_s + ahead_s / free_slots[priority + 1]
             if request.is_infeasible(start_s):
                 infeasible.append(request)
                 continue
--- a/src/dotterelpath/platform/headers.py
+++ b/src/dotterelpath/platform/headers.py
@@ -14,4 +14,6 @@
 # An instance's running requests, waiting requests and slots, separated by
 # commas.
 SERVER_LOAD = b"server-load"
+# The requests a second that an instance in need takes from all daemons.
+SERVER_LIMIT = b"server-limit"
 KEEP_ALIVE = b"keep-alive"
--- a/src/dotterelpath/platform/server_codec.py
+++ b/src/dotterelpath/platform/server_codec.py
@@ -11,6 +11,8 @@
 MISDIRECTED_REQUEST_STATUS = 421
 MIN_ERROR_STATUS = 400
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d{1,6})")
+# A decimal number without sign and exponent.
+_RATE = re.compile(rb"\d{1,9}(\.\d{0,9})?|\.\d{1,9}")
 _REPLACED_HEADERS = frozenset(
     {platform_headers.TIMEOUT_MS, platform_headers.TARGET_INSTANCE}
 )
@@ -78,7 +80,8 @@
         response: The response; only its head is read.
 
     Returns:
-        The metadata; without a load if the header is missing or invalid.
+        The metadata; without a load if the header is missing or invalid. Of
+        several limits the lowest valid one holds.
     """
     is_misrouted = response.status == MISDIRECTED_REQUEST_STATUS
     metadata = backend.ResponseMetadata(
@@ -92,4 +95,14 @@
         metadata.running, metadata.waiting, metadata.slots = (
             int(field) for field in load
         )
+    rates = [
+        value.strip()
+        for name, field in response.headers
+        if name == platform_headers.SERVER_LIMIT
+        for value in field.split(b",")
+    ]
+    metadata.states_request_limit = bool(rates)
+    metadata.request_limit_per_s = min(
+        (float(rate) for rate in rates if _RATE.fullmatch(rate)), default=None
+    )
     return metadata
--- a/src/dotterelpath/ports/backend.py
+++ b/src/dotterelpath/ports/backend.py
@@ -14,8 +14,10 @@
         "is_authentic",
         "is_misrouted",
         "is_not_run",
+        "request_limit_per_s",
         "running",
         "slots",
+        "states_request_limit",
         "waiting",
     )
 
@@ -27,6 +29,8 @@
         running: int | None = None,
         waiting: int | None = None,
         slots: int | None = None,
+        states_request_limit: bool = False,
+        request_limit_per_s: float | None = None,
     ) -> None:
         """Creates the metadata of a response.
 
@@ -38,6 +42,10 @@
             running: Requests that the instance is running, if stated.
             waiting: Requests in the instance's queue, if stated.
             slots: Requests that the instance runs at once, if stated.
+            states_request_limit: Whether the instance names a limit of
+                requests, which may be invalid.
+            request_limit_per_s: The requests a second that the instance takes
+                from all daemons together, if stated and valid.
         """
         self.is_not_run = is_not_run
         self.is_misrouted = is_misrouted
@@ -45,6 +53,8 @@
         self.running = running
         self.waiting = waiting
         self.slots = slots
+        self.states_request_limit = states_request_limit
+        self.request_limit_per_s = request_limit_per_s
 
 
 class ServerCodec(typing.Protocol):
--- a/src/dotterelpath/ports/datagrams.py
+++ b/src/dotterelpath/ports/datagrams.py
@@ -101,6 +101,24 @@
         self.report = report
 
 
+class LimitReportDatagram:
+    """Reports limits of requests that instances name."""
+
+    __slots__ = ("report", "sender_id")
+
+    def __init__(
+        self, sender_id: str, report: health_reports.LimitReport
+    ) -> None:
+        """Creates a datagram.
+
+        Args:
+            sender_id: The id of the daemon that reports.
+            report: The limits.
+        """
+        self.sender_id = sender_id
+        self.report = report
+
+
 class LeavingReportDatagram:
     """Reports instances that leave."""
 
@@ -125,6 +143,7 @@
     | HealthReportDatagram
     | SuccessReportDatagram
     | LeavingReportDatagram
+    | LimitReportDatagram
 )
 
 
--- a/src/dotterelpath/tasks/_pending.py
+++ b/src/dotterelpath/tasks/_pending.py
@@ -29,6 +29,7 @@
         "balancer",
         "deadlines_checked_s",
         "degradation",
+        "limits_reported_s",
         "name",
         "queue",
         "removed_instances",
@@ -48,6 +49,8 @@
         self.queue: request_queue.Queue[PendingRequest] = request_queue.Queue()
         # When the deadlines of all queued requests were last checked.
         self.deadlines_checked_s = -math.inf
+        # When this daemon last reported the limits of requests that it holds.
+        self.limits_reported_s = -math.inf
         self.retries = retry_window.RetryWindow()
         self.success_log = success_log.SuccessLog()
         self.degradation = probing.DegradationMonitor()
--- a/src/dotterelpath/tasks/_request_sender.py
+++ b/src/dotterelpath/tasks/_request_sender.py
@@ -271,7 +271,14 @@
         self._schedule_dispatch(state, now_s)
 
     def _send_or_enqueue(self, pending: _pending.PendingRequest) -> None:
-        """Sends a request, queues it, or fails it if there is no instance."""
+        """Sends a request, queues it, or fails it if there is no instance.
+
+        Where instances name limits, a request must not overtake more urgent
+        ones that have waited for the limit to allow the next one.
+        """
+        state = pending.service
+        if state is not None and state.balancer.limited:
+            self.dispatch_queued(state)
         selection = self._services.select_instance(pending)
         if selection.instance is not None:
             self._send(pending, selection)
@@ -298,7 +305,8 @@
         )
         state.queue.add(queued, now_s)
         slots = self._services.slot_share(state)
-        if state.queue.may_be_infeasible(queued, slots, now_s):
+        first_start_s = state.balancer.next_start_s(now_s)
+        if state.queue.may_be_infeasible(queued, slots, now_s, first_start_s):
             self._handle_late_requests(state, now_s)
         self._schedule_dispatch(state, now_s)
 
@@ -324,7 +332,9 @@
         """
         state.deadlines_checked_s = now_s
         deadline_check = state.queue.check_deadlines(
-            self._services.slot_share(state), now_s
+            self._services.slot_share(state),
+            now_s,
+            state.balancer.next_start_s(now_s),
         )
         for queued in deadline_check.late:
             pending = queued.item
@@ -381,8 +391,7 @@
             round(instance.failure_filter.symptom_probability(now_s), 3)
         )
         self._open_attempts[attempt_id] = attempt
-        instance.in_flight += 1
-        instance.last_sent_s = now_s
+        instance.record_sent(now_s)
         if now_s + slow_after_s < pending.deadline_s:
             self._timers.add(now_s + slow_after_s, attempt)
         self._backend_pool.force(
@@ -411,6 +420,9 @@
         metadata = self._read_metadata(response)
         if metadata.running is not None and metadata.waiting is not None:
             instance.record_load(metadata.running, metadata.waiting, now_s)
+        self._services.limits.record_response(
+            pending.service, attempt, metadata
+        )
         if metadata.is_not_run:
             self._on_not_run(pending, instance, metadata, message)
             return
--- a/src/dotterelpath/tasks/_services.py
+++ b/src/dotterelpath/tasks/_services.py
@@ -14,6 +14,7 @@
 from dotterelpath.domain import registry
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import randomness
+from dotterelpath.tasks import _limits
 from dotterelpath.tasks import _pending
 from dotterelpath.tasks import fleet_events
 from dotterelpath.tasks import mailbox
@@ -23,6 +24,9 @@
 ASSUMED_DURATION_FRACTION = 0.3
 # The shortest mean retry-after time for refused callers, in seconds.
 MIN_RETRY_AFTER_S = 0.2
+# The slots that are assumed to be usable at least, if all instances name limits
+# that other daemons hold.
+MIN_SLOTS = 0.05
 
 _log = structlog.get_logger()
 
@@ -39,6 +43,7 @@
         "_data_centre",
         "_instances_by_service",
         "_is_serving",
+        "_limits",
         "_peer_monitor",
         "_random",
         "_services",
@@ -74,6 +79,12 @@
         ] = {}
         self._serving_daemons = 1
         self._is_serving = False
+        self._limits = _limits.Limits(self._services, clock, peer_monitor)
+
+    @property
+    def limits(self) -> _limits.Limits:
+        """The limits of requests that instances name."""
+        return self._limits
 
     @property
     def states(self) -> dict[str, _pending.ServiceState]:
@@ -124,6 +135,7 @@
         """
         self._serving_daemons = max(1, message.daemon_count)
         self._is_serving = message.is_serving
+        self._limits.on_serving_daemons_changed(message)
 
     def on_health_report_received(
         self, message: fleet_events.HealthReportReceived
@@ -265,6 +277,7 @@
         """
         assert pending.service is not None
         now_s = self._clock.now_s()
+        self._limits.report_held(pending.service, now_s)
         return pending.service.balancer.choose(
             self._random,
             now_s,
@@ -295,12 +308,12 @@
 
     def slot_share(self, state: _pending.ServiceState) -> float:
         """Returns this daemon's share of the slots that requests wait for."""
-        return self._share_of(
-            state.balancer.accepted_slots(self._clock.now_s())
-        )
-
-    def _share_of(self, slots: int) -> float:
-        return max(1.0, slots / self._serving_daemons)
+        now_s = self._clock.now_s()
+        slots = state.balancer.accepted_slots(now_s)
+        shared = max(1.0, slots / self._serving_daemons) if slots else 0.0
+        if not state.balancer.limited:
+            return max(1.0, shared)
+        return max(MIN_SLOTS, shared + state.balancer.limited_slots(now_s))
 
     def expected_duration_s(self, pending: _pending.PendingRequest) -> float:
         """Returns the usual duration of a request on its route, in seconds."""
--- a/src/dotterelpath/tasks/fleet_events.py
+++ b/src/dotterelpath/tasks/fleet_events.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import math
+import typing
 
 from dotterelpath.domain import bounds
 from dotterelpath.domain import configuration
 from dotterelpath.domain import health_reports
 from dotterelpath.domain import registry
+from dotterelpath.domain import request_limits
 from dotterelpath.domain import steering
 
 
@@ -132,18 +134,28 @@
     Serving daemons are those that callers are, or would next be, sent to.
     """
 
-    __slots__ = ("daemon_count", "is_serving")
+    __slots__ = ("daemon_count", "is_serving", "own_id", "serving")
 
-    def __init__(self, daemon_count: int, is_serving: bool) -> None:
+    def __init__(
+        self,
+        daemon_count: int,
+        is_serving: bool,
+        own_id: str = "",
+        serving: typing.Sequence[request_limits.ServingDaemon] = (),
+    ) -> None:
         """Creates the message.
 
         Args:
             daemon_count: How many daemons share the services' slots and
                 retries.
             is_serving: Whether this daemon is one of them.
+            own_id: The id of this daemon.
+            serving: The serving daemons, the best of each data centre first.
         """
         self.daemon_count = daemon_count
         self.is_serving = is_serving
+        self.own_id = own_id
+        self.serving = serving
 
 
 class HealthReportIssued:
@@ -210,6 +222,38 @@
         self.report = report
 
 
+class LimitReportIssued:
+    """This daemon reports limits of requests that instances name."""
+
+    __slots__ = ("report",)
+
+    def __init__(self, report: health_reports.LimitReport) -> None:
+        """Creates the message.
+
+        Args:
+            report: The report.
+        """
+        self.report = report
+
+
+class LimitReportReceived:
+    """Another daemon reported limits of requests that instances name."""
+
+    __slots__ = ("daemon_id", "report")
+
+    def __init__(
+        self, daemon_id: str, report: health_reports.LimitReport
+    ) -> None:
+        """Creates the message.
+
+        Args:
+            daemon_id: The daemon that sent the report.
+            report: The report.
+        """
+        self.daemon_id = daemon_id
+        self.report = report
+
+
 class LeavingReportIssued:
     """This daemon has read that instances leave."""
 
--- a/src/dotterelpath/tasks/gateway.py
+++ b/src/dotterelpath/tasks/gateway.py
@@ -245,6 +245,9 @@
             fleet_events.LeavingReportReceived: (
                 services.on_leaving_report_received
             ),
+            fleet_events.LimitReportReceived: (
+                services.limits.on_limit_report_received
+            ),
             fleet_events.SuccessReportReceived: (
                 services.on_success_report_received
             ),
--- a/src/dotterelpath/tasks/peer_monitor.py
+++ b/src/dotterelpath/tasks/peer_monitor.py
@@ -12,6 +12,7 @@
 from dotterelpath.domain import configuration
 from dotterelpath.domain import deployment
 from dotterelpath.domain import fleet_view
+from dotterelpath.domain import request_limits
 from dotterelpath.domain import steering
 from dotterelpath.ports import addressing
 from dotterelpath.ports import clock as clock_port
@@ -29,6 +30,10 @@
 MEASUREMENT_PERIOD_S = 1.0
 # The number of past ticks whose pings may still be answered.
 MAX_OPEN_PINGS = 8
+# Daemons that callers are not sent to also get the reports on limits for this
+# time after they have reported one, in seconds, but at most so many of them.
+LIMIT_REPORTER_TIMEOUT_S = 5.0
+MAX_LIMIT_REPORTERS = 16
 
 _log = structlog.get_logger()
 
@@ -50,6 +55,7 @@
         "_is_leaving",
         "_last_cpu_time_s",
         "_last_sent_bytes",
+        "_limit_reporters_s",
         "_mailbox",
         "_measured_s",
         "_ping_reported_s",
@@ -106,7 +112,11 @@
         self._is_leaving = False
         self._ping_sequence = itertools.count(1)
         self._pinged_s: dict[int, float] = {}
-        self._published_serving_daemons: tuple[int, bool] | None = None
+        self._published_serving_daemons: (
+            tuple[int, list[request_limits.ServingDaemon]] | None
+        ) = None
+        # When other daemons last reported limits, by their id.
+        self._limit_reporters_s: dict[str, float] = {}
         self._last_cpu_time_s = read_cpu_time_s()
         self._last_sent_bytes = read_sent_bytes()
         self._measured_s = clock.now_s()
@@ -190,6 +200,8 @@
             self.on_health_report_issued(message)
         elif isinstance(message, fleet_events.SuccessReportIssued):
             self.on_success_report_issued(message)
+        elif isinstance(message, fleet_events.LimitReportIssued):
+            self.on_limit_report_issued(message)
         elif isinstance(message, fleet_events.LeavingReportIssued):
             self.on_leaving_report_issued(message)
         elif isinstance(message, messages.Tick):
@@ -227,6 +239,13 @@
                     datagram.sender_id, datagram.report
                 )
             )
+        elif isinstance(datagram, datagrams.LimitReportDatagram):
+            self._record_limit_reporter(datagram.sender_id, now_s)
+            self._gateway.force(
+                fleet_events.LimitReportReceived(
+                    datagram.sender_id, datagram.report
+                )
+            )
         elif isinstance(datagram, datagrams.SuccessReportDatagram):
             self._gateway.force(
                 fleet_events.SuccessReportReceived(
@@ -304,12 +323,46 @@
             )
         )
 
-    def _send_to_serving_daemons(self, datagram: datagrams.Datagram) -> None:
+    def on_limit_report_issued(
+        self, message: fleet_events.LimitReportIssued
+    ) -> None:
+        """Sends a report on limits to all daemons that may need it.
+
+        These are the other serving daemons, and those that reported limits
+        lately: the others may see more serving daemons than this one.
+
+        Args:
+            message: The report.
+        """
+        oldest_s = self._clock.now_s() - LIMIT_REPORTER_TIMEOUT_S
+        for daemon_id, at_s in list(self._limit_reporters_s.items()):
+            if at_s < oldest_s or daemon_id not in self._fleet_view.daemons:
+                del self._limit_reporters_s[daemon_id]
+        self._send_to_serving_daemons(
+            datagrams.LimitReportDatagram(
+                self._deployment.daemon_id, message.report
+            ),
+            self._limit_reporters_s,
+        )
+
+    def _record_limit_reporter(self, daemon_id: str, now_s: float) -> None:
+        if (
+            daemon_id in self._limit_reporters_s
+            or len(self._limit_reporters_s) < MAX_LIMIT_REPORTERS
+        ):
+            self._limit_reporters_s[daemon_id] = now_s
+
+    def _send_to_serving_daemons(
+        self,
+        datagram: datagrams.Datagram,
+        others: typing.Iterable[str] = (),
+    ) -> None:
         if self._datagrams is None or self._configuration is None:
             return
         own_id = self._deployment.daemon_id
         daemons = self._fleet_view.daemons
-        for daemon_id in self._fleet_view.serving_ids() - {own_id}:
+        receivers = self._fleet_view.serving_ids().union(others)
+        for daemon_id in receivers - {own_id}:
             peer = daemons[daemon_id]
             self._datagrams.send(peer.peer_host, peer.peer_port, datagram)
 
@@ -334,17 +387,19 @@
             self._schedule()
 
     def _publish_serving_daemons(self) -> None:
-        """Publishes the number of serving daemons if it has changed."""
+        """Publishes the serving daemons if they have changed."""
         if self._configuration is None:
             return
-        is_serving = (
-            self._deployment.daemon_id in self._fleet_view.serving_ids()
-        )
-        serving_daemons = (self._fleet_view.serving_count(), is_serving)
-        if serving_daemons != self._published_serving_daemons:
-            self._published_serving_daemons = serving_daemons
+        own_id = self._deployment.daemon_id
+        count = self._fleet_view.serving_count()
+        serving = self._fleet_view.serving_daemons()
+        if (count, serving) != self._published_serving_daemons:
+            self._published_serving_daemons = (count, serving)
+            is_serving = any(id == own_id for id, _ in serving)
             self._gateway.force(
-                fleet_events.ServingDaemonsChanged(*serving_daemons)
+                fleet_events.ServingDaemonsChanged(
+                    count, is_serving, own_id, serving
+                )
             )
 
     def _report_ping(self, now_s: float) -> None:
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -35,6 +35,7 @@
         endless: Sends a body without end, until the connection is closed.
         unframed: Sends a response without a content length.
         unsigned: Leaves out the signature.
+        limit: Names this limit of requests a second in all responses.
         shed: Refuses requests with 503.
         moved: Refuses requests with 421, as if another instance had the
             address.
@@ -173,7 +174,7 @@
     ) -> exchange.Response:
         fields = [
             (platform_headers.REQUEST_ID, request_id.encode()),
-            self._load_header(),
+            *self._own_headers(),
         ]
         if not self._mode.get("unsigned"):
             fields.append(
@@ -185,13 +186,18 @@
         fields = [
             (platform_headers.NOT_EXECUTED, b"1"),
             (platform_headers.REQUEST_ID, request_id.encode()),
-            self._load_header(),
+            *self._own_headers(),
         ]
         return http.json_response({"refused": self._id}, status, fields)
 
-    def _load_header(self) -> tuple[bytes, bytes]:
+    def _own_headers(self) -> list[tuple[bytes, bytes]]:
+        """Returns what the instance says of itself."""
         text = f"{self._running},{len(self._waiting)},{self._slots}"
-        return (platform_headers.SERVER_LOAD, text.encode())
+        headers = [(platform_headers.SERVER_LOAD, text.encode())]
+        if "limit" in self._mode:
+            limit = str(self._mode["limit"]).encode()
+            headers.append((platform_headers.SERVER_LIMIT, limit))
+        return headers
 
 
 def _write_raw(connection: frontend.Connection, data: bytes) -> None:
