Let no odd entry of an instance end the daemons that read the list

It could happen here: a port of more than 4,300 digits raises a plain ValueError in int(), which the codec did not take for an invalid entry, so that the registrar's task failed and ended the daemon, at each start.

A port has at most five digits, and any value that cannot be decoded is an invalid item: logged, and naming no instance. The error text shortens the state. Deep nesting, 1e400 and ports out of range were refused before.

--- a/features/invalid_input.feature
+++ b/features/invalid_input.feature
@@ -20,6 +20,13 @@
   Scenario: A digit that is not ASCII is refused in a timeout and in a port
     Then "²" is refused as a timeout, as a port of an entry and of a setting
 
+  # Another writer left an odd entry among those of the instances. The error of
+  # one that could not be decoded ended each daemon that read the list.
+  Scenario: An odd entry of another writer ends no daemon, and the others hold
+    Given a registrar with 3 listed instances
+    When the store has odd entries, one in each change
+    Then no change fails, and the 3 instances stay listed
+
   # One waiting request fails with its connection; the others need a new one.
   Scenario: After a failed connect, the other waiting requests get connections
     Given a pool that may open 1 connection to an instance
--- a/features/steps/invalid_input_steps.py
+++ b/features/steps/invalid_input_steps.py
@@ -6,6 +6,9 @@
 
 import behave
 import click
+import hypothesis
+import orjson
+from hypothesis import strategies
 
 from dotterelpath import errors
 from dotterelpath.adapters import settings
@@ -17,9 +20,14 @@
 from dotterelpath.platform import fields
 from dotterelpath.platform import headers as platform_headers
 from dotterelpath.platform import store_codec
+from dotterelpath.platform import store_item_codec
+from dotterelpath.ports import store
 from dotterelpath.tasks import backend_pool
+from dotterelpath.tasks import fleet_events
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import messages
+from dotterelpath.tasks import registrar
+from dotterelpath.tasks import store_events
 from features.support import world
 
 BODIES = {
@@ -255,3 +263,114 @@
     assert context.old.is_closed
     # The first request is among them if it had waited for its connection.
     assert len(written) == pool.attempts - context.sent_before, written
+
+
+def entry(**changed):
+    """Encodes a valid entry of an instance with changed fields."""
+    data = {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "a",
+        "version": "v1",
+        "capacity": 4,
+        "state": "ready",
+        "warmup_left_s": 0,
+        "sequence": 1,
+        "born": 1,
+        **changed,
+    }
+    return orjson.dumps(data).decode()
+
+
+ODD_VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(2**63), 2**64 - 1)
+    | strategies.floats(allow_nan=False, allow_infinity=False)
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.text(max_size=4), inner, max_size=3
+        )
+    ),
+    max_leaves=6,
+)
+ODD_ENTRIES = (
+    "[" * 100_000,
+    '{"state":' * 2000 + "1" + "}" * 2000,
+    entry().replace('"capacity":4', '"capacity":1e400'),
+    entry().replace('"born":1', '"born":' + "9" * 5000),
+    entry().replace('"sequence":1', '"sequence":' + "9" * 30),
+    entry(address="10.0.0.1:99999"),
+    entry(address="10.0.0.1:" + "9" * 5000),
+    entry(address="10.0.0.1:-1"),
+    entry(address="9" * 5000 + ":80"),
+    entry(address="[::1]:80"),
+    entry(state="x" * 100_000),
+    "\x00",
+    "",
+)
+
+
+@behave.given("a registrar with {count:d} listed instances")
+def step_registrar(context, count):
+    context.inbox = mailbox.Mailbox("subscriber", 10**6)
+    context.registrar = registrar.Registrar(
+        2.0,
+        store_item_codec.StoreItemCodec(),
+        world.FakeClock(),
+        world.FakeTimers(),
+        world.NoMetrics(),
+        mailbox.Mailbox("registrar"),
+        (context.inbox,),
+        mailbox.Mailbox("peers", 10**6),
+    )
+    context.listed = {f"i{n}" for n in range(count)}
+    apply_change(context, [(i, entry()) for i in context.listed], True)
+
+
+def apply_change(context, entries, is_full=False):
+    """Sends the registrar a change of entries, as the store reader does."""
+    context.revision = getattr(context, "revision", 1) + 1
+    items = [
+        store.VersionedValue(
+            store_item_codec.INSTANCE_PREFIX + key, value, context.revision
+        )
+        for key, value in entries
+    ]
+    changes = store.Changes(items, context.revision, is_full)
+    context.registrar.handle(store_events.StoreChanged(changes, 1000.0, 4.0))
+
+
+@behave.when("the store has odd entries, one in each change")
+def step_odd_entries(context):
+    names = list(orjson.loads(entry()))
+    context.odd_failures = []
+
+    def apply_odd(key, value):
+        try:
+            apply_change(context, [(key, value), ("i0", entry())])
+        except Exception as error:
+            context.odd_failures.append((value[:60], repr(error)[:80]))
+
+    for value in ODD_ENTRIES:
+        apply_odd("odd", value)
+
+    @hypothesis.settings(derandomize=True, max_examples=400, database=None)
+    @hypothesis.given(strategies.sampled_from(names), ODD_VALUES)
+    def check(name, value):
+        apply_odd("odd", entry(**{name: value}))
+
+    check()
+
+
+@behave.then("no change fails, and the {count:d} instances stay listed")
+def step_still_listed(context, count):
+    assert not context.odd_failures, context.odd_failures[:3]
+    newest = None
+    while (message := context.inbox.poll()) is not None:
+        if isinstance(message, fleet_events.RegistryChanged):
+            newest = message.instances_by_service
+    found = {i.entry.id for rows in newest.values() for i in rows}
+    assert context.listed <= found, found
--- a/src/dotterelpath/platform/fields.py
+++ b/src/dotterelpath/platform/fields.py
@@ -118,7 +118,9 @@
             f"{name} is {reprlib.repr(value)}, which does not start with an IP"
             " address"
         ) from None
-    if not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
+    # int() refuses very long numbers with an error of its own.
+    is_number = port.isascii() and port.isdigit() and len(port) <= 5
+    if not is_number or not 0 < int(port) < 65536:
         raise FieldError(
             f"{name} is {reprlib.repr(value)}, which does not end with a port"
             " from 1 to 65535"
--- a/src/dotterelpath/platform/store_item_codec.py
+++ b/src/dotterelpath/platform/store_item_codec.py
@@ -48,7 +48,7 @@
                 return _decode_instance(item)
             if item.key.startswith(DAEMON_PREFIX):
                 return _decode_daemon(item)
-        except (fields.FieldError, orjson.JSONDecodeError) as error:
+        except ValueError as error:
             return store_items.InvalidItem(
                 item.key, str(error), _instance_id(item)
             )
@@ -91,7 +91,7 @@
     state = fields.get_string(data, "state")
     if state not in _IS_DRAINING_BY_STATE:
         raise fields.FieldError(
-            f"the state is {state!r}, not ready or draining"
+            f"the state is {reprlib.repr(state)}, not ready or draining"
         )
     host, port = fields.parse_endpoint(
         fields.get_string(data, "address"), "address"
