Let no load that an instance reports end the daemon

A load is three integers of at most 9 digits now; anything else is none.

Measured: the scenario raises the ValueError before and passes now, with 400 drawn texts besides.

--- a/features/invalid_input.feature
+++ b/features/invalid_input.feature
@@ -27,6 +27,10 @@
     When the store has odd entries, one in each change
     Then no change fails, and the 3 instances stay listed
 
+  # The number ended the daemon that decoded the response.
+  Scenario: Any load that an instance reports is a load, or has no effect
+    Then a load of 5000 digits is none, like any other text but three numbers
+
   # One waiting request fails with its connection; the others need a new one.
   Scenario: After a failed connect, the other waiting requests get connections
     Given a pool that may open 1 connection to an instance
--- a/features/steps/invalid_input_steps.py
+++ b/features/steps/invalid_input_steps.py
@@ -19,6 +19,7 @@
 from dotterelpath.platform import caller_codec
 from dotterelpath.platform import fields
 from dotterelpath.platform import headers as platform_headers
+from dotterelpath.platform import server_codec
 from dotterelpath.platform import store_codec
 from dotterelpath.platform import store_item_codec
 from dotterelpath.ports import store
@@ -374,3 +375,28 @@
             newest = message.instances_by_service
     found = {i.entry.id for rows in newest.values() for i in rows}
     assert context.listed <= found, found
+
+
+def decode_load(value):
+    """Decodes a response with a load."""
+    headers = [(platform_headers.SERVER_LOAD, value)]
+    metadata = server_codec.decode_metadata(
+        exchange.Response(200, headers, b"")
+    )
+    return metadata.running, metadata.waiting, metadata.slots
+
+
+@behave.then(
+    "a load of {count:d} digits is none, like any other text but three numbers"
+)
+def step_load(context, count):
+    assert decode_load(b"9" * count + b",0,4") == (None, None, None)
+    assert decode_load(b"3, 0,8") == (3, 0, 8)
+
+    @hypothesis.settings(derandomize=True, max_examples=400, database=None)
+    @hypothesis.given(strategies.binary(max_size=24))
+    def check(value):
+        load = decode_load(value)
+        assert load == (None, None, None) or all(n >= 0 for n in load)
+
+    check()
--- a/src/dotterelpath/platform/server_codec.py
+++ b/src/dotterelpath/platform/server_codec.py
@@ -11,6 +11,8 @@
 MISDIRECTED_REQUEST_STATUS = 421
 MIN_ERROR_STATUS = 400
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d{1,6})")
+# Three integers with commas between them.
+_LOAD = re.compile(rb"\s*(\d{1,9})\s*,\s*(\d{1,9})\s*,\s*(\d{1,9})\s*")
 # A decimal number without sign and exponent.
 _RATE = re.compile(rb"\d{1,9}(\.\d{0,9})?|\.\d{1,9}")
 _REPLACED_HEADERS = frozenset(
@@ -90,10 +92,10 @@
         is_misrouted=is_misrouted,
         is_authentic=response.header(platform_headers.SIGNATURE) is not None,
     )
-    load = (response.header(platform_headers.SERVER_LOAD) or b"").split(b",")
-    if len(load) == 3 and all(field.strip().isdigit() for field in load):
+    load = _LOAD.fullmatch(response.header(platform_headers.SERVER_LOAD) or b"")
+    if load is not None:
         metadata.running, metadata.waiting, metadata.slots = (
-            int(field) for field in load
+            int(field) for field in load.groups()
         )
     rates = [
         value.strip()
