--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -56,6 +56,11 @@
       | shed     | 503    |
       | moved    | 503    |
 
+  # Callers of another system got a 200 with an empty or short body, framed as
+  # whole, from an instance that stopped in the middle of its response's head.
+  Scenario: A response whose head is cut off never reaches the caller as one
+    Then a response of deposits that is cut off after any part of its head is 502
+
   Scenario: A body without end is cut off visibly at the caller's deadline
     Given all instances of presses have the fault endless
     When 12 callers with a deadline of 1.5 seconds read GET /presses/1 at once
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -243,6 +243,21 @@
             context.fleet.set_mode(instance, **{fault: True})
 
 
+@behave.then(
+    "a response of deposits that is cut off after any part of its head is "
+    "{status:d}"
+)
+def step_head_cut(context, status):
+    # The head has somewhat more than 100 bytes.
+    for length in (*range(1, 96, 8), *range(-9, 0)):
+        for instance in context.fleet.instances:
+            if instance.startswith("i-deposits-"):
+                context.fleet.set_mode(instance, cut_head=length)
+        send_request(context, "g1", "POST", "/deposits/1")
+        response = context.response
+        assert response.status == status, (length, response.status)
+
+
 @behave.given("one instance of presses fails")
 def step_one_failing(context):
     context.fleet.set_mode("i-presses-1", fail=True)
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -30,6 +30,8 @@
         work_s: Sets the duration of a request, in seconds.
         silent: Runs requests and never responds.
         drop: Runs requests and closes the connection without a response.
+        cut_head: Sends this many bytes of the response's head and closes the
+            connection; of a negative number, all but so many.
         truncate: Sends fewer bytes than the content length.
         late: Sends a response to another request before the right one.
         endless: Sends a body without end, until the connection is closed.
@@ -158,6 +160,10 @@
             request_id.encode(),
             platform_headers.SIGNATURE,
         )
+        if "cut_head" in self._mode:
+            head += b"content-length: %d\r\n\r\n" % len(body)
+            _write_raw(connection, head[: self._mode["cut_head"]])
+            return None
         if self._mode.get("truncate"):
             _write_raw(connection, head + b"content-length: 999\r\n\r\n" + body)
             return None
