Take no further pipelined request from a connection that drains

A draining connection takes a request only if it has begun to receive it. The last outstanding response announces the end of the connection, and what the caller has sent behind it is read and discarded for a second: a reset could lose that response. Such requests count as not read and may be sent again.

--- a/src/dotterelpath/adapters/h11_frontend.py
+++ b/src/dotterelpath/adapters/h11_frontend.py
@@ -28,7 +28,8 @@
 # When a caller may return whose body did not fit into the memory, in seconds:
 # about the duration of a request, after which its body is released.
 BODY_RETRY_AFTER_S = 0.5
-# How long the rest of a refused request is read and discarded, in seconds.
+# How long bytes that are no request any more are read and discarded, in
+# seconds.
 LINGER_S = 1.0
 # The most connections that wait to be accepted.
 LISTEN_BACKLOG = 1024
@@ -96,6 +97,7 @@
         "_codec",
         "_cycle",
         "_is_closing",
+        "_is_draining",
         "_is_lingering",
         "_is_reading",
         "_last_activity_s",
@@ -138,6 +140,7 @@
         self._unread: list[bytes] = []
         self._is_reading = False
         self._is_closing = False
+        self._is_draining = False
         self._is_lingering = False
         self._last_activity_s = time.monotonic()
 
@@ -254,6 +257,7 @@
     def drain(self) -> None:
         """Closes once no response is outstanding; see frontend.Connection."""
         self._is_closing = True
+        self._is_draining = True
         if self._transport is not None and not self._open_cycles:
             self._transport.close()
 
@@ -296,6 +300,11 @@
         unparsed, _ = self._cycle.conn.trailing_data
         return self._is_reading_body or bool(unparsed) or bool(self._unread)
 
+    @property
+    def _is_closed_to_requests(self) -> bool:
+        """Whether no further request is taken from the connection."""
+        return self._is_draining and self._cycle.is_received
+
     def _find_unanswered(
         self, request: exchange.Request | None
     ) -> _RequestCycle | None:
@@ -322,14 +331,14 @@
         """Whether a response announces the end of the connection.
 
         Callers drop the requests that they pipelined behind such a response,
-        so only the last outstanding one announces it.
+        so only the last outstanding one announces it. A draining connection
+        takes none of them any more, unless it has begun to receive one.
         """
         if cycle.is_refused:
             return True
-        is_last = (
-            self._open_cycles[-1] is cycle and not self._has_partial_request
-        )
-        return self._is_closing and is_last
+        if not self._is_closing or self._open_cycles[-1] is not cycle:
+            return False
+        return self._is_closed_to_requests or not self._has_partial_request
 
     def _flush(self) -> None:
         """Writes encoded responses in request order."""
@@ -356,7 +365,10 @@
             self._linger()
             return
         if must_close or (self._is_closing and not self._open_cycles):
-            self._transport.close()
+            if self._is_closed_to_requests and self._has_partial_request:
+                self._linger()
+            else:
+                self._transport.close()
             return
         if not self._open_cycles:
             self._last_activity_s = time.monotonic()
@@ -367,7 +379,7 @@
         """Discards what the caller still sends, then closes.
 
         Closing a socket with unread bytes resets the connection, and the
-        caller would lose the response to its refused request.
+        caller would lose the last response.
         """
         assert self._transport is not None
         self._is_lingering = True
@@ -402,6 +414,8 @@
         cycle = self._cycle
         if not cycle.is_received:
             return True
+        if self._is_closed_to_requests:
+            return False
         if self._open_cycles and self._open_cycles[-1].is_refused:
             return False
         if len(self._open_cycles) >= self._limits.max_pipelined:
