Take an instance at its word that it leaves

An instance that leaves says so in all its responses (DRAIN is new for it: nothing reaches it from a machine later than drain_s after that machine passed such a response on, in touch or not). No daemon read it, so that an instance that began to leave while the store was down went on getting requests until the store was back.

From such a response on, the instance is removed for this run, as it is by a report of another daemon; the other serving daemons get a report, also from a daemon that does not watch the store. A response that is matched to its request counts, whatever its status; one of another instance at the address does not. A faulty instance can only take itself out. What is removed stays so until a newer run is listed: before, an entry that expired and reappeared brought it back, also one that a peer had reported.

--- a/features/steps/leaving_report_steps.py
+++ b/features/steps/leaving_report_steps.py
@@ -203,27 +203,33 @@
     )
 
 
+def create_monitor(context):
+    """Creates a monitor that knows the fleet and keeps what it sends."""
+    monitor = peer_monitor.PeerMonitor(
+        make_deployment(),
+        world.FakeClock(),
+        lambda: 0.0,
+        lambda: 0,
+        *(mailbox.Mailbox(name, 1000) for name in ("m", "g", "s")),
+    )
+    context.sent = Sent()
+    monitor.connect(context.sent)
+    monitor.handle(
+        fleet_events.ConfigurationChanged(
+            configuration.Configuration(1, {}, [], gateway_world.LIMITS)
+        )
+    )
+    monitor.handle(fleet_events.DaemonsChanged(context.fleet_view.daemons))
+    context.serving = monitor.fleet_view.serving_ids()
+    return monitor
+
+
 @behave.when(
     "the monitor issues a report without watching the store, and then with"
 )
 def step_issue(context):
     async def run():
-        monitor = peer_monitor.PeerMonitor(
-            make_deployment(),
-            world.FakeClock(),
-            lambda: 0.0,
-            lambda: 0,
-            *(mailbox.Mailbox(name, 1000) for name in ("m", "g", "s")),
-        )
-        context.sent = Sent()
-        monitor.connect(context.sent)
-        monitor.handle(
-            fleet_events.ConfigurationChanged(
-                configuration.Configuration(1, {}, [], gateway_world.LIMITS)
-            )
-        )
-        monitor.handle(fleet_events.DaemonsChanged(context.fleet_view.daemons))
-        context.serving = monitor.fleet_view.serving_ids()
+        monitor = create_monitor(context)
         for revision, name in ((None, "first"), (7, "second")):
             monitor.handle(fleet_events.WatchedRevisionChanged(revision))
             report = health_reports.LeavingReport([("s", name, 1)])
@@ -244,3 +250,84 @@
     others = [int(id[1:]) for id in context.serving - {"d0"}]
     assert sorted(reports) == sorted((port, "second") for port in others)
     assert others
+
+
+@behave.when(
+    "responses of the first instance say from second {start_s:g} that it leaves"
+)
+def step_says_leaving(context, start_s):
+    first = context.world.instances["i0"]
+    context.world.schedule(start_s, setattr, first, "says_leaving", True)
+    context.world.load("/w/1", 60, 0.0, 15.0)
+
+
+def list_without_first(context):
+    first = context.world.instances.pop("i0")
+    context.world.list_all()
+    context.world.instances = {"i0": first, **context.world.instances}
+
+
+def start_again(context):
+    context.world.instances["i0"].says_leaving = False
+    context.world.started_ms += 1
+    context.world.list_all()
+
+
+@behave.when("at second {at_s:g} {event}")
+def step_event(context, at_s, event):
+    run = context.world
+    first = run.instances["i0"]
+    actions = {
+        "nothing happens": [],
+        "its responses do not say so any more": [
+            (setattr, first, "says_leaving", False)
+        ],
+        "the list without its drain is published": [(run.list_all,)],
+        "its entry expires and reappears": [
+            (list_without_first, context),
+            (run.list_all,),
+        ],
+        "a new run of it is listed": [(start_again, context)],
+    }[event]
+    for number, action in enumerate(actions):
+        run.schedule(at_s + number * 0.5, *action)
+    run.run(25.0)
+
+
+@behave.then("the first instance gets requests until second {end_s:g} only")
+def step_until(context, end_s):
+    times_s = [at_s for at_s, _ in context.world.instances["i0"].arrivals]
+    assert times_s and max(times_s) <= end_s, max(times_s)
+
+
+@behave.then("the first instance gets requests after second {start_s:g}")
+def step_after(context, start_s):
+    times_s = [at_s for at_s, _ in context.world.instances["i0"].arrivals]
+    assert max(times_s) > start_s, max(times_s)
+
+
+@behave.then("one report tells the other daemons that it leaves")
+def step_one_report(context):
+    found = []
+    while (message := context.world.neighbours.poll()) is not None:
+        if isinstance(message, fleet_events.LeavingReportIssued):
+            assert message.is_first_hand
+            found += message.report.instances
+    assert found == [(gateway_world.SERVICE, "i0", STARTED_MS)], found
+
+
+@behave.when(
+    "the monitor issues a report of an instance's own word without watching"
+)
+def step_issue_own_word(context):
+    async def run():
+        monitor = create_monitor(context)
+        report = health_reports.LeavingReport([("s", "second", 1)])
+        monitor.handle(fleet_events.LeavingReportIssued(report, True))
+
+    asyncio.run(run())
+
+
+@behave.then("the report is sent, once to each other serving daemon")
+def step_own_word_sent(context):
+    step_sent_by_watcher(context)
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -38,6 +38,7 @@
         self.failure_rate = 0.0
         # The limit that the instance names in its responses, as text.
         self.named_limit = None
+        self.says_leaving = False
         self.is_silent = False
         self.running = {}
         self.waiting = collections.deque()
@@ -58,6 +59,7 @@
         self.event_numbers = itertools.count()
         self.replies = mailbox.Mailbox("callers", 10**9)
         self.back_ends = mailbox.Mailbox("back ends", 10**9)
+        self.neighbours = mailbox.Mailbox("neighbours", 10**9)
         self.timers = world.FakeTimers()
         self.instances = {
             f"i{n}": Instance(f"i{n}", slots, work_s) for n in range(instances)
@@ -75,8 +77,9 @@
             world.NoMetrics(),
             mailbox.Mailbox("gateway"),
             self.back_ends,
-            mailbox.Mailbox("neighbours", 10**9),
+            self.neighbours,
         )
+        self.started_ms = 1
         self.configure(routes)
         self.list_all()
         self.gateway.handle(
@@ -106,7 +109,7 @@
                     False,
                     0.0,
                     1,
-                    1,
+                    self.started_ms,
                 )
             )
             for i in self.instances.values()
@@ -212,6 +215,8 @@
                 (load + str(instance.slots)).encode(),
             ),
         ]
+        if instance.says_leaving:
+            headers.append((platform_headers.SERVER_LEAVING, b"1"))
         if instance.named_limit is not None:
             limit = instance.named_limit.encode()
             headers.append((platform_headers.SERVER_LIMIT, limit))
--- a/src/dotterelpath/platform/headers.py
+++ b/src/dotterelpath/platform/headers.py
@@ -16,4 +16,6 @@
 SERVER_LOAD = b"server-load"
 # The requests a second that an instance in need takes from all daemons.
 SERVER_LIMIT = b"server-limit"
+# Present with the value 1 if the instance leaves.
+SERVER_LEAVING = b"server-leaving"
 KEEP_ALIVE = b"keep-alive"
--- a/src/dotterelpath/platform/server_codec.py
+++ b/src/dotterelpath/platform/server_codec.py
@@ -91,6 +91,7 @@
         or response.header(platform_headers.NOT_EXECUTED) is not None,
         is_misrouted=is_misrouted,
         is_authentic=response.header(platform_headers.SIGNATURE) is not None,
+        is_leaving=response.header(platform_headers.SERVER_LEAVING) == b"1",
     )
     load = _LOAD.fullmatch(response.header(platform_headers.SERVER_LOAD) or b"")
     if load is not None:
--- a/src/dotterelpath/ports/backend.py
+++ b/src/dotterelpath/ports/backend.py
@@ -12,6 +12,7 @@
 
     __slots__ = (
         "is_authentic",
+        "is_leaving",
         "is_misrouted",
         "is_not_run",
         "request_limit_per_s",
@@ -31,6 +32,7 @@
         slots: int | None = None,
         states_request_limit: bool = False,
         request_limit_per_s: float | None = None,
+        is_leaving: bool = False,
     ) -> None:
         """Creates the metadata of a response.
 
@@ -46,6 +48,7 @@
                 requests, which may be invalid.
             request_limit_per_s: The requests a second that the instance takes
                 from all daemons together, if stated and valid.
+            is_leaving: Whether the instance says that it leaves.
         """
         self.is_not_run = is_not_run
         self.is_misrouted = is_misrouted
@@ -55,6 +58,7 @@
         self.slots = slots
         self.states_request_limit = states_request_limit
         self.request_limit_per_s = request_limit_per_s
+        self.is_leaving = is_leaving
 
 
 class ServerCodec(typing.Protocol):
--- a/src/dotterelpath/tasks/_pending.py
+++ b/src/dotterelpath/tasks/_pending.py
@@ -54,9 +54,9 @@
         self.retries = retry_window.RetryWindow()
         self.success_log = success_log.SuccessLog()
         self.degradation = probing.DegradationMonitor()
-        # The id and the start time of each instance that leaves, or was not
-        # found at its address.
-        self.removed_instances: set[tuple[str, int]] = set()
+        # The start time of each instance that leaves, or was not found at its
+        # address, by id.
+        self.removed_instances: dict[str, int] = {}
 
 
 class OpenAttempt:
--- a/src/dotterelpath/tasks/_request_sender.py
+++ b/src/dotterelpath/tasks/_request_sender.py
@@ -423,6 +423,7 @@
         self._services.limits.record_response(
             pending.service, attempt, metadata
         )
+        self._services.record_leaving(pending.service, attempt, metadata)
         if metadata.is_not_run:
             self._on_not_run(pending, instance, metadata, message)
             return
--- a/src/dotterelpath/tasks/_services.py
+++ b/src/dotterelpath/tasks/_services.py
@@ -12,6 +12,7 @@
 from dotterelpath.domain import instance_state
 from dotterelpath.domain import load_balancer
 from dotterelpath.domain import registry
+from dotterelpath.ports import backend
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import randomness
 from dotterelpath.tasks import _limits
@@ -24,6 +25,8 @@
 ASSUMED_DURATION_FRACTION = 0.3
 # The shortest mean retry-after time for refused callers, in seconds.
 MIN_RETRY_AFTER_S = 0.2
+# The most instances of a service that are remembered as removed.
+MAX_REMOVED_INSTANCES = 4096
 # The slots that are assumed to be usable at least, if all instances name limits
 # that other daemons hold.
 MIN_SLOTS = 0.05
@@ -411,13 +414,52 @@
         if not is_local:
             self.publish_symptom(state, instance, symptom)
 
+    def record_leaving(
+        self,
+        state: _pending.ServiceState,
+        attempt: _pending.OpenAttempt,
+        metadata: backend.ResponseMetadata,
+    ) -> None:
+        """Removes an instance whose response says that it leaves.
+
+        Leaving is final for a run of an instance: a later response without the
+        sign, or an entry that says it is ready, has no effect. A response of
+        another instance at the address has none either.
+
+        Args:
+            state: The service.
+            attempt: The attempt that was responded to.
+            metadata: What the response says.
+        """
+        instance = attempt.instance
+        is_known = state.balancer.instances.get(instance.id) is instance
+        if not metadata.is_leaving or metadata.is_misrouted or not is_known:
+            return
+        _log.info(
+            "instance leaves",
+            request_id=attempt.pending.request.request_id,
+            instance=instance.id,
+            service=state.name,
+            sender=instance.id,
+        )
+        self.remove_instance(state, instance)
+        entry = instance.entry
+        report = health_reports.LeavingReport(
+            [(state.name, entry.id, entry.started_ms)]
+        )
+        self._peer_monitor.force(fleet_events.LeavingReportIssued(report, True))
+
     def remove_instance(
         self,
         state: _pending.ServiceState,
         instance: instance_state.InstanceState,
     ) -> None:
         """Removes an instance that leaves or is not at its address any more."""
-        state.removed_instances.add((instance.id, instance.entry.started_ms))
+        removed = state.removed_instances
+        removed.pop(instance.id, None)
+        removed[instance.id] = instance.entry.started_ms
+        if len(removed) > MAX_REMOVED_INSTANCES:
+            del removed[next(iter(removed))]
         state.balancer.drop(instance.id)
 
     def publish_symptom(
@@ -458,19 +500,15 @@
         """Updates the instances that a service's balancer may choose.
 
         A removed instance is chosen again after a restart, which changes its
-        start time.
+        start time. Until then it stays removed, also if its entry expires and
+        reappears.
         """
-        known = {
-            (listed.entry.id, listed.entry.started_ms)
-            for listed in self._instances_by_service.get(state.name, ())
-        }
-        state.removed_instances &= known
         available = [
             listed
             for listed in self._instances_by_service.get(state.name, ())
             if not listed.entry.is_draining
-            and (listed.entry.id, listed.entry.started_ms)
-            not in state.removed_instances
+            and listed.entry.started_ms
+            > state.removed_instances.get(listed.entry.id, -1)
         ]
         state.balancer.set_listed(available, self._clock.now_s())
 
--- a/src/dotterelpath/tasks/fleet_events.py
+++ b/src/dotterelpath/tasks/fleet_events.py
@@ -255,17 +255,22 @@
 
 
 class LeavingReportIssued:
-    """This daemon has read that instances leave."""
+    """This daemon has learnt that instances leave."""
 
-    __slots__ = ("report",)
+    __slots__ = ("is_first_hand", "report")
 
-    def __init__(self, report: health_reports.LeavingReport) -> None:
+    def __init__(
+        self, report: health_reports.LeavingReport, is_first_hand: bool = False
+    ) -> None:
         """Creates the message.
 
         Args:
             report: The report.
+            is_first_hand: Whether the instances said so themselves; otherwise
+                the store has it, which other daemons may have read as well.
         """
         self.report = report
+        self.is_first_hand = is_first_hand
 
 
 class LeavingReportReceived:
--- a/src/dotterelpath/tasks/peer_monitor.py
+++ b/src/dotterelpath/tasks/peer_monitor.py
@@ -306,12 +306,13 @@
     ) -> None:
         """Sends a report on leaving instances to the other serving daemons.
 
-        Only daemons that watch the store do so; they are the first to know.
+        Of what the store has, only daemons that watch it report; they are the
+        first to know.
 
         Args:
             message: The report.
         """
-        if self._store_revision is None:
+        if self._store_revision is None and not message.is_first_hand:
             return
         _log.info(
             "leaving instances reported",
