--- a/src/dotterelpath/adapters/datagrams.py
+++ b/src/dotterelpath/adapters/datagrams.py
@@ -144,17 +144,7 @@
     if "ping" in data:
         return datagrams.Ping(sender, int(data["ping"]))
     if "pong" in data:
-        state = steering.DaemonState(data["state"])
-        usage = steering.Resources(
-            float(data["cores"]), float(data["link_mbps"])
-        )
-        pong = datagrams.Pong(sender, int(data["pong"]), state, usage, None)
-        # A daemon of an older build does not send the age. Its revision may be
-        # of any age, so that it is of no use.
-        if data["revision"] is not None and "revision_age_s" in data:
-            pong.revision = int(data["revision"])
-            pong.revision_age_s = max(0.0, float(data["revision_age_s"]))
-        return pong
+        return _decode_pong(sender, data)
     if "leaving" in data:
         return datagrams.LeavingReportDatagram(
             sender,
@@ -166,20 +156,7 @@
             ),
         )
     if "limits" in data:
-        return datagrams.LimitReportDatagram(
-            sender,
-            health_reports.LimitReport(
-                str(data["service"]),
-                [
-                    (
-                        str(id),
-                        int(started),
-                        None if per_s is None else float(per_s),
-                    )
-                    for id, started, per_s in data["limits"]
-                ],
-            ),
-        )
+        return _decode_limits(sender, data)
     if "served" in data:
         return datagrams.SuccessReportDatagram(
             sender,
@@ -195,3 +172,31 @@
         health_reports.Symptom(data["seen"]),
     )
     return datagrams.HealthReportDatagram(sender, report)
+
+
+def _decode_pong(sender: str, data: dict[str, typing.Any]) -> datagrams.Pong:
+    pong = datagrams.Pong(
+        sender,
+        int(data["pong"]),
+        steering.DaemonState(data["state"]),
+        steering.Resources(float(data["cores"]), float(data["link_mbps"])),
+        None,
+    )
+    # A daemon of an older build does not send the age. Its revision may be of
+    # any age, so that it is of no use.
+    if data["revision"] is not None and data.get("revision_age_s") is not None:
+        pong.revision = int(data["revision"])
+        pong.revision_age_s = max(0.0, float(data["revision_age_s"]))
+    return pong
+
+
+def _decode_limits(
+    sender: str, data: dict[str, typing.Any]
+) -> datagrams.LimitReportDatagram:
+    limits = [
+        (str(id), int(started), None if per_s is None else float(per_s))
+        for id, started, per_s in data["limits"]
+    ]
+    return datagrams.LimitReportDatagram(
+        sender, health_reports.LimitReport(str(data["service"]), limits)
+    )
--- a/src/dotterelpath/domain/fleet_view.py
+++ b/src/dotterelpath/domain/fleet_view.py
@@ -259,12 +259,7 @@
             The ids of the daemons in all data centres. Each data centre is
             assumed to need as many daemons as were last chosen here.
         """
-        most = self._chosen_count + RESERVE_COUNT
-        return {
-            daemon.id
-            for daemons in self._ranked_by_data_centre().values()
-            for daemon in daemons[:most]
-        }
+        return {daemon_id for daemon_id, _ in self.serving_daemons()}
 
     def serving_daemons(self) -> list[request_limits.ServingDaemon]:
         """Lists the same daemons, the best of each data centre first.
