Let the store confirm a revision only for a daemon with followers

Found while reading the diff: a daemon that watches the store for itself, because nobody reports revisions to it, made the same stale reads as one that others follow.

--- a/features/following.feature
+++ b/features/following.feature
@@ -29,6 +29,12 @@
     When requests are sent to all daemons until the entries reappear
     Then all requests got the status 200
 
+  # All daemons watch for themselves in an outage, or when the fleet starts.
+  Scenario: Only a daemon with followers lets the store confirm its revision
+    Given a daemon that watches the store for itself, and one with followers
+    When both have watched for 1.5 seconds with a bound of 1 second
+    Then only the one with followers has made stale reads, 2 to 5 of them
+
   Scenario: A daemon decides whether to watch or to follow
     Given a daemon that must have changes in force within 2 seconds
     Then it watches the store until peers report a revision
--- a/features/steps/following_steps.py
+++ b/features/steps/following_steps.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
+import random
 import signal
 import time
 
 import behave
 
+from dotterelpath.adapters import clock
 from dotterelpath.domain import store_following
+from dotterelpath.ports import store as store_port
+from dotterelpath.tasks import fleet_events
+from dotterelpath.tasks import mailbox
+from dotterelpath.tasks import store_reader
 from features import environment
 from standins import fleet as fleet_harness
 from standins import gateway_fleet
@@ -228,3 +235,61 @@
         assert (step is store_following.Step.WATCH) == is_old, now_s
     context.follower.record_report(7, 5.2, 5.3)
     assert context.follower.next_step(7, 5.3) is store_following.Step.FOLLOW
+
+
+class QuietStore:
+    """A store without changes, which counts the stale watches."""
+
+    def __init__(self):
+        self.stale_count = 0
+
+    async def watch(self, prefix, after_revision, wait_s, may_be_stale=False):
+        if after_revision:
+            self.stale_count += may_be_stale
+            await asyncio.sleep(wait_s)
+        return store_port.Changes([], 7, not after_revision)
+
+
+def create_reader(store, inbox):
+    return store_reader.StoreReader(
+        "",
+        store,
+        clock.SystemClock(),
+        random.Random(1),
+        inbox,
+        mailbox.Mailbox("subscriber", 1000),
+        mailbox.Mailbox("peers", 1000),
+        1.0,
+    )
+
+
+@behave.given(
+    "a daemon that watches the store for itself, and one with followers"
+)
+def step_two_watching(context):
+    context.stores = [QuietStore(), QuietStore()]
+
+
+@behave.when("both have watched for 1.5 seconds with a bound of 1 second")
+def step_both_watch(context):
+    async def run():
+        inboxes = [mailbox.Mailbox("reader", 1000) for _ in context.stores]
+        readers = [
+            asyncio.create_task(create_reader(store, inbox).run())
+            for store, inbox in zip(context.stores, inboxes, strict=True)
+        ]
+        until_s = time.monotonic() + 1.5
+        while time.monotonic() < until_s:
+            inboxes[1].force(fleet_events.PeerPinged(time.monotonic()))
+            await asyncio.sleep(0.1)
+        for reader in readers:
+            reader.cancel()
+        await asyncio.gather(*readers, return_exceptions=True)
+
+    asyncio.run(run())
+
+
+@behave.then("only the one with followers has made stale reads, 2 to 5 of them")
+def step_stale_counts(context):
+    counts = [store.stale_count for store in context.stores]
+    assert counts[0] == 0 and 2 <= counts[1] <= 5, counts
--- a/src/dotterelpath/tasks/store_reader.py
+++ b/src/dotterelpath/tasks/store_reader.py
@@ -186,14 +186,21 @@
         watch = self._store.watch(
             self._prefix, self._revision, self._watch_timeout_s()
         )
-        if self._published_revision is None:
-            changes = await watch
-        else:
+        if self._must_confirm(sent_s):
             changes = await _first_result(watch, self._confirm_until_changed())
+        else:
+            changes = await watch
         self._on_changes(changes, sent_s)
         self._publish_revision(self._revision)
         await self._wait_for_batch(changes)
 
+    def _must_confirm(self, now_s: float) -> bool:
+        """Whether followers rely on the watched revision."""
+        return (
+            self._published_revision is not None
+            and self._follower.has_followers(now_s)
+        )
+
     async def _confirm_until_changed(self) -> store_port.Changes:
         """Confirms the watched revision until the store has later changes."""
         while True:
@@ -319,7 +326,7 @@
         is_start = now_s - self._started_s < STARTUP_S
         fraction = STARTUP_BATCH_FRACTION if is_start else BATCH_FRACTION
         wait_s = self._apply_s * fraction
-        if self._published_revision is not None:
+        if self._must_confirm(now_s):
             await self._confirm_for(now_s + wait_s)
         elif (left_s := self._follower.silence_left_s(now_s)) > 0.0:
             await asyncio.sleep(min(wait_s, left_s))
