Let a late response of an earlier run name no limit for the next one

Found while reading the diff: a response that arrives after the instance has started again set the limit on the state of the ended run, under the id of the new one, so that the new run could be left out by a limit that it had not named.

Measured: the step fails without the check and passes with it.

--- a/features/request_limits.feature
+++ b/features/request_limits.feature
@@ -37,6 +37,7 @@
     Then any text as limit is a decimal number from 0, or has no effect
     And of several limits the lowest valid one holds
     And a response of another instance at the address has no effect
+    And a late response of an earlier run has no effect on the next one
 
   # Requests that the limits leave no room for are refused at once. They must
   # not wait until their deadline, and the urgent ones go first.
--- a/features/steps/request_limit_steps.py
+++ b/features/steps/request_limit_steps.py
@@ -222,6 +222,19 @@
     assert not world.gateway.services[gateway_world.SERVICE].balancer.limited
 
 
+@behave.then("a late response of an earlier run has no effect on the next one")
+def step_earlier_run(context):
+    world = gateway_world.GatewayWorld([gateway_world.route("/w/")], 1)
+    world.send_request("/w/", 4.0)
+    world.settle()
+    world.started_ms += 1
+    world.list_all()
+    world.instances["i0"].named_limit = "1"
+    world.run(5.0)
+    assert world.outcomes
+    assert not world.gateway.services[gateway_world.SERVICE].balancer.limited
+
+
 def misroute(world):
     for instance in world.instances.values():
         instance.named_limit = "1"
--- a/src/dotterelpath/tasks/_limits.py
+++ b/src/dotterelpath/tasks/_limits.py
@@ -79,16 +79,18 @@
 
         A response to a request that was sent before the limit was learnt may
         have been made before the instance was in need. An invalid limit changes
-        nothing. Neither does a response of another instance at the address.
+        nothing. Neither does a response of another instance at the address, or
+        of a run of the instance that has ended.
 
         Args:
             state: The service.
             attempt: The attempt that was responded to.
             metadata: What the response says.
         """
-        if metadata.is_misrouted:
-            return
         instance = attempt.instance
+        is_known = state.balancer.instances.get(instance.id) is instance
+        if metadata.is_misrouted or not is_known:
+            return
         limit = instance.request_limit
         if not metadata.states_request_limit:
             if limit is not None and attempt.sent_s > limit.learnt_s:
