Complete a list of the store by the changes since its oldest page

Cause: the first list is made of stale pages, each of an age of its own, and got the revision of its first page. Changes between an older later page and that revision were never read. Also mended: a list in exact pages of different revisions, a lower revision that was accepted, a confirmation by a replica that lacks the revision, and stale lists that were repeated without a pause while the store had lost its history.

Change: a list has the revision of its oldest page, and the changes since then, read by an exact call, complete it before it is used. The known revision never decreases.

--- a/features/following.feature
+++ b/features/following.feature
@@ -42,3 +42,18 @@
     And it watches again after 0.8 seconds without reports
     And it watches while it has followers
     And it watches again if peers report, but heard the store 1.2 seconds ago
+
+  # A list got the revision of its first page although a later page was older,
+  # so that a daemon that started kept an old configuration for good.
+  Scenario: A daemon that starts keeps nothing of old pages
+    Given a store whose first page is new and whose later pages are old
+    And the configuration and the instances have changed just now
+    When a daemon starts
+    Then the first that it knows is the store as it is now
+
+  # An answer that was older than what was known lowered the known revision, and
+  # confirmed to followers a revision that it did not have itself.
+  Scenario: What a daemon knows of the store never gets older
+    Given a store with answers of any age that at times loses its history
+    When a daemon watches and follows while keys change, from 4 seeds
+    Then what it knows is always the store at one revision, never older
--- a/src/dotterelpath/adapters/store_client.py
+++ b/src/dotterelpath/adapters/store_client.py
@@ -10,6 +10,7 @@
 from dotterelpath import errors
 from dotterelpath.adapters import http_client
 from dotterelpath.domain import exchange
+from dotterelpath.domain import store_listing
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import metrics as metrics_port
 from dotterelpath.ports import store
@@ -283,13 +284,9 @@
         """Waits for changes; see store.Store."""
         if not after_revision:
             return await self._read_all(prefix, wait_s, may_be_stale)
-        call = self._codec.encode_watch(
+        return await self._read_changes(
             prefix, after_revision, wait_s, may_be_stale
         )
-        response = await self._read(
-            "watch", call, wait_s + WATCH_MARGIN_S, may_be_stale
-        )
-        return _decode_read(self._codec.decode_watch, response)
 
     async def renew(self, lease: int) -> bool:
         """Renews a lease; see store.Store."""
@@ -303,11 +300,10 @@
     ) -> store.Changes:
         """Reads all keys, page by page.
 
-        The result has the revision of the first page, so that a watch from
-        there also returns the changes made while later pages were read.
+        Stale pages save cost, but the result is never stale: the changes since
+        the oldest page complete it.
         """
-        entries: list[store.VersionedValue] = []
-        revision: int | None = None
+        listing = store_listing.Listing()
         after: str | None = ""
         while after is not None:
             call = self._codec.encode_page(prefix, after, wait_s, may_be_stale)
@@ -315,10 +311,30 @@
                 "list", call, wait_s + WATCH_MARGIN_S, may_be_stale
             )
             page = _decode_read(self._codec.decode_page, response)
-            entries += page.entries
-            revision = page.revision if revision is None else revision
+            listing.add_page(page)
             after = page.next_after
-        return store.Changes(entries, revision or 0, True)
+        if may_be_stale or not listing.is_snapshot:
+            listing.apply_changes(
+                await self._read_changes(
+                    prefix, listing.oldest_revision, 0.0, False
+                )
+            )
+        return listing.to_changes()
+
+    async def _read_changes(
+        self,
+        prefix: str,
+        after_revision: int,
+        wait_s: float,
+        may_be_stale: bool,
+    ) -> store.Changes:
+        call = self._codec.encode_watch(
+            prefix, after_revision, wait_s, may_be_stale
+        )
+        response = await self._read(
+            "watch", call, wait_s + WATCH_MARGIN_S, may_be_stale
+        )
+        return _decode_read(self._codec.decode_watch, response)
 
     async def _read(
         self,
--- a/src/dotterelpath/ports/store.py
+++ b/src/dotterelpath/ports/store.py
@@ -157,11 +157,13 @@
                 for all keys.
             wait_s: How long to wait for a change, in seconds.
             may_be_stale: Whether a response that is seconds old is
-                acceptable; it costs the store less.
+                acceptable; it costs the store less. All keys are always
+                returned as they were after the call was made.
 
         Raises:
             HistoryLostError: The store no longer has the changes since
-                after_revision; read all keys instead.
+                after_revision, or since a stale part of all keys; read all
+                keys instead, none of them stale.
             StoreError: The store did not respond.
         """
 
--- a/src/dotterelpath/tasks/store_reader.py
+++ b/src/dotterelpath/tasks/store_reader.py
@@ -54,7 +54,11 @@
 
     A watch that waits does not show whether the store still responds. While
     other daemons follow this one, it also makes stale reads, which cost little:
-    each response confirms the watched revision, unless it has later changes.
+    each response confirms the watched revision, unless it has later changes or
+    is older than that revision.
+
+    The known revision never decreases: a response that is older than what is
+    known is an error of the store, and nothing of it is passed on.
     """
 
     __slots__ = (
@@ -63,9 +67,10 @@
         "_confirmed_s",
         "_fallback_watch_s",
         "_follower",
-        "_has_read",
         "_is_store_lost",
         "_mailbox",
+        "_may_list_stale",
+        "_newest_revision",
         "_peer_monitor",
         "_prefix",
         "_published_revision",
@@ -110,8 +115,10 @@
         self._subscriber = subscriber
         self._peer_monitor = peer_monitor
         self._follower = store_following.StoreFollower(apply_s)
+        # The revision to read changes from; 0 if all keys must be read.
         self._revision = 0
-        self._has_read = False
+        self._newest_revision = 0
+        self._may_list_stale = True
         self._is_store_lost = False
         self._published_revision: int | None = None
         self._fallback_watch_s = MIN_FALLBACK_WATCH_S
@@ -136,6 +143,7 @@
             except errors.HistoryLostError:
                 _log.info("store history lost", revision=self._revision)
                 self._revision = 0
+                self._may_list_stale = False
             except errors.StoreError as error:
                 self._on_failed(error)
                 await asyncio.sleep(
@@ -212,6 +220,9 @@
     async def _confirm(self) -> store_port.Changes:
         """Lets the store confirm the watched revision.
 
+        A stale response that does not know the revision yet proves nothing;
+        another read, which is not stale, replaces it.
+
         Returns:
             The later changes. If there are none, the revision is confirmed.
         """
@@ -219,6 +230,9 @@
         changes = await self._store.watch(
             self._prefix, self._revision, 0.0, may_be_stale=True
         )
+        if changes.revision < self._revision:
+            sent_s = self._clock.now_s()
+            changes = await self._store.watch(self._prefix, self._revision, 0.0)
         if not changes.entries:
             self._confirmed_s = max(self._confirmed_s, sent_s)
             self._publish_revision(self._revision)
@@ -232,16 +246,17 @@
     async def _read_all(self) -> None:
         """Reads all keys.
 
-        The first read may be stale, since the next watch returns the changes
-        that it misses.
+        The first read begins with stale pages, which cost little while a fleet
+        starts.
         """
-        may_be_stale = not self._has_read
         sent_s = self._clock.now_s()
-        changes = await self._store.watch(self._prefix, 0, 0.0, may_be_stale)
-        if may_be_stale:
-            self._follower.record_first_read(self._clock.now_s())
-        self._has_read = True
+        changes = await self._store.watch(
+            self._prefix, 0, 0.0, self._may_list_stale
+        )
         self._on_changes(changes, sent_s)
+        if self._may_list_stale:
+            self._follower.record_first_read(sent_s)
+        self._may_list_stale = False
 
     async def _catch_up(self) -> None:
         """Reads the changes up to the revision that another daemon reported."""
@@ -293,7 +308,15 @@
         Args:
             changes: The response.
             sent_s: When the call was sent, on the monotonic clock, in seconds.
+
+        Raises:
+            StoreError: The response is older than what is known already.
         """
+        if changes.revision < self._newest_revision:
+            raise errors.StoreError(
+                f"the response has revision {changes.revision}, older than the"
+                f" known revision {self._newest_revision}"
+            )
         # The store was available before this call, which may have been a watch
         # that waited for up to its timeout.
         max_silence_s = WATCH_TIMEOUT_S
@@ -301,9 +324,7 @@
             _log.info("store available again", revision=changes.revision)
             self._is_store_lost = False
             max_silence_s = 0.0
-        if changes.revision < self._revision and not changes.is_full:
-            _log.warning("store revision decreased", revision=changes.revision)
-        self._revision = changes.revision
+        self._revision = self._newest_revision = changes.revision
         self._confirmed_s = max(self._confirmed_s, sent_s)
         self._report_changes(changes, max_silence_s)
 
--- a/standins/kv_store.py
+++ b/standins/kv_store.py
@@ -32,7 +32,9 @@
         busy: Responds 503.
         slow_s: Delays each response by this many seconds.
         lose: Applies this many next writes, but drops their responses.
-        stale_s: Age of the state that stale watches return, in seconds.
+        stale_s: Age of the state that stale reads return, in seconds.
+        stale_ages_s: The same for each stale read and each page, in turn.
+        page_size: Most items in one response to a range read.
         silent_ports: Never responds to calls at these ports, nor to the
             watches that wait there.
 
@@ -49,6 +51,7 @@
         "_items",
         "_leases",
         "_revision",
+        "_stale_count",
     )
 
     def __init__(self) -> None:
@@ -60,8 +63,26 @@
         self._compacted_revision = 0
         self._faults: dict[str, typing.Any] = {}
         self._counts: collections.Counter[str] = collections.Counter()
+        self._stale_count = 0
         self._changed = asyncio.Event()
 
+    @property
+    def revision(self) -> int:
+        """The revision of the last change."""
+        return self._revision
+
+    def items_at(self, revision: int) -> dict[str, dict[str, typing.Any]]:
+        """Returns the items as they were at a revision, by key."""
+        items: dict[str, dict[str, typing.Any]] = {}
+        for event in self._events:
+            if event["revision"] > revision:
+                break
+            if "deleted" in event:
+                items.pop(event["key"], None)
+            else:
+                items[event["key"]] = event
+        return items
+
     async def handle(
         self,
         port: int,
@@ -105,7 +126,6 @@
                 self._set(key, value)
         elif path == "/_compact":
             self._compacted_revision = self._revision
-            self._events = []
         elif path == "/_counts":
             return http.json_response(self._counts)
         return http.json_response({"revision": self._revision})
@@ -142,19 +162,38 @@
         return http.json_response({}, 404)
 
     def _range(self, query: dict[str, str]) -> exchange.Response:
+        is_stale = "serializable" in query
+        revision = self._stale_revision() if is_stale else self._revision
+        items = self.items_at(revision) if is_stale else self._items
         keys = sorted(
             key
-            for key in self._items
+            for key in items
             if key.startswith(query["prefix"]) and key > query.get("after", "")
         )
+        page_size = self._faults.get("page_size", PAGE_SIZE)
         return http.json_response(
             {
-                "items": [self._items[key] for key in keys[:PAGE_SIZE]],
-                "has_more": len(keys) > PAGE_SIZE,
-                "store_revision": self._revision,
+                "items": [items[key] for key in keys[:page_size]],
+                "has_more": len(keys) > page_size,
+                "store_revision": revision,
             }
         )
 
+    def _stale_revision(self) -> int:
+        """Returns the revision that the next stale read sees."""
+        ages_s = self._faults.get("stale_ages_s")
+        age_s = self._faults.get("stale_s", 0.0)
+        if ages_s:
+            age_s = ages_s[self._stale_count % len(ages_s)]
+            self._stale_count += 1
+        if not age_s:
+            return self._revision
+        until_s = time.monotonic() - age_s
+        return max(
+            (e["revision"] for e in self._events if e["at_s"] <= until_s),
+            default=1,
+        )
+
     async def _hang_if_silent(self, port: int) -> None:
         is_silent_port = port in self._faults.get("silent_ports", ())
         if self._faults.get("silent") or is_silent_port:
@@ -192,17 +231,16 @@
                 continue
 
     def _stale_watch(self, after: int, prefix: str) -> exchange.Response:
-        """Returns the events up to `stale_s` ago, without waiting."""
+        """Returns the events that a stale read sees, without waiting."""
         if after < self._compacted_revision:
             return http.json_response({}, 410)
-        until_s = time.monotonic() - self._faults.get("stale_s", 0.0)
-        known = [event for event in self._events if event["at_s"] <= until_s]
+        revision = self._stale_revision()
         events = [
             event
-            for event in known
-            if event["revision"] > after and event["key"].startswith(prefix)
+            for event in self._events
+            if after < event["revision"] <= revision
+            and event["key"].startswith(prefix)
         ]
-        revision = known[-1]["revision"] if known else self._compacted_revision
         return http.json_response(
             {"events": events, "store_revision": revision}
         )
@@ -225,6 +263,8 @@
         return http.json_response({"revision": self._revision})
 
     def _set(self, key: str, value: str | None, lease: int = 0) -> None:
+        if value is None and key not in self._items:
+            return
         self._revision += 1
         event: dict[str, typing.Any] = {
             "key": key,
@@ -232,8 +272,7 @@
             "at_s": time.monotonic(),
         }
         if value is None:
-            if self._items.pop(key, None) is None:
-                return
+            del self._items[key]
             event["deleted"] = True
         else:
             known = self._items.get(key, event)
