Answer an invalid request on its own cycle, not on the oldest one

Callers saw: a request that was running at an instance got the error of an invalid request that was pipelined behind it (400, not run); its own response was dropped, and the invalid request got none.

Cause: the connection's own errors went through respond() without a request, which stands for the oldest request without a response.

Change: they are written on the cycle that they belong to.

Evidence: the scenario failed before with "HTTP/1.1 400" where 200 and then 400 are due, and passes now.

--- /dev/null
+++ b/features/steps/connection_steps.py
@@ -0,0 +1,77 @@
+"""Steps on a caller's connection without sockets."""
+
+from __future__ import annotations
+
+import re
+
+import behave
+
+from features.support import connection_machine
+
+
+@behave.given("a connection on which a GET is outstanding")
+def step_outstanding(context):
+    context.caller = connection_machine.ConnectionMachine()
+    context.caller.send("GET", False, False)
+
+
+@behave.when("an invalid request follows, and then the GET is answered")
+def step_invalid(context):
+    context.caller.send(connection_machine.BAD, False, False)
+    context.caller.respond(0, False)
+
+
+@behave.when(
+    "the stop begins, a second GET is answered, and a third one arrives"
+)
+def step_early_response(context):
+    caller = context.caller
+    caller.announce()
+    caller.send("GET", False, False)
+    caller.respond(1, False)
+    caller.send("GET", False, False)
+    caller.respond(0, False)
+    caller.respond(0, False)
+
+
+@behave.when(
+    "the stop begins, the GET streams, and a second one arrives meanwhile"
+)
+def step_stream(context):
+    context.caller.announce()
+    context.caller.respond(0, True)
+    context.caller.send("GET", False, False)
+    context.caller.end_stream(0)
+
+
+@behave.then("only the first GET is taken")
+def step_one_taken(context):
+    assert context.caller.listener.taken_count == 1
+    assert context.caller.transport.is_closed
+
+
+@behave.then(
+    "the caller reads status {statuses}, and the last announces the end"
+)
+def step_read_closing(context, statuses):
+    step_read(context, statuses)
+    last = context.caller.transport.written.rpartition(b"HTTP/1.1 ")[2]
+    assert b"connection: close" in last, last
+    assert (
+        b"connection: close"
+        not in context.caller.transport.written[: -len(last)]
+    )
+
+
+@behave.then("the caller reads status {statuses}")
+def step_read(context, statuses):
+    written = context.caller.transport.written.decode()
+    expected = re.findall(r"\d+", statuses)
+    assert re.findall(r"HTTP/1.1 (\d+)", written) == expected, written
+
+
+@behave.when(
+    "the connection machine runs {examples:d} examples of {steps:d} steps"
+)
+def step_machine(context, examples, steps):
+    connection_machine.check(examples, steps)
--- a/src/dotterelpath/adapters/h11_frontend.py
+++ b/src/dotterelpath/adapters/h11_frontend.py
@@ -188,8 +188,11 @@
     ) -> None:
         """Writes a response or its start; see frontend.Connection."""
         cycle = self._find_unanswered(request)
-        if self._transport is None or cycle is None:
-            return
+        if self._transport is not None and cycle is not None:
+            self._respond(cycle, outcome)
+
+    def _respond(self, cycle: _RequestCycle, outcome: exchange.Outcome) -> None:
+        assert self._transport is not None
         try:
             self._encode_response(cycle, outcome)
         except h11.LocalProtocolError as error:
@@ -553,7 +556,8 @@
         outcome = exchange.Outcome(error.code, error.detail)
         if error.code is errors.ResultCode.OVERLOADED:
             outcome.retry_after_s = BODY_RETRY_AFTER_S
-        self.respond(outcome, cycle.request)
+        if self._transport is not None:
+            self._respond(cycle, outcome)
 
 
 class H11Binder:
