Encode a response when it is written, not when it is ready

Cause: the head of a response was encoded when the response was ready, and said then whether the connection ends behind it. A response that was ready early was the last one at that moment; a request that came before its turn was taken and passed on, and cut when the response was written.

Change: responses wait as they came, and are encoded in their turn. Behind a request or a response that says close nothing is taken. A draining connection waits a second at most for the rest of a request, then refuses it as not run.

--- a/features/connection.feature
+++ b/features/connection.feature
@@ -6,3 +6,20 @@
     Given a connection on which a GET is outstanding
     When an invalid request follows, and then the GET is answered
     Then the caller reads status 200 and then 400
+
+  # A response was encoded when it was ready, and so announced the end of the
+  # connection before its turn; the request sent meanwhile was run and cut.
+  Scenario: A stop cuts no request behind a response that was ready early
+    Given a connection on which a GET is outstanding
+    When the stop begins, a second GET is answered, and a third one arrives
+    Then the caller reads status 200, 200 and 200, and the last announces the end
+
+  # A stream's head announced the end, and requests behind it were still taken.
+  Scenario: No request is taken behind a stream that announced the end
+    Given a connection on which a GET is outstanding
+    When the stop begins, the GET streams, and a second one arrives meanwhile
+    Then only the first GET is taken
+
+  Scenario: A connection that ends cuts nothing that it has taken
+    When the connection machine runs 300 examples of 20 steps
+    Then no invariant was violated
--- a/features/support/connection_machine.py
+++ b/features/support/connection_machine.py
@@ -93,7 +93,6 @@
         self.streams = []
         self.is_stopping = False
         self.is_draining = False
-        self.is_silent = False
 
     @stateful.rule(
         kind=strategies.sampled_from(("GET", "POST", "HEAD", BAD)),
@@ -163,7 +162,6 @@
     @stateful.rule()
     def lapse(self):
         """Lets the caller fall silent for longer than a drain waits."""
-        self.is_silent = True
         self.connection.check_timeouts(time.monotonic() + 5.0)
 
     def teardown(self):
@@ -183,7 +181,9 @@
             self.respond(0, False)
         count, is_last = self._read_responses()
         assert count >= self.listener.taken_count, "a taken request was cut"
-        if self.is_draining and (self.is_silent or not self.rest):
+        if self.is_draining:
+            # The rest of a request never comes.
+            self.lapse()
             assert self.transport.is_closed, "a drained connection stays open"
         assert is_last or not must_announce, "the end came unannounced"
         if is_last:
--- a/src/dotterelpath/adapters/h11_frontend.py
+++ b/src/dotterelpath/adapters/h11_frontend.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import errno
+import math
 import os
 import time
 import typing
@@ -31,6 +32,8 @@
 # How long bytes that are no request any more are read and discarded, in
 # seconds.
 LINGER_S = 1.0
+# How long a draining connection waits for the rest of a request, in seconds.
+DRAIN_READ_S = 1.0
 # The most connections that wait to be accepted.
 LISTEN_BACKLOG = 1024
 
@@ -46,10 +49,14 @@
     Each pipelined request has its own h11 connection, because h11 parses a
     request only after the response to the previous one is complete. A refused
     request is answered without reading its rest; the connection then closes.
+
+    A response is kept as it came until its turn, since only then it is known
+    whether the connection ends behind it.
     """
 
     __slots__ = (
         "body",
+        "chunks",
         "conn",
         "head",
         "is_answered",
@@ -58,7 +65,7 @@
         "is_streaming",
         "method",
         "request",
-        "unwritten",
+        "response_head",
     )
 
     def __init__(
@@ -78,7 +85,8 @@
         self.is_answered = False
         self.is_refused = False
         self.is_streaming = False
-        self.unwritten: list[bytes] = []
+        self.response_head: h11.Response | None = None
+        self.chunks: list[bytes] = []
 
     @property
     def is_done(self) -> bool:
@@ -88,6 +96,45 @@
             and self.conn.their_state is h11.DONE
         )
 
+    @property
+    def is_last(self) -> bool:
+        """Whether the request, or the head of its response, said close."""
+        return self.conn.their_state is h11.MUST_CLOSE
+
+    def encode(self, is_last: bool) -> typing.Iterator[bytes]:
+        """Encodes what has come of the response since the last call.
+
+        Args:
+            is_last: Whether a head that is encoded now announces the end of
+                the connection.
+
+        Yields:
+            The bytes to write.
+
+        Raises:
+            h11.LocalProtocolError: The response cannot be encoded.
+        """
+        if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            if self.response_head is None:
+                return
+            yield self.conn.send(self._final_head(is_last)) or b""
+        for data in self.chunks:
+            yield self.conn.send(h11.Data(data=data)) or b""
+        self.chunks = []
+        if self.is_answered:
+            yield self.conn.send(h11.EndOfMessage()) or b""
+
+    def _final_head(self, is_last: bool) -> h11.Response:
+        head = self.response_head
+        assert head is not None
+        if not is_last:
+            return head
+        return h11.Response(
+            status_code=head.status_code,
+            headers=[*head.headers, (b"connection", b"close")],
+            reason=head.reason,
+        )
+
 
 class H11Connection(asyncio.Protocol):
     """A caller's connection, which delivers complete requests."""
@@ -96,6 +143,7 @@
         "_body_budget",
         "_codec",
         "_cycle",
+        "_drain_began_s",
         "_is_closing",
         "_is_draining",
         "_is_lingering",
@@ -141,6 +189,7 @@
         self._is_reading = False
         self._is_closing = False
         self._is_draining = False
+        self._drain_began_s = math.inf
         self._is_lingering = False
         self._last_activity_s = time.monotonic()
 
@@ -192,21 +241,6 @@
             self._respond(cycle, outcome)
 
     def _respond(self, cycle: _RequestCycle, outcome: exchange.Outcome) -> None:
-        assert self._transport is not None
-        try:
-            self._encode_response(cycle, outcome)
-        except h11.LocalProtocolError as error:
-            _log.error(
-                "response could not be encoded, closing the connection",
-                error=str(error),
-            )
-            self._transport.close()
-            return
-        self._flush()
-
-    def _encode_response(
-        self, cycle: _RequestCycle, outcome: exchange.Outcome
-    ) -> None:
         encoded = self._codec.encode_response(outcome, cycle.request)
         fields = list(encoded.headers)
         is_streamed = outcome.stream_id is not None
@@ -214,21 +248,20 @@
             fields.append(
                 _content_length_field(outcome, encoded.body, cycle.method)
             )
-        if self._closes_after(cycle):
-            fields.append((b"connection", b"close"))
-        head = h11.Response(
-            status_code=encoded.status,
-            headers=fields,
-            reason=_REASONS.get(encoded.status, b""),
-        )
-        cycle.unwritten.append(cycle.conn.send(head) or b"")
+        try:
+            cycle.response_head = h11.Response(
+                status_code=encoded.status,
+                headers=fields,
+                reason=_REASONS.get(encoded.status, b""),
+            )
+        except h11.LocalProtocolError as error:
+            self._on_encoding_error(error)
+            return
         if encoded.body and cycle.method != b"HEAD":
-            data = h11.Data(data=encoded.body)
-            cycle.unwritten.append(cycle.conn.send(data) or b"")
+            cycle.chunks.append(encoded.body)
         cycle.is_streaming = is_streamed
-        if not is_streamed:
-            cycle.unwritten.append(cycle.conn.send(h11.EndOfMessage()) or b"")
-            cycle.is_answered = True
+        cycle.is_answered = not is_streamed
+        self._flush()
 
     def write_chunk(
         self, data: bytes, request: exchange.Request | None = None
@@ -237,7 +270,8 @@
         cycle = self._find_stream(request)
         if self._transport is None or cycle is None:
             return
-        cycle.unwritten.append(cycle.conn.send(h11.Data(data=data)) or b"")
+        if cycle.method != b"HEAD":
+            cycle.chunks.append(data)
         self._flush()
 
     def end_response(self, request: exchange.Request | None = None) -> None:
@@ -245,7 +279,6 @@
         cycle = self._find_stream(request)
         if self._transport is None or cycle is None:
             return
-        cycle.unwritten.append(cycle.conn.send(h11.EndOfMessage()) or b"")
         cycle.is_streaming = False
         cycle.is_answered = True
         self._flush()
@@ -261,8 +294,9 @@
         """Closes once no response is outstanding; see frontend.Connection."""
         self._is_closing = True
         self._is_draining = True
-        if self._transport is not None and not self._open_cycles:
-            self._transport.close()
+        self._drain_began_s = time.monotonic()
+        if self._is_drained:
+            self._end()
 
     def announce_close(self) -> None:
         """Closes after the last response; see frontend.Connection."""
@@ -277,6 +311,10 @@
             if idle_s > LINGER_S:
                 self._transport.abort()
             return
+        is_overdue = now_s - self._drain_began_s > DRAIN_READ_S
+        if is_overdue and self._has_partial_request:
+            self._refuse(errors.ResultCode.REQUEST_TIMEOUT)
+            return
         limits = self._limits
         is_reading_head = (
             self._has_partial_request and not self._is_reading_body
@@ -305,8 +343,20 @@
 
     @property
     def _is_closed_to_requests(self) -> bool:
-        """Whether no further request is taken from the connection."""
-        return self._is_draining and self._cycle.is_received
+        """Whether no further request is taken from the connection.
+
+        A request that has begun to arrive is still taken while draining.
+        """
+        return self._cycle.is_received and (
+            self._is_draining or self._cycle.is_last
+        )
+
+    @property
+    def _is_drained(self) -> bool:
+        """Whether a draining connection has nothing left to receive or send."""
+        if not self._is_draining or self._open_cycles:
+            return False
+        return self._is_closed_to_requests or not self._has_partial_request
 
     def _find_unanswered(
         self, request: exchange.Request | None
@@ -331,7 +381,7 @@
         return None
 
     def _closes_after(self, cycle: _RequestCycle) -> bool:
-        """Whether a response announces the end of the connection.
+        """Whether the response that is written next announces the end.
 
         Callers drop the requests that they pipelined behind such a response,
         so only the last outstanding one announces it. A draining connection
@@ -344,40 +394,58 @@
         return self._is_closed_to_requests or not self._has_partial_request
 
     def _flush(self) -> None:
-        """Writes encoded responses in request order."""
+        """Encodes and writes responses in request order."""
+        if self._transport is None:
+            return
         chunks: list[bytes] = []
         must_close = False
         must_linger = False
         while self._open_cycles and not must_close:
             cycle = self._open_cycles[0]
-            chunks.extend(cycle.unwritten)
-            cycle.unwritten = []
+            try:
+                chunks.extend(cycle.encode(self._closes_after(cycle)))
+            except h11.LocalProtocolError as error:
+                self._write(chunks)
+                self._on_encoding_error(error)
+                return
             if not cycle.is_answered:
                 break
             self._open_cycles.popleft()
             cycle.body.release()
             must_close = not cycle.is_done
             must_linger = cycle.is_refused
-        if self._transport is None:
-            return
-        if chunks:
-            data = b"".join(chunks)
-            self._traffic_counter.add(len(data))
-            self._transport.write(data)
-        if must_linger:
-            self._linger()
-            return
-        if must_close or (self._is_closing and not self._open_cycles):
-            if self._is_closed_to_requests and self._has_partial_request:
-                self._linger()
-            else:
-                self._transport.close()
+        self._write(chunks)
+        if must_close or self._is_drained:
+            self._end(must_linger)
             return
         if not self._open_cycles:
             self._last_activity_s = time.monotonic()
         self._transport.resume_reading()
         self._read_events()
 
+    def _write(self, chunks: list[bytes]) -> None:
+        if chunks and self._transport is not None:
+            data = b"".join(chunks)
+            self._traffic_counter.add(len(data))
+            self._transport.write(data)
+
+    def _on_encoding_error(self, error: h11.LocalProtocolError) -> None:
+        _log.error(
+            "response could not be encoded, closing the connection",
+            error=str(error),
+        )
+        if self._transport is not None:
+            self._transport.close()
+
+    def _end(self, must_linger: bool = False) -> None:
+        """Closes, at once unless the caller has sent more than was read."""
+        if self._transport is None:
+            return
+        if must_linger or self._has_partial_request:
+            self._linger()
+        else:
+            self._transport.close()
+
     def _linger(self) -> None:
         """Discards what the caller still sends, then closes.
 
@@ -556,8 +624,7 @@
         outcome = exchange.Outcome(error.code, error.detail)
         if error.code is errors.ResultCode.OVERLOADED:
             outcome.retry_after_s = BODY_RETRY_AFTER_S
-        if self._transport is not None:
-            self._respond(cycle, outcome)
+        self._respond(cycle, outcome)
 
 
 class H11Binder:
