Count as serving what daemons say of themselves, not what others guess

Cause: each daemon took the size of the last choice that it had made itself as the number of serving daemons of every data centre. Daemons in data centres of unequal load ranked different holders, and a report of a holder that was not counted had no rank and was ignored.

Change: a daemon says in its success and limit reports how many daemons serve its data centre, if it is one of them. The others use that for 5 s and count the sender. Daemons of an older build say nothing and are guessed as before.

--- a/features/request_limits.feature
+++ b/features/request_limits.feature
@@ -69,3 +69,21 @@
   Scenario: A pause saves up no more requests than an instance accepts
     Given a limit that was held for 60 seconds without a request
     Then at most 1.5 times of it and 5 requests may be sent in the next 4 seconds
+
+  # Each daemon guessed from its own callers how many daemons serve the other
+  # data centres, and ignored the reports of a holder that it did not count.
+  Scenario Outline: Daemons with callers of unequal load agree on one holder
+    Given daemons in <daemons>, and an instance of <place> of 4
+    When callers of <heavy> need 3 daemons, and those of <light> need 1
+    And the instance names a limit of 6 requests a second after 8 seconds
+    Then it gets at most 41 requests in any 4 seconds from second 11
+    And it gets at least 2 requests a second from second 12
+    And all daemons that serve callers know each other
+
+    Examples:
+      | daemons      | place | heavy | light |
+      | aabbbbcc     | a     | b     | c     |
+      | aabbbbcc     | b     | b     | c     |
+      | aabbbbcc     | c     | b     | c     |
+      | ccccaabbbbb  | a     | c     | b     |
+      | aaaabbbbbbcc | c     | b     | a     |
--- a/features/steps/leaving_report_steps.py
+++ b/features/steps/leaving_report_steps.py
@@ -220,7 +220,7 @@
         )
     )
     monitor.handle(fleet_events.DaemonsChanged(context.fleet_view.daemons))
-    context.serving = monitor.fleet_view.serving_ids()
+    context.serving = monitor.fleet_view.serving_ids(1000.0)
     return monitor
 
 
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -51,7 +51,15 @@
     Scheduled times count from the start, at which the clock shows 1000 s.
     """
 
-    def __init__(self, routes, instances=6, slots=3, work_s=0.25, seed=1):
+    def __init__(
+        self,
+        routes,
+        instances=6,
+        slots=3,
+        work_s=0.25,
+        seed=1,
+        data_centre="a",
+    ):
         logs.configure("error")
         self.random = random.Random(seed)
         self.clock = world.FakeClock()
@@ -68,7 +76,7 @@
         self.sent = {}
         self.outcomes = {}
         self.gateway = gateway.Gateway(
-            "a",
+            data_centre,
             bounds.Bounds(retry_ratio=0.2, retry_slack=10.0),
             server_codec.decode_metadata,
             self.clock,
--- a/src/dotterelpath/adapters/datagrams.py
+++ b/src/dotterelpath/adapters/datagrams.py
@@ -112,12 +112,14 @@
             "limits": datagram.report.limits,
             "from": datagram.sender_id,
             "service": datagram.report.service,
+            "serving": datagram.serving_count,
         }
     if isinstance(datagram, datagrams.SuccessReportDatagram):
         return {
             "served": datagram.report.instances,
             "from": datagram.sender_id,
             "service": datagram.report.service,
+            "serving": datagram.serving_count,
         }
     report = datagram.report
     return {
@@ -164,6 +166,7 @@
                 str(data["service"]),
                 [(str(id), int(started)) for id, started in data["served"]],
             ),
+            _decode_serving_count(data),
         )
     report = health_reports.HealthReport(
         str(data["service"]),
@@ -198,5 +201,13 @@
         for id, started, per_s in data["limits"]
     ]
     return datagrams.LimitReportDatagram(
-        sender, health_reports.LimitReport(str(data["service"]), limits)
+        sender,
+        health_reports.LimitReport(str(data["service"]), limits),
+        _decode_serving_count(data),
     )
+
+
+def _decode_serving_count(data: dict[str, typing.Any]) -> int | None:
+    """Decodes the number that daemons of an older build do not send."""
+    count = data.get("serving")
+    return None if count is None else int(count)
--- a/src/dotterelpath/domain/fleet_view.py
+++ b/src/dotterelpath/domain/fleet_view.py
@@ -26,6 +26,13 @@
 RESERVE_COUNT = 1
 
 
+# What a daemon says of itself and its data centre holds for this time, in
+# seconds. Daemons that serve callers report several times a second.
+SERVING_TIMEOUT_S = 5.0
+# The limit of daemons beyond the usual ones that are known to serve callers.
+MAX_FURTHER_SERVING = 64
+
+
 # A data centre and its region.
 _Location = tuple[str, str]
 
@@ -73,13 +80,22 @@
 
     Only the daemons that callers are sent to and their reserves are pinged, so
     that the cost does not grow with the fleet.
+
+    A daemon knows how many daemons serve the callers of its own data centre,
+    and whether it is one of them or a reserve. It says so in its reports to
+    the others, which would have to guess. Until then they assume that another
+    data centre needs as many daemons as their own: of two data centres, the
+    daemons of the one that needs more then reach those of the other.
     """
 
     __slots__ = (
         "_asked_s",
-        "_chosen_count",
+        "_counts",
         "_daemons",
+        "_further_serving_s",
         "_groups",
+        "_own_candidates",
+        "_own_count",
         "_own_id",
         "_own_location",
         "_peak_usages",
@@ -102,7 +118,15 @@
         self._peak_usages: dict[_Location, _PeakUsage] = {}
         self._groups: dict[_Location, list[list[steering.Daemon]]] = {}
         self._ranked: dict[str, list[steering.Daemon]] = {}
-        self._chosen_count = 1
+        # The daemons that callers of the own data centre are, or would next
+        # be, sent to, and the number of the former.
+        self._own_candidates: set[str] = set()
+        self._own_count = 1
+        # How many daemons serve callers in another data centre, and when one
+        # of them said so.
+        self._counts: dict[str, tuple[int, float]] = {}
+        # When daemons beyond those said that they serve callers, by their id.
+        self._further_serving_s: dict[str, float] = {}
 
     @property
     def daemons(self) -> dict[str, steering.Daemon]:
@@ -159,8 +183,12 @@
                 del self._asked_s[location]
                 self._peak_usages.pop(location, None)
                 continue
-            for daemon in self._candidates(location, now_s):
+            candidates, needed_count = self._candidates(location, now_s)
+            for daemon in candidates:
                 found[daemon.id] = daemon
+            if location == self._own_location:
+                self._own_candidates = {daemon.id for daemon in candidates}
+                self._own_count = max(1, needed_count)
         for daemon_id in [i for i in self._peers if i not in found]:
             del self._peers[daemon_id]
         for daemon_id in found:
@@ -189,11 +217,9 @@
         for group in self._groups_by_distance(location):
             usable = [d for d in group if self.is_usable(d.id, now_s)]
             if usable:
-                chosen = steering.select_sufficient(
+                return steering.select_sufficient(
                     usable, self._usage(location, now_s)
                 )
-                self._chosen_count = len(chosen)
-                return chosen
         return []
 
     def is_usable(self, daemon_id: str, now_s: float) -> bool:
@@ -252,33 +278,96 @@
             if now_s - peer.responded_s < SILENT_S
         }
 
-    def serving_ids(self) -> set[str]:
+    @property
+    def own_serving_count(self) -> int | None:
+        """How many daemons serve the callers of the own data centre.
+
+        None if this daemon is neither one of them nor a reserve.
+        """
+        return self._own_count if self._is_own_serving else None
+
+    def record_serving(self, daemon_id: str, count: int, now_s: float) -> bool:
+        """Records that a daemon says that it serves callers, or is a reserve.
+
+        Args:
+            daemon_id: The daemon.
+            count: How many daemons serve the callers of its data centre.
+            now_s: The current time on the monotonic clock, in seconds.
+
+        Returns:
+            Whether this may change the serving daemons.
+        """
+        daemon = self._daemons.get(daemon_id)
+        if daemon is None or daemon_id == self._own_id:
+            return False
+        data_centre = daemon.data_centre
+        known_count = self._count(data_centre, now_s)
+        if data_centre != self._own_location[0]:
+            count = min(max(1, count), steering.MAX_ADDRESSES)
+            self._counts[data_centre] = (count, now_s)
+        is_new = daemon_id not in self._further_serving_s
+        if not is_new or len(self._further_serving_s) < MAX_FURTHER_SERVING:
+            self._further_serving_s[daemon_id] = now_s
+        return is_new or self._count(data_centre, now_s) != known_count
+
+    def serving_ids(self, now_s: float) -> set[str]:
         """Returns the daemons that callers are sent to, and their reserves.
 
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+
         Returns:
-            The ids of the daemons in all data centres. Each data centre is
-            assumed to need as many daemons as were last chosen here.
+            The ids of the daemons in all data centres.
         """
-        return {daemon_id for daemon_id, _ in self.serving_daemons()}
+        return {daemon_id for daemon_id, _ in self.serving_daemons(now_s)}
 
-    def serving_daemons(self) -> list[request_limits.ServingDaemon]:
+    def serving_daemons(
+        self, now_s: float
+    ) -> list[request_limits.ServingDaemon]:
         """Lists the same daemons, the best of each data centre first.
 
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+
         Returns:
             The id and the data centre of each daemon.
         """
-        most = self._chosen_count + RESERVE_COUNT
-        return [
-            (daemon.id, data_centre)
-            for data_centre, daemons in sorted(
-                self._ranked_by_data_centre().items()
-            )
-            for daemon in daemons[:most]
-        ]
+        oldest_s = now_s - SERVING_TIMEOUT_S
+        for daemon_id, at_s in list(self._further_serving_s.items()):
+            if at_s < oldest_s or daemon_id not in self._daemons:
+                del self._further_serving_s[daemon_id]
+        further = self._own_candidates.union(self._further_serving_s)
+        found = []
+        for data_centre, daemons in sorted(
+            self._ranked_by_data_centre().items()
+        ):
+            most = self._count(data_centre, now_s) + RESERVE_COUNT
+            found += [
+                (daemon.id, data_centre)
+                for position, daemon in enumerate(daemons)
+                if position < most or daemon.id in further
+            ]
+        return found
 
-    def serving_count(self) -> int:
-        """Estimates the number of daemons that callers are sent to."""
-        return max(1, len(self._ranked_by_data_centre()) * self._chosen_count)
+    def serving_count(self, now_s: float) -> int:
+        """Returns the number of daemons that callers are sent to.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        data_centres = self._ranked_by_data_centre()
+        return max(1, sum(self._count(place, now_s) for place in data_centres))
+
+    @property
+    def _is_own_serving(self) -> bool:
+        return self._own_id in self._own_candidates
+
+    def _count(self, data_centre: str, now_s: float) -> int:
+        """Returns how many daemons serve the callers of a data centre."""
+        count, at_s = self._counts.get(data_centre, (0, -math.inf))
+        if now_s - at_s > SERVING_TIMEOUT_S:
+            return self._own_count
+        return count
 
     def _ranked_by_data_centre(self) -> dict[str, list[steering.Daemon]]:
         """Returns the daemons of each data centre, the best first."""
@@ -326,11 +415,14 @@
 
     def _candidates(
         self, location: _Location, now_s: float
-    ) -> list[steering.Daemon]:
+    ) -> tuple[list[steering.Daemon], int]:
         """Returns the daemons in use for a location, and their reserves.
 
         Unusable daemons that rank before them are included, so that pings
         detect their recovery.
+
+        Returns:
+            The daemons, and how many of them callers are sent to.
         """
         for group in self._groups_by_distance(location):
             if not group:
@@ -346,5 +438,5 @@
                 missing -= self.is_usable(daemon.id, now_s)
                 if missing <= 0:
                     break
-            return found
-        return []
+            return found, len(needed)
+        return [], 0
--- a/src/dotterelpath/ports/datagrams.py
+++ b/src/dotterelpath/ports/datagrams.py
@@ -86,37 +86,49 @@
 class SuccessReportDatagram:
     """Reports which instances served a daemon's requests."""
 
-    __slots__ = ("report", "sender_id")
+    __slots__ = ("report", "sender_id", "serving_count")
 
     def __init__(
-        self, sender_id: str, report: health_reports.SuccessReport
+        self,
+        sender_id: str,
+        report: health_reports.SuccessReport,
+        serving_count: int | None = None,
     ) -> None:
         """Creates a datagram.
 
         Args:
             sender_id: The id of the daemon that reports.
             report: The instances.
+            serving_count: How many daemons serve the callers of the sender's
+                data centre; None if the sender is neither one of them nor a
+                reserve.
         """
         self.sender_id = sender_id
         self.report = report
+        self.serving_count = serving_count
 
 
 class LimitReportDatagram:
     """Reports limits of requests that instances name."""
 
-    __slots__ = ("report", "sender_id")
+    __slots__ = ("report", "sender_id", "serving_count")
 
     def __init__(
-        self, sender_id: str, report: health_reports.LimitReport
+        self,
+        sender_id: str,
+        report: health_reports.LimitReport,
+        serving_count: int | None = None,
     ) -> None:
         """Creates a datagram.
 
         Args:
             sender_id: The id of the daemon that reports.
             report: The limits.
+            serving_count: See SuccessReportDatagram.
         """
         self.sender_id = sender_id
         self.report = report
+        self.serving_count = serving_count
 
 
 class LeavingReportDatagram:
--- a/src/dotterelpath/tasks/peer_monitor.py
+++ b/src/dotterelpath/tasks/peer_monitor.py
@@ -30,10 +30,6 @@
 MEASUREMENT_PERIOD_S = 1.0
 # The number of past ticks whose pings may still be answered.
 MAX_OPEN_PINGS = 8
-# Daemons that callers are not sent to also get the reports on limits for this
-# time after they have reported one, in seconds, but at most so many of them.
-LIMIT_REPORTER_TIMEOUT_S = 5.0
-MAX_LIMIT_REPORTERS = 16
 
 _log = structlog.get_logger()
 
@@ -55,7 +51,6 @@
         "_is_leaving",
         "_last_cpu_time_s",
         "_last_sent_bytes",
-        "_limit_reporters_s",
         "_mailbox",
         "_measured_s",
         "_ping_reported_s",
@@ -115,8 +110,6 @@
         self._published_serving_daemons: (
             tuple[int, list[request_limits.ServingDaemon]] | None
         ) = None
-        # When other daemons last reported limits, by their id.
-        self._limit_reporters_s: dict[str, float] = {}
         self._last_cpu_time_s = read_cpu_time_s()
         self._last_sent_bytes = read_sent_bytes()
         self._measured_s = clock.now_s()
@@ -240,13 +233,14 @@
                 )
             )
         elif isinstance(datagram, datagrams.LimitReportDatagram):
-            self._record_limit_reporter(datagram.sender_id, now_s)
+            self._record_serving(datagram, now_s)
             self._gateway.force(
                 fleet_events.LimitReportReceived(
                     datagram.sender_id, datagram.report
                 )
             )
         elif isinstance(datagram, datagrams.SuccessReportDatagram):
+            self._record_serving(datagram, now_s)
             self._gateway.force(
                 fleet_events.SuccessReportReceived(
                     datagram.sender_id, datagram.report
@@ -297,7 +291,9 @@
         """
         self._send_to_serving_daemons(
             datagrams.SuccessReportDatagram(
-                self._deployment.daemon_id, message.report
+                self._deployment.daemon_id,
+                message.report,
+                self._fleet_view.own_serving_count,
             )
         )
 
@@ -327,42 +323,43 @@
     def on_limit_report_issued(
         self, message: fleet_events.LimitReportIssued
     ) -> None:
-        """Sends a report on limits to all daemons that may need it.
-
-        These are the other serving daemons, and those that reported limits
-        lately: the others may see more serving daemons than this one.
+        """Sends a report on limits to the other serving daemons.
 
         Args:
             message: The report.
         """
-        oldest_s = self._clock.now_s() - LIMIT_REPORTER_TIMEOUT_S
-        for daemon_id, at_s in list(self._limit_reporters_s.items()):
-            if at_s < oldest_s or daemon_id not in self._fleet_view.daemons:
-                del self._limit_reporters_s[daemon_id]
         self._send_to_serving_daemons(
             datagrams.LimitReportDatagram(
-                self._deployment.daemon_id, message.report
-            ),
-            self._limit_reporters_s,
+                self._deployment.daemon_id,
+                message.report,
+                self._fleet_view.own_serving_count,
+            )
         )
 
-    def _record_limit_reporter(self, daemon_id: str, now_s: float) -> None:
-        if (
-            daemon_id in self._limit_reporters_s
-            or len(self._limit_reporters_s) < MAX_LIMIT_REPORTERS
-        ):
-            self._limit_reporters_s[daemon_id] = now_s
-
-    def _send_to_serving_daemons(
+    def _record_serving(
         self,
-        datagram: datagrams.Datagram,
-        others: typing.Iterable[str] = (),
+        datagram: datagrams.SuccessReportDatagram
+        | datagrams.LimitReportDatagram,
+        now_s: float,
     ) -> None:
+        """Records what a daemon says of itself and of its data centre.
+
+        The gateway learns it before the report, which it judges by the rank of
+        the sender.
+        """
+        if datagram.serving_count is not None and (
+            self._fleet_view.record_serving(
+                datagram.sender_id, datagram.serving_count, now_s
+            )
+        ):
+            self._publish_serving_daemons()
+
+    def _send_to_serving_daemons(self, datagram: datagrams.Datagram) -> None:
         if self._datagrams is None or self._configuration is None:
             return
         own_id = self._deployment.daemon_id
         daemons = self._fleet_view.daemons
-        receivers = self._fleet_view.serving_ids().union(others)
+        receivers = self._fleet_view.serving_ids(self._clock.now_s())
         for daemon_id in receivers - {own_id}:
             peer = daemons[daemon_id]
             self._datagrams.send(peer.peer_host, peer.peer_port, datagram)
@@ -383,6 +380,7 @@
             for daemon in peers:
                 self._datagrams.send(daemon.peer_host, daemon.peer_port, ping)
         self._measure_usage(now_s)
+        self._publish_serving_daemons()
         self._tick_timer = None
         if peers:
             self._schedule()
@@ -392,8 +390,9 @@
         if self._configuration is None:
             return
         own_id = self._deployment.daemon_id
-        count = self._fleet_view.serving_count()
-        serving = self._fleet_view.serving_daemons()
+        now_s = self._clock.now_s()
+        count = self._fleet_view.serving_count(now_s)
+        serving = self._fleet_view.serving_daemons(now_s)
         if (count, serving) != self._published_serving_daemons:
             self._published_serving_daemons = (count, serving)
             is_serving = any(id == own_id for id, _ in serving)
