Wait for better ranked daemons only if they report that they serve

Callers saw: with all instances in need, requests were refused for seconds after a limit was learnt or its holder had died, since nobody held the limit.

Change: the wait counts the better ranked ones that reported lately that they serve callers. The rank itself, which decides who yields, is as before.

--- a/features/request_limits.feature
+++ b/features/request_limits.feature
@@ -87,3 +87,9 @@
       | aabbbbcc     | c     | b     | c     |
       | ccccaabbbbb  | a     | c     | b     |
       | aaaabbbbbbcc | c     | b     | a     |
+
+  # A daemon waited for each better ranked one, also for those that have no
+  # callers, so that for many seconds nobody used the limit.
+  Scenario: A killed holder is soon replaced by one other daemon in any fleet
+    When the holder of a limit is killed in fleets from seeds 12 to 19
+    Then one daemon held it before, and one after, within the limit
--- a/features/support/steered_fleet.py
+++ b/features/support/steered_fleet.py
@@ -21,6 +21,8 @@
 STEP_S = 0.02
 # How long callers keep a response to an address query, in seconds.
 CALLER_TTL_S = 1.0
+# Within this time a limit that nobody holds is held again, in seconds.
+TAKE_OVER_S = 4.0
 LINK_MBPS = 5.0
 REGION = "r"
 
@@ -184,8 +186,9 @@
     def holders(self, instance_id):
         """Returns the daemons with callers that hold an instance's limit.
 
-        None if no daemon with callers knows that there is a limit.
+        None if no daemon with callers knows the limit.
         """
+        now_s = 1000.0 + self.now_s
         known = []
         for member in self.members:
             state = member.world.gateway.services[gateway_world.SERVICE]
@@ -195,7 +198,6 @@
                 known.append((member, limit))
         if not known:
             return None
-        now_s = 1000.0 + self.now_s
         return [member for member, limit in known if limit.is_held(now_s)]
 
     def _deliver(self):
--- a/src/dotterelpath/domain/fleet_view.py
+++ b/src/dotterelpath/domain/fleet_view.py
@@ -29,8 +29,8 @@
 # What a daemon says of itself and its data centre holds for this time, in
 # seconds. Daemons that serve callers report several times a second.
 SERVING_TIMEOUT_S = 5.0
-# The limit of daemons beyond the usual ones that are known to serve callers.
-MAX_FURTHER_SERVING = 64
+# The limit of daemons whose reports on themselves are kept.
+MAX_REPORTING = 256
 
 
 # A data centre and its region.
@@ -92,7 +92,6 @@
         "_asked_s",
         "_counts",
         "_daemons",
-        "_further_serving_s",
         "_groups",
         "_own_candidates",
         "_own_count",
@@ -101,6 +100,7 @@
         "_peak_usages",
         "_peers",
         "_ranked",
+        "_reporting_s",
     )
 
     def __init__(self, own_id: str, own_location: tuple[str, str]) -> None:
@@ -125,8 +125,8 @@
         # How many daemons serve callers in another data centre, and when one
         # of them said so.
         self._counts: dict[str, tuple[int, float]] = {}
-        # When daemons beyond those said that they serve callers, by their id.
-        self._further_serving_s: dict[str, float] = {}
+        # When other daemons reported that they serve callers, by their id.
+        self._reporting_s: dict[str, float] = {}
 
     @property
     def daemons(self) -> dict[str, steering.Daemon]:
@@ -286,6 +286,11 @@
         """
         return self._own_count if self._is_own_serving else None
 
+    @property
+    def reporting_ids(self) -> frozenset[str]:
+        """The daemons that reported lately that they serve callers."""
+        return frozenset(self._reporting_s)
+
     def record_serving(self, daemon_id: str, count: int, now_s: float) -> bool:
         """Records that a daemon says that it serves callers, or is a reserve.
 
@@ -305,9 +310,9 @@
         if data_centre != self._own_location[0]:
             count = min(max(1, count), steering.MAX_ADDRESSES)
             self._counts[data_centre] = (count, now_s)
-        is_new = daemon_id not in self._further_serving_s
-        if not is_new or len(self._further_serving_s) < MAX_FURTHER_SERVING:
-            self._further_serving_s[daemon_id] = now_s
+        is_new = daemon_id not in self._reporting_s
+        if not is_new or len(self._reporting_s) < MAX_REPORTING:
+            self._reporting_s[daemon_id] = now_s
         return is_new or self._count(data_centre, now_s) != known_count
 
     def serving_ids(self, now_s: float) -> set[str]:
@@ -333,10 +338,10 @@
             The id and the data centre of each daemon.
         """
         oldest_s = now_s - SERVING_TIMEOUT_S
-        for daemon_id, at_s in list(self._further_serving_s.items()):
+        for daemon_id, at_s in list(self._reporting_s.items()):
             if at_s < oldest_s or daemon_id not in self._daemons:
-                del self._further_serving_s[daemon_id]
-        further = self._own_candidates.union(self._further_serving_s)
+                del self._reporting_s[daemon_id]
+        known = self._own_candidates.union(self._reporting_s)
         found = []
         for data_centre, daemons in sorted(
             self._ranked_by_data_centre().items()
@@ -345,7 +350,7 @@
             found += [
                 (daemon.id, data_centre)
                 for position, daemon in enumerate(daemons)
-                if position < most or daemon.id in further
+                if position < most or daemon.id in known
             ]
         return found
 
--- a/src/dotterelpath/domain/request_limits.py
+++ b/src/dotterelpath/domain/request_limits.py
@@ -9,7 +9,8 @@
 holds its limit whenever it has requests for the service, and tells the others
 so, again and again. A daemon that has not heard of a better ranked holder for a
 while, or never had one, holds the limit itself. No daemon has to know which
-others are alive.
+others are alive; a daemon waits longer for each better ranked one that was
+heard from lately, and so may be about to hold the limit.
 """
 
 from __future__ import annotations
@@ -61,10 +62,17 @@
         "_news_s",
         "_per_s",
         "_rank",
+        "_rivals",
         "_tokens",
     )
 
-    def __init__(self, per_s: float, rank: int | None, now_s: float) -> None:
+    def __init__(
+        self,
+        per_s: float,
+        rank: int | None,
+        now_s: float,
+        rivals: int | None = None,
+    ) -> None:
         """Creates a limit that was just learnt.
 
         The requests sent before may already exceed it, so that the bucket is
@@ -75,9 +83,12 @@
             rank: This daemon's rank for the instance, the best is 0; None if
                 callers are not sent to this daemon.
             now_s: The current time on the monotonic clock, in seconds.
+            rivals: How many better ranked daemons may be about to hold the
+                limit; None for all of them.
         """
         self._per_s = per_s
         self._rank = rank
+        self._rivals = rivals
         self._learnt_s = now_s
         self._news_s = now_s
         self._better_heard_s = -math.inf
@@ -99,15 +110,19 @@
         """This daemon's rank for the instance; None if it has none."""
         return self._rank
 
-    def set_rank(self, rank: int | None, now_s: float) -> None:
+    def set_rank(
+        self, rank: int | None, now_s: float, rivals: int | None = None
+    ) -> None:
         """Updates this daemon's rank.
 
         Args:
             rank: The rank; None if callers are not sent to this daemon.
             now_s: The current time on the monotonic clock, in seconds.
+            rivals: See __init__.
         """
         self._fill(now_s)
         self._rank = rank
+        self._rivals = rivals
 
     def renew(self, per_s: float, now_s: float) -> None:
         """Records that the instance named its limit again.
@@ -209,10 +224,11 @@
             return math.inf
         if self._rank == 0:
             return self._learnt_s
+        rivals = self._rank if self._rivals is None else self._rivals
         return (
             max(self._learnt_s, self._better_heard_s)
             + HOLDER_TIMEOUT_S
-            + RANK_DELAY_S * (self._rank - 1)
+            + RANK_DELAY_S * max(0, rivals - 1)
         )
 
     def _fill(self, now_s: float) -> None:
--- a/src/dotterelpath/tasks/_limits.py
+++ b/src/dotterelpath/tasks/_limits.py
@@ -28,6 +28,7 @@
         "_clock",
         "_own_id",
         "_peer_monitor",
+        "_reporting",
         "_services",
         "_serving",
     )
@@ -51,6 +52,7 @@
         self._peer_monitor = peer_monitor
         self._own_id = ""
         self._serving: typing.Sequence[request_limits.ServingDaemon] = ()
+        self._reporting: typing.Collection[str] = ()
 
     def on_serving_daemons_changed(
         self, message: fleet_events.ServingDaemonsChanged
@@ -62,12 +64,14 @@
         """
         self._own_id = message.own_id
         self._serving = message.serving
+        self._reporting = message.reporting
         now_s = self._clock.now_s()
         for state in self._services.values():
             for instance in state.balancer.limited.values():
                 assert instance.request_limit is not None
                 rank = self._rank_of(self._own_id, instance)
-                instance.request_limit.set_rank(rank, now_s)
+                rivals = self._count_rivals(instance)
+                instance.request_limit.set_rank(rank, now_s, rivals)
 
     def record_response(
         self,
@@ -184,7 +188,10 @@
             return False
         rank = self._rank_of(self._own_id, instance)
         state.balancer.set_request_limit(
-            instance, request_limits.RequestLimit(per_s, rank, now_s)
+            instance,
+            request_limits.RequestLimit(
+                per_s, rank, now_s, self._count_rivals(instance)
+            ),
         )
         return True
 
@@ -228,7 +235,18 @@
     def _rank_of(
         self, daemon_id: str, instance: instance_state.InstanceState
     ) -> int | None:
-        ranked = request_limits.rank_daemons(
+        ranked = self._rank_daemons(instance)
+        return ranked.index(daemon_id) if daemon_id in ranked else None
+
+    def _count_rivals(self, instance: instance_state.InstanceState) -> int:
+        """Counts the better ranked daemons that were heard from lately."""
+        rank = self._rank_of(self._own_id, instance)
+        better = self._rank_daemons(instance)[:rank]
+        return sum(daemon_id in self._reporting for daemon_id in better)
+
+    def _rank_daemons(
+        self, instance: instance_state.InstanceState
+    ) -> list[str]:
+        return request_limits.rank_daemons(
             instance.id, instance.entry.data_centre, self._serving
         )
-        return ranked.index(daemon_id) if daemon_id in ranked else None
--- a/src/dotterelpath/tasks/fleet_events.py
+++ b/src/dotterelpath/tasks/fleet_events.py
@@ -134,7 +134,13 @@
     Serving daemons are those that callers are, or would next be, sent to.
     """
 
-    __slots__ = ("daemon_count", "is_serving", "own_id", "serving")
+    __slots__ = (
+        "daemon_count",
+        "is_serving",
+        "own_id",
+        "reporting",
+        "serving",
+    )
 
     def __init__(
         self,
@@ -142,6 +148,7 @@
         is_serving: bool,
         own_id: str = "",
         serving: typing.Sequence[request_limits.ServingDaemon] = (),
+        reporting: frozenset[str] = frozenset(),
     ) -> None:
         """Creates the message.
 
@@ -151,7 +158,9 @@
             is_serving: Whether this daemon is one of them.
             own_id: The id of this daemon.
             serving: The serving daemons, the best of each data centre first.
+            reporting: The ids of those that reported lately that they are.
         """
+        self.reporting = reporting
         self.daemon_count = daemon_count
         self.is_serving = is_serving
         self.own_id = own_id
--- a/src/dotterelpath/tasks/peer_monitor.py
+++ b/src/dotterelpath/tasks/peer_monitor.py
@@ -108,7 +108,8 @@
         self._ping_sequence = itertools.count(1)
         self._pinged_s: dict[int, float] = {}
         self._published_serving_daemons: (
-            tuple[int, list[request_limits.ServingDaemon]] | None
+            tuple[int, list[request_limits.ServingDaemon], frozenset[str]]
+            | None
         ) = None
         self._last_cpu_time_s = read_cpu_time_s()
         self._last_sent_bytes = read_sent_bytes()
@@ -393,12 +394,14 @@
         now_s = self._clock.now_s()
         count = self._fleet_view.serving_count(now_s)
         serving = self._fleet_view.serving_daemons(now_s)
-        if (count, serving) != self._published_serving_daemons:
-            self._published_serving_daemons = (count, serving)
+        reporting = self._fleet_view.reporting_ids
+        published = (count, serving, reporting)
+        if published != self._published_serving_daemons:
+            self._published_serving_daemons = published
             is_serving = any(id == own_id for id, _ in serving)
             self._gateway.force(
                 fleet_events.ServingDaemonsChanged(
-                    count, is_serving, own_id, serving
+                    count, is_serving, own_id, serving, reporting
                 )
             )
 
