Forward end-to-end headers that Connection lists as its options

Callers saw: a request with "Connection: host" ended the daemon (exit code 1), and the requests in flight beside it got no answer.

Cause: headers that Connection lists were dropped, Host too. h11 refuses to encode a request without it, and the error ended the task of the back ends.

Change: headers for the other end stay. An attempt whose request cannot be encoded fails alone.

Evidence: the scenario failed before ("Remote end closed connection without response") and passes with three lists of options, beside another request.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -154,3 +154,17 @@
     And the operator runs the tool's gateway command for g1
     Then it shows the version, the services and the instances
     And it shows that the newest configuration is refused, with a reason
+
+  # A request that named Host could not be encoded for the instance, and the
+  # error ended the process with all requests in flight.
+  Scenario Outline: A request may list any header as an option of its connection
+    When a platform caller sends GET /presses/1 with Connection <options>
+    Then its platform response is 200 and signed
+    And an instance of presses ran the request
+    And all daemons run on, and a request beside it was served
+
+    Examples:
+      | options                                |
+      | host                                   |
+      | keep-alive, HOST , request-id          |
+      | Deadline-Ms, Content-Length, x, , host |
--- a/src/dotterelpath/adapters/h11_backend.py
+++ b/src/dotterelpath/adapters/h11_backend.py
@@ -222,7 +222,12 @@
         self._instance_id = instance_id
         self._timeout_s = timeout_s
         self._expect_response()
-        chunks = self._encode_request()
+        try:
+            chunks = self._encode_request()
+        except h11.LocalProtocolError as error:
+            # One request must not end the task and with it the process.
+            self._fail(f"the request cannot be encoded: {error}", False)
+            return
         self._traffic_counter.add(sum(map(len, chunks)))
         self._transport.writelines(chunks)
 
--- a/src/dotterelpath/adapters/headers.py
+++ b/src/dotterelpath/adapters/headers.py
@@ -35,6 +35,18 @@
         b"upgrade",
     }
 )
+# Headers for the other end, which an option of a connection cannot name.
+_END_TO_END = frozenset(
+    {
+        b"content-encoding",
+        b"content-type",
+        b"date",
+        b"host",
+        b"retry-after",
+        IDEMPOTENCY_KEY,
+        WORKSPACE,
+    }
+)
 _DROPPED_FROM_REQUESTS = _HOP_BY_HOP | {
     b"content-length",
     b"expect",
@@ -100,30 +112,38 @@
 
 
 def without_hop_by_hop(
-    headers: exchange.Headers, extra: frozenset[bytes] = frozenset()
+    headers: exchange.Headers,
+    extra: frozenset[bytes] = frozenset(),
+    end_to_end: frozenset[bytes] = frozenset(),
 ) -> exchange.Headers:
     """Removes the headers that apply to a single connection only.
 
     Args:
         headers: All headers, with names in lower case.
         extra: Names of additional headers to remove.
+        end_to_end: Names of additional headers that stay although the header
+            Connection lists them.
 
     Returns:
         The other headers.
     """
-    dropped = _with_connection_options(_HOP_BY_HOP | extra, headers)
+    dropped = _with_connection_options(
+        _HOP_BY_HOP | extra, headers, _END_TO_END | end_to_end
+    )
     return [item for item in headers if item[0] not in dropped]
 
 
 def _with_connection_options(
-    dropped: frozenset[bytes], headers: exchange.Headers
+    dropped: frozenset[bytes],
+    headers: exchange.Headers,
+    end_to_end: frozenset[bytes] = _END_TO_END,
 ) -> frozenset[bytes]:
-    """Adds the names that the header Connection lists."""
+    """Adds the names that the header Connection lists, but those end to end."""
     named = [value for name, value in headers if name == b"connection"]
     if not named:
         return dropped
     tokens = b",".join(named).lower().split(b",")
-    return dropped | {token.strip() for token in tokens}
+    return dropped | ({token.strip() for token in tokens} - end_to_end)
 
 
 def _apply_header(parsed: CallerHeaders, name: bytes, value: bytes) -> None:
--- a/src/dotterelpath/platform/caller_codec.py
+++ b/src/dotterelpath/platform/caller_codec.py
@@ -15,6 +15,17 @@
 # Statuses that, besides 503, tell callers that the request was not run.
 _NOT_RUN_STATUSES = frozenset({400, 404, 405, 408, 413, 431})
 _DROPPED_HEADERS = frozenset({b"content-length", b"expect"})
+_END_TO_END_HEADERS = frozenset(
+    {
+        platform_headers.NOT_EXECUTED,
+        platform_headers.REQUEST_ID,
+        platform_headers.SERVER_LEAVING,
+        platform_headers.SERVER_LIMIT,
+        platform_headers.SERVER_LOAD,
+        platform_headers.SIGNATURE,
+        platform_headers.TIMEOUT_MS,
+    }
+)
 
 
 class CallerCodec:
@@ -46,7 +57,7 @@
             )
         host = _single_value(head.headers, b"host") or ""
         forwarded = header_names.without_hop_by_hop(
-            head.headers, _DROPPED_HEADERS
+            head.headers, _DROPPED_HEADERS, _END_TO_END_HEADERS
         )
         return exchange.Request(
             head.method,
@@ -67,7 +78,7 @@
         result_header = (header_names.RESULT, str(int(outcome.code)).encode())
         if response is not None and outcome.is_answered:
             forwarded = header_names.without_hop_by_hop(
-                response.headers, _DROPPED_HEADERS
+                response.headers, _DROPPED_HEADERS, _END_TO_END_HEADERS
             )
             return frontend.EncodedResponse(
                 response.status, [*forwarded, result_header], response.body
