Free the connection of each attempt whose rest nobody gets

Cause: a response of more than 512 KB is reported with its first part. Each way out of an attempt had to cancel its rest; refusals did not, and a response to a booking whose caller had left was kept until the deadline. 64 such connections block an instance.

Change: one place, where an attempt ends, cancels what does not stream to the caller.

--- a/features/hostile.feature
+++ b/features/hostile.feature
@@ -32,3 +32,22 @@
       | informational responses |
       | a chunk extension       |
       | trailers                |
+
+  # A refusal with a long body was not cancelled. Each one kept a connection to
+  # the instance, until none was left and the service was never served again.
+  Scenario Outline: An attempt whose rest nobody gets frees its connection
+    Given a request that an instance is running
+    When <event>
+    Then its connection is freed <when>
+
+    Examples:
+      | event                                              | when            |
+      | a refusal begins whose body goes on                | at once         |
+      | another instance's refusal begins and goes on      | at once         |
+      | an error begins whose body goes on                 | at once         |
+      | an unsigned response begins and goes on            | at once         |
+      | the caller leaves                                  | at once         |
+      | a response streams, and the caller leaves          | at once         |
+      | a response streams without end                     | at the deadline |
+      | no response comes                                  | at the deadline |
+      | the caller of a booking leaves before its response | at once         |
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -179,7 +179,9 @@
                 self.cancel(message.attempt_id)
         while len(self.replies):
             ended = self.replies.poll()
-            self.outcomes[ended.token] = (ended.outcome, self.clock.time_s)
+            if isinstance(ended, messages.RequestEnded):
+                now_s = self.clock.time_s
+                self.outcomes[ended.token] = (ended.outcome, now_s)
 
     def deliver(self, message):
         """Delivers a request to its instance.
--- a/src/dotterelpath/tasks/_request_sender.py
+++ b/src/dotterelpath/tasks/_request_sender.py
@@ -239,6 +239,11 @@
             self._on_response(pending, attempt, message)
         else:
             self._on_no_response(pending, attempt, message)
+        if not message.is_complete and pending.stream_id != message.attempt_id:
+            # Nobody gets the rest of the body, which may have no end.
+            self._backend_pool.force(
+                messages.CancelAttempt(message.attempt_id, False)
+            )
         if pending.service is not None:
             self.dispatch_queued(pending.service)
 
@@ -431,7 +436,7 @@
             self._on_failed_response(pending, attempt, metadata, message)
             return
         self._services.record_success(pending, instance, now_s - attempt.sent_s)
-        if not message.is_complete:
+        if not message.is_complete and not pending.is_ended:
             pending.stream_id = message.attempt_id
             self._streams.begin(message.attempt_id, pending)
         self._cancel_attempts(pending)
@@ -496,11 +501,7 @@
             if is_immediate:
                 symptom = health_reports.Symptom.FAILED
             self._services.record_symptom(pending, instance, symptom)
-        if not message.is_complete:
-            self._backend_pool.force(
-                messages.CancelAttempt(message.attempt_id, False)
-            )
-        elif metadata.is_authentic:
+        if message.is_complete and metadata.is_authentic:
             pending.last_failure = exchange.Outcome(
                 errors.ResultCode.ANSWERED,
                 response=response,
