Let a stop and all tasks take the settings that are in force

Cause: changed bounds reached two tasks. The stop, the store reader and the address responses kept those of the start.

Change: the settings watcher knows the bounds in force and sends them to every task that uses one; a stop reads the file once more.

--- a/features/following.feature
+++ b/features/following.feature
@@ -43,6 +43,13 @@
     And it watches while it has followers
     And it watches again if peers report, but heard the store 1.2 seconds ago
 
+  # The store reader and the address responses kept the bounds of the start.
+  Scenario: A daemon follows changed bounds at once
+    Given a fleet of 9 daemons in three data centres
+    When the bounds of its settings change to 1 second
+    Then it watches again after 0.4 seconds without reports, not before
+    And addresses may be kept for 0.25 seconds
+
   # A list got the revision of its first page although a later page was older,
   # so that a daemon that started kept an old configuration for good.
   Scenario: A daemon that starts keeps nothing of old pages
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -135,6 +135,14 @@
     When the settings file of g1 changes
     Then g1 logs that the settings are in force
 
+  # A stop took the grace time of the start, and cut bookings that ran.
+  Scenario: A stop takes the settings that are in force
+    Given the settings file of g1 gets a grace time of 3 seconds, and a SIGHUP
+    And then one of 7 seconds, without a signal
+    When g1 is stopped at once
+    Then it logs a stop with a grace time of 7 seconds
+    And it ends with exit code 0
+
   Scenario: The log has the decisions on a request under its request id
     Given all instances of deposits have the fault drop
     When a platform caller sends POST /deposits/1 to g1
--- /dev/null
+++ b/features/steps/changed_settings_steps.py
@@ -0,0 +1,97 @@
+"""Steps on settings that change while a daemon runs."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+
+import behave
+
+from dotterelpath.domain import bounds
+from dotterelpath.domain import store_following
+from dotterelpath.tasks import fleet_events
+from dotterelpath.tasks import mailbox
+from features.steps import following_steps
+from features.steps import gateway_steps
+from features.steps import leaving_report_steps
+from standins import fleet as fleet_harness
+
+
+def write_grace(context, grace_s):
+    """Writes a grace time into the settings file of g1."""
+    context.fleet.bounds["grace_s"] = grace_s
+    context.fleet.write_settings(context.fleet.gateways["g1"])
+
+
+@behave.given(
+    "the settings file of g1 gets a grace time of {grace_s:d} seconds, and a"
+    " SIGHUP"
+)
+def step_grace_hup(context, grace_s):
+    write_grace(context, grace_s)
+    context.fleet.gateways["g1"].process.send_signal(signal.SIGHUP)
+    gateway_steps.step_settings_logged(context)
+
+
+@behave.given("then one of {grace_s:d} seconds, without a signal")
+def step_grace(context, grace_s):
+    write_grace(context, grace_s)
+
+
+@behave.when("g1 is stopped at once")
+def step_stop(context):
+    context.fleet.terminate(context.fleet.gateways["g1"])
+
+
+@behave.then("it logs a stop with a grace time of {grace_s:d} seconds")
+def step_logged(context, grace_s):
+    def logged():
+        lines = gateway_steps.log_since(context.log_start).splitlines()
+        found = [json.loads(line) for line in lines if "stop began" in line]
+        return [line["grace_s"] for line in found]
+
+    fleet_harness.wait_until(logged, "the stop is logged")
+    assert logged() == [grace_s], logged()
+
+
+@behave.then("it ends with exit code {code:d}")
+def step_ended(context, code):
+    process = context.fleet.gateways["g1"].process
+    fleet_harness.wait_until(lambda: process.poll() is not None, "g1 has ended")
+    assert process.poll() == code, process.poll()
+
+
+@behave.when("the bounds of its settings change to {limit_s:d} second")
+def step_bounds(context, limit_s):
+    """Gives the new bounds to a store reader and to a peer monitor."""
+    message = fleet_events.BoundsChanged(
+        bounds.Bounds(drain_s=9.0, apply_s=limit_s, address_ttl_s=limit_s / 4)
+    )
+    reader = following_steps.create_reader(None, mailbox.Mailbox("reader"))
+    reader.handle(message)
+    context.follower = reader.follower
+
+    async def resolve():
+        monitor = leaving_report_steps.create_monitor(context)
+        monitor.handle(message)
+        return monitor.resolve("h", "a", "r").ttl_s
+
+    context.ttl_s = asyncio.run(resolve())
+
+
+@behave.then(
+    "it watches again after {silent_s:g} seconds without reports, not before"
+)
+def step_watches_again(context, silent_s):
+    context.follower.record_report(7, 0.0, 0.0)
+    for now_s, expected in (
+        (silent_s - 0.01, store_following.Step.FOLLOW),
+        (silent_s + 0.01, store_following.Step.WATCH),
+    ):
+        assert context.follower.next_step(7, now_s) is expected, now_s
+
+
+@behave.then("addresses may be kept for {ttl_s:g} seconds")
+def step_ttl(context, ttl_s):
+    assert context.ttl_s == ttl_s, context.ttl_s
--- a/src/dotterelpath/domain/bounds.py
+++ b/src/dotterelpath/domain/bounds.py
@@ -55,3 +55,12 @@
         self.retry_slack = retry_slack
         self.retry_window_s = retry_window_s
         self.address_ttl_s = address_ttl_s
+
+    @property
+    def store_apply_s(self) -> float:
+        """The time within which a change in the store must be in force.
+
+        The store has both configurations and draining instances, so that the
+        shorter of their times applies, in seconds.
+        """
+        return min(self.apply_s, self.drain_s)
--- a/src/dotterelpath/domain/store_following.py
+++ b/src/dotterelpath/domain/store_following.py
@@ -65,9 +65,7 @@
             apply_s: The time within which a change must be in force, in
                 seconds.
         """
-        self._max_silence_s = apply_s * MAX_SILENCE_SHARE
-        self._max_confirmed_age_s = apply_s * MAX_CONFIRMED_AGE_SHARE
-        self._confirmation_interval_s = apply_s * CONFIRMATION_SHARE
+        self.set_apply_s(apply_s)
         self._confirmed_s = -math.inf
         self._queried_s = -math.inf
         self._reported_s = -math.inf
@@ -83,6 +81,16 @@
         """How often the store is to confirm a watched revision, in seconds."""
         return self._confirmation_interval_s
 
+    def set_apply_s(self, apply_s: float) -> None:
+        """Sets the time within which a change must be in force.
+
+        Args:
+            apply_s: The time, in seconds.
+        """
+        self._max_silence_s = apply_s * MAX_SILENCE_SHARE
+        self._max_confirmed_age_s = apply_s * MAX_CONFIRMED_AGE_SHARE
+        self._confirmation_interval_s = apply_s * CONFIRMATION_SHARE
+
     def record_query(self, now_s: float) -> None:
         """Records a query from a peer.
 
--- a/src/dotterelpath/gateway_daemon.py
+++ b/src/dotterelpath/gateway_daemon.py
@@ -93,6 +93,13 @@
         "store_reader",
     )
 
+    back_ends: mailbox.Mailbox[typing.Any]
+    front_end: mailbox.Mailbox[typing.Any]
+    gateway: mailbox.Mailbox[typing.Any]
+    neighbourhood: mailbox.Mailbox[typing.Any]
+    registrar: mailbox.Mailbox[typing.Any]
+    store_reader: mailbox.Mailbox[typing.Any]
+
     def __init__(self) -> None:
         """Creates empty mailboxes, which are named after the attributes."""
         for name in self.__slots__:
@@ -250,8 +257,14 @@
         self._settings_watcher = settings_watcher.SettingsWatcher(
             self._settings_path,
             self._settings_content,
+            local_deployment.bounds,
             platform_settings.parse,
-            (inboxes.gateway, inboxes.registrar),
+            (
+                inboxes.gateway,
+                inboxes.neighbourhood,
+                inboxes.registrar,
+                inboxes.store_reader,
+            ),
         )
 
     def _create_api_servers(self) -> list[api.Api]:
@@ -303,8 +316,6 @@
         item_codec = store_item_codec.StoreItemCodec()
         bounds = self._deployment.bounds
         start("registrar", self._registrar.run())
-        # The reader delivers both configuration changes and draining instances,
-        # so the shorter of their time limits applies to it.
         reader = store_reader.StoreReader(
             item_codec.prefix,
             self._store,
@@ -313,7 +324,7 @@
             inboxes.store_reader,
             inboxes.registrar,
             inboxes.neighbourhood,
-            min(bounds.apply_s, bounds.drain_s),
+            bounds.store_apply_s,
         )
         start("store reader", reader.run())
         daemon = self._deployment.daemon
@@ -347,7 +358,9 @@
         self._supervisor.start("stop", self._shut_down())
 
     async def _shut_down(self) -> None:
-        bounds = self._deployment.bounds
+        # The file may have changed just before, without a signal.
+        self._settings_watcher.reread()
+        bounds = self._settings_watcher.bounds
         graceful_shutdown = gateway_shutdown.GatewayShutdown(
             self._clock,
             self._front_end,
--- a/src/dotterelpath/tasks/peer_monitor.py
+++ b/src/dotterelpath/tasks/peer_monitor.py
@@ -41,6 +41,7 @@
     """
 
     __slots__ = (
+        "_bounds",
         "_clock",
         "_configuration",
         "_datagrams",
@@ -88,6 +89,7 @@
             store_reader: Gets the store revisions of other daemons.
         """
         self._deployment = local_deployment
+        self._bounds = local_deployment.bounds
         self._clock = clock
         self._read_cpu_time_s = read_cpu_time_s
         self._read_sent_bytes = read_sent_bytes
@@ -172,7 +174,7 @@
         self._publish_serving_daemons()
         if self._tick_timer is None:
             self._schedule()
-        ttl_s = min(ADDRESS_TTL_S, self._deployment.bounds.address_ttl_s)
+        ttl_s = min(ADDRESS_TTL_S, self._bounds.address_ttl_s)
         return addressing.Resolution(endpoints, ttl_s)
 
     async def run(self) -> None:
@@ -211,6 +213,8 @@
         elif isinstance(message, fleet_events.WatchedRevisionChanged):
             self._store_revision = message.revision
             self._store_confirmed_s = message.confirmed_s
+        elif isinstance(message, fleet_events.BoundsChanged):
+            self._bounds = message.bounds
         elif isinstance(message, events.LeaveBegan):
             self._is_leaving = True
 
--- a/src/dotterelpath/tasks/settings_watcher.py
+++ b/src/dotterelpath/tasks/settings_watcher.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from dotterelpath.domain import bounds as bounds_domain
 from dotterelpath.domain import deployment
 from dotterelpath.tasks import fleet_events
 from dotterelpath.tasks import mailbox
@@ -28,6 +29,7 @@
     """
 
     __slots__ = (
+        "_bounds",
         "_content",
         "_file_stamp",
         "_parse",
@@ -40,6 +42,7 @@
         self,
         path: pathlib.Path,
         content: bytes,
+        bounds: bounds_domain.Bounds,
         parse: Parser,
         subscribers: tuple[mailbox.Mailbox[typing.Any], ...],
     ) -> None:
@@ -48,16 +51,23 @@
         Args:
             path: The path of the file.
             content: The content of the file when the daemon started.
+            bounds: The limits in that content.
             parse: Parses the content; raises ValueError if it is invalid.
             subscribers: The mailboxes that get the changed limits.
         """
         self._path = path
         self._content = content
+        self._bounds = bounds
         self._parse = parse
         self._subscribers = subscribers
         self._file_stamp = _file_stamp(path)
         self._wake = asyncio.Event()
 
+    @property
+    def bounds(self) -> bounds_domain.Bounds:
+        """The limits in force."""
+        return self._bounds
+
     def reload(self) -> None:
         """Reads the file at once, even if its time and size are unchanged."""
         _log.info("reload requested")
@@ -75,9 +85,10 @@
                     continue
                 self._file_stamp = stamp
             self._wake.clear()
-            self._reread()
+            self.reread()
 
-    def _reread(self) -> None:
+    def reread(self) -> None:
+        """Puts the content of the file into force if it is new and valid."""
         try:
             content = self._path.read_bytes()
             if content == self._content:
@@ -87,6 +98,7 @@
             _log.warning("settings refused", error=str(error))
             return
         self._content = content
+        self._bounds = changed.bounds
         _log.info("settings in force")
         for subscriber in self._subscribers:
             subscriber.force(fleet_events.BoundsChanged(changed.bounds))
--- a/src/dotterelpath/tasks/store_reader.py
+++ b/src/dotterelpath/tasks/store_reader.py
@@ -125,6 +125,11 @@
         self._reported_s = self._started_s
         self._confirmed_s = self._started_s
 
+    @property
+    def follower(self) -> store_following.StoreFollower:
+        """Decides whether this daemon watches the store."""
+        return self._follower
+
     async def run(self) -> None:
         """Reads until cancelled."""
         steps = {
@@ -154,8 +159,8 @@
         """Handles one message.
 
         Args:
-            message: A revision or a ping of another daemon, or the daemons of
-                the fleet.
+            message: A revision or a ping of another daemon, the daemons of
+                the fleet, or changed settings.
         """
         if isinstance(message, fleet_events.RevisionReceived):
             self._on_revision_received(message)
@@ -163,6 +168,9 @@
             self._follower.record_query(message.at_s)
         elif isinstance(message, fleet_events.DaemonsChanged):
             self._store.set_daemon_count(len(message.daemons))
+        elif isinstance(message, fleet_events.BoundsChanged):
+            self._apply_s = message.bounds.store_apply_s
+            self._follower.set_apply_s(self._apply_s)
 
     def _on_revision_received(
         self, message: fleet_events.RevisionReceived
