Let a second SIGTERM change nothing while a stop is under way

Cause: the first signal removed the handlers of SIGTERM and SIGINT, so that the second one of either ended the process. That is meant for a terminal.

Change: both daemons log a further SIGTERM and go on with the stop; SIGINT still ends a stopping process at once.

Evidence: the scenario failed before ("Remote end closed connection without response").

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -143,6 +143,13 @@
     Then it logs a stop with a grace time of 7 seconds
     And it ends with exit code 0
 
+  # A second SIGTERM ended the process at once, with all requests in flight.
+  Scenario: A second SIGTERM during a stop changes nothing
+    Given instances of presses that take 600 ms
+    When a request is sent to g1, which is stopped twice before the response
+    Then the request is answered
+    And it ends with exit code 0
+
   Scenario: The log has the decisions on a request under its request id
     Given all instances of deposits have the fault drop
     When a platform caller sends POST /deposits/1 to g1
--- a/features/steps/changed_settings_steps.py
+++ b/features/steps/changed_settings_steps.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import concurrent.futures
 import json
 import signal
+import time
 
 import behave
 
@@ -12,6 +14,7 @@
 from dotterelpath.domain import store_following
 from dotterelpath.tasks import fleet_events
 from dotterelpath.tasks import mailbox
+from features.steps import connection_option_steps
 from features.steps import following_steps
 from features.steps import gateway_steps
 from features.steps import leaving_report_steps
@@ -95,3 +98,23 @@
 @behave.then("addresses may be kept for {ttl_s:g} seconds")
 def step_ttl(context, ttl_s):
     assert context.ttl_s == ttl_s, context.ttl_s
+
+
+@behave.when(
+    "a request is sent to g1, which is stopped twice before the response"
+)
+def step_stop_twice(context):
+    node = context.fleet.gateways["g1"]
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        sent = pool.submit(
+            connection_option_steps.send, node.caller_port, "twice"
+        )
+        for _ in range(2):
+            time.sleep(0.15)
+            context.fleet.terminate(node)
+        context.response = sent.result()
+
+
+@behave.then("the request is answered")
+def step_answered(context):
+    assert context.response.status == 200, context.response.status
--- a/src/dotterelpath/daemon.py
+++ b/src/dotterelpath/daemon.py
@@ -105,6 +105,7 @@
         "_gossip",
         "_home",
         "_inboxes",
+        "_is_stopping",
         "_document_loader",
         "_metrics",
         "_peer_api",
@@ -131,6 +132,7 @@
         self._codec = codec_adapter.DocumentCodec()
         self._metrics = metrics_adapter.Metrics()
         self._inboxes = Inboxes()
+        self._is_stopping = False
         self._supervisor = supervisor.Supervisor()
         self._client = http_client.HttpClient(self._clock)
         self._store = store_client.StoreClient(
@@ -373,10 +375,12 @@
         gc.freeze()
 
     def _on_signal(self) -> None:
-        loop = asyncio.get_running_loop()
-        for signal_number in (signal.SIGTERM, signal.SIGINT):
-            # A second signal then ends the process immediately.
-            loop.remove_signal_handler(signal_number)
+        if self._is_stopping:
+            _log.info("stop already began")
+            return
+        self._is_stopping = True
+        # A second interrupt from a terminal ends the process immediately.
+        asyncio.get_running_loop().remove_signal_handler(signal.SIGINT)
         self._supervisor.start("shutdown", self._shut_down())
 
     async def _shut_down(self) -> None:
--- a/src/dotterelpath/gateway_daemon.py
+++ b/src/dotterelpath/gateway_daemon.py
@@ -120,6 +120,7 @@
         "_front_end",
         "_gateway",
         "_inboxes",
+        "_is_stopping",
         "_metrics",
         "_settings_path",
         "_peer_monitor",
@@ -155,6 +156,7 @@
             local_deployment.memory_bytes * BODY_MEMORY_FRACTION
         )
         self._inboxes = Inboxes()
+        self._is_stopping = False
         self._supervisor = supervisor.Supervisor()
         self._client = http_client.HttpClient(self._clock)
         self._store = store_client.StoreClient(
@@ -351,10 +353,12 @@
         )
 
     def _on_signal(self) -> None:
-        loop = asyncio.get_running_loop()
-        for signal_number in (signal.SIGTERM, signal.SIGINT):
-            # A second signal then ends the process immediately.
-            loop.remove_signal_handler(signal_number)
+        if self._is_stopping:
+            _log.info("stop already began")
+            return
+        self._is_stopping = True
+        # A second interrupt from a terminal ends the process immediately.
+        asyncio.get_running_loop().remove_signal_handler(signal.SIGINT)
         self._supervisor.start("stop", self._shut_down())
 
     async def _shut_down(self) -> None:
