Answer the requests that wait for an instance when a stop ends

Cause: nothing told the gateway that the time of a stop is limited. Requests waited, or were passed on shortly before the end, until all were cut.

An attempt that is open goes on, without a hedge.

--- a/features/gateway_fleet.feature
+++ b/features/gateway_fleet.feature
@@ -24,6 +24,34 @@
     Then each request that an instance ran was answered
     And the last response announced the end of the connection
 
+  # Requests that no instance had got by the end of a stop's time ended with
+  # their connections, without an answer.
+  Scenario: A stop answers requests that wait for an instance
+    Given instances of presses that take 3000 ms and have all slots in use
+    When a request is sent to g4, which is stopped while it waits
+    Then the waiting request gets 503 within the grace time, as not run
+    And no instance ran it
+
+  Scenario: Requests that would wait at the end of a stop are refused at once
+    Given a gateway whose instances have no free slot, and a waiting request
+    When the time of a stop is nearly over, and another request arrives
+    Then both are refused at once, as not run, and may be retried
+
+  Scenario Outline: A stop passes on no request that it would cut off
+    Given a gateway that knows that its requests take 2 seconds
+    When a stop begins that ends in <left_s> seconds
+    Then a request <result> at once
+
+    Examples:
+      | left_s | result         |
+      | 0.5    | is refused     |
+      | 8      | is not refused |
+
+  Scenario: A late request at the end of a stop goes on without a hedge
+    Given a gateway that knows that its requests take 2 seconds
+    When a stop begins while a request is late, and ends in 0.5 seconds
+    Then the late request goes on without a hedge
+
   Scenario: A failure seen by one daemon makes its peers suspect the instance
     Given all instances of deposits have the fault fail
     When a platform caller sends POST /deposits/1 to the serving daemon of a
--- a/src/dotterelpath/gateway_daemon.py
+++ b/src/dotterelpath/gateway_daemon.py
@@ -369,6 +369,7 @@
             self._clock,
             self._front_end,
             (self._inboxes.front_end, self._inboxes.neighbourhood),
+            self._inboxes.gateway,
             min(peer_monitor.ADDRESS_TTL_S, bounds.address_ttl_s),
             bounds.grace_s,
         )
--- a/src/dotterelpath/tasks/_request_sender.py
+++ b/src/dotterelpath/tasks/_request_sender.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 import structlog
@@ -22,6 +23,7 @@
 from dotterelpath.tasks import _pending
 from dotterelpath.tasks import _services
 from dotterelpath.tasks import _streams
+from dotterelpath.tasks import events
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import messages
 
@@ -56,11 +58,13 @@
         "_backend_pool",
         "_clock",
         "_finish",
+        "_is_stop_ending",
         "_metrics",
         "_open_attempts",
         "_read_metadata",
         "_scheduled_services",
         "_services",
+        "_stop_end_s",
         "_streams",
         "_timers",
     )
@@ -97,6 +101,8 @@
         self._metrics = metrics
         self._backend_pool = backend_pool
         self._finish = finish
+        self._is_stop_ending = False
+        self._stop_end_s = math.inf
         self._open_attempts: dict[int, _pending.OpenAttempt] = {}
         self._streams: _streams.Streams[_pending.PendingRequest] = (
             _streams.Streams()
@@ -247,6 +253,34 @@
         if pending.service is not None:
             self.dispatch_queued(pending.service)
 
+    def on_stop_began(self, message: events.StopBegan) -> None:
+        """Refuses from now on what would not end before the stop does.
+
+        Args:
+            message: When the stop ends.
+        """
+        self._stop_end_s = message.end_s
+
+    def on_stop_ending(self, message: events.StopEnding) -> None:
+        """Refuses the requests that wait, and from now on those that would.
+
+        Args:
+            message: The time of a stop is nearly over.
+        """
+        self._is_stop_ending = True
+        now_s = self._clock.now_s()
+        for state in self._services.states.values():
+            for queued in list(state.queue.ordered(now_s)):
+                state.queue.remove(queued.item)
+                self._refuse_at_stop(queued.item)
+
+    def _refuse_at_stop(self, pending: _pending.PendingRequest) -> None:
+        self._fail(
+            pending,
+            errors.ResultCode.OVERLOADED,
+            "this daemon stops before the request would end",
+        )
+
     def on_dispatch_due(self, state: _pending.ServiceState) -> None:
         """Offers queued requests to instances again.
 
@@ -297,6 +331,9 @@
             )
 
     def _enqueue(self, pending: _pending.PendingRequest) -> None:
+        if self._is_stop_ending:
+            self._refuse_at_stop(pending)
+            return
         assert pending.service is not None and pending.route is not None
         now_s = self._clock.now_s()
         state = pending.service
@@ -369,6 +406,12 @@
         selection: load_balancer.Selection,
     ) -> None:
         now_s = self._clock.now_s()
+        duration_s = self._services.expected_duration_s(pending)
+        if now_s + duration_s > self._stop_end_s:
+            # An attempt that is open goes on without a hedge.
+            if not pending.open_attempts:
+                self._refuse_at_stop(pending)
+            return
         instance = selection.instance
         assert instance is not None
         attempt_id = _pending.next_attempt_id()
@@ -382,9 +425,7 @@
             # Only attempts that delay queued requests are recorded. An attempt
             # at an unhealthy instance mostly fails at once and delays none.
             pending.service.queue.record_start(
-                pending.route.priority,
-                self._services.expected_duration_s(pending),
-                now_s,
+                pending.route.priority, duration_s, now_s
             )
         attempt = _pending.OpenAttempt(
             pending, instance, now_s, now_s + slow_after_s
--- a/src/dotterelpath/tasks/events.py
+++ b/src/dotterelpath/tasks/events.py
@@ -118,6 +118,26 @@
     __slots__ = ()
 
 
+class StopBegan:
+    """The daemon shuts down and cuts off what runs at a given time."""
+
+    __slots__ = ("end_s",)
+
+    def __init__(self, end_s: float) -> None:
+        """Creates the message.
+
+        Args:
+            end_s: That time on the monotonic clock, in seconds.
+        """
+        self.end_s = end_s
+
+
+class StopEnding:
+    """The time of a stop is nearly over; requests that wait are refused."""
+
+    __slots__ = ()
+
+
 class FreezeBegan:
     """The records are to be handed off; keyed requests must wait."""
 
--- a/src/dotterelpath/tasks/gateway.py
+++ b/src/dotterelpath/tasks/gateway.py
@@ -19,6 +19,7 @@
 from dotterelpath.tasks import _pending
 from dotterelpath.tasks import _request_sender
 from dotterelpath.tasks import _services
+from dotterelpath.tasks import events
 from dotterelpath.tasks import fleet_events
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import messages
@@ -233,6 +234,8 @@
             messages.ResponseChunk: sender.streams.on_response_chunk,
             messages.ResponseEnded: self.on_response_ended,
             messages.Tick: self.on_tick,
+            events.StopBegan: sender.on_stop_began,
+            events.StopEnding: sender.on_stop_ending,
             fleet_events.ConfigurationChanged: self.on_configuration_changed,
             fleet_events.RegistryChanged: self.on_registry_changed,
             fleet_events.BoundsChanged: services.on_bounds_changed,
