Pass on no refusal of an instance that may have run the request

Callers would see 503, 429 or 408, which promise that a request has not run, for a booking that an instance may have run (REFUSED).

Cause: an instance's signed response was passed on whatever its status, also without the header in which it says that it did not run the request.

Change: such a response is a failed attempt of unknown outcome.

Evidence: the five cases of the new outline failed before and pass now.

--- a/features/hostile.feature
+++ b/features/hostile.feature
@@ -51,3 +51,17 @@
       | a response streams without end                     | at the deadline |
       | no response comes                                  | at the deadline |
       | the caller of a booking leaves before its response | at once         |
+
+  # Such a status was passed on. It promises that the request has not run, which
+  # an instance says in a header; without it the request may have run.
+  Scenario Outline: A status that promises too much is not passed on
+    When an instance responds to a <kind> with <status> and no word on its run
+    Then the caller gets no promise, and the request ran at most <most> times
+
+    Examples:
+      | kind    | status | most |
+      | booking | 503    | 1    |
+      | booking | 429    | 1    |
+      | booking | 408    | 1    |
+      | read    | 503    | 2    |
+      | read    | 429    | 2    |
--- a/features/steps/freed_connection_steps.py
+++ b/features/steps/freed_connection_steps.py
@@ -118,3 +118,32 @@
     assert context.world.attempts
     context.world.run(DEADLINE_S + 0.1)
     assert not context.world.attempts, context.world.attempts
+
+
+@behave.when(
+    "an instance responds to a {kind} with {status:d} and no word on its run"
+)
+def step_unproven(context, kind, status):
+    context.world = gateway_world.GatewayWorld(
+        [
+            gateway_world.route("/w/"),
+            gateway_world.route("/b/", idempotent=False),
+        ],
+        instances=3,
+    )
+    for instance in context.world.instances.values():
+        instance.status = status
+    path = "/b/" if kind == "booking" else "/w/"
+    context.world.send_request(path, DEADLINE_S)
+    context.world.run(DEADLINE_S + 1.0)
+
+
+@behave.then(
+    "the caller gets no promise, and the request ran at most {most:d} times"
+)
+def step_no_promise(context, most):
+    world = context.world
+    (outcome, _) = world.outcomes[0]
+    assert outcome.response is None and not outcome.is_not_run, outcome
+    runs = sum(len(i.arrivals) for i in world.instances.values())
+    assert 1 <= runs <= most, runs
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -39,6 +39,8 @@
         # The limit that the instance names in its responses, as text.
         self.named_limit = None
         self.says_leaving = False
+        # The status of its responses to requests that it has run.
+        self.status = 200
         self.is_silent = False
         self.running = {}
         self.waiting = collections.deque()
@@ -209,7 +211,7 @@
             return
         work_s = self.random.lognormvariate(0.0, 0.5) * instance.work_s
         now_s = self.clock.time_s - 1000.0
-        self.schedule(now_s + work_s, self.finish, message, 200)
+        self.schedule(now_s + work_s, self.finish, message, instance.status)
 
     def finish(self, message, status):
         """Sends an instance's response, unless the request was cancelled."""
--- a/src/dotterelpath/platform/server_codec.py
+++ b/src/dotterelpath/platform/server_codec.py
@@ -10,6 +10,9 @@
 
 MISDIRECTED_REQUEST_STATUS = 421
 MIN_ERROR_STATUS = 400
+# Statuses that promise callers that the request has not run and never will.
+# An instance that keeps this promise says so in a header.
+REFUSAL_STATUSES = frozenset({408, 429, 503})
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d{1,6})")
 # Three integers with commas between them.
 _LOAD = re.compile(rb"\s*(\d{1,9})\s*,\s*(\d{1,9})\s*,\s*(\d{1,9})\s*")
@@ -86,9 +89,14 @@
         several limits the lowest valid one holds.
     """
     is_misrouted = response.status == MISDIRECTED_REQUEST_STATUS
+    is_not_run = (
+        is_misrouted
+        or response.header(platform_headers.NOT_EXECUTED) is not None
+    )
     metadata = backend.ResponseMetadata(
-        is_not_run=is_misrouted
-        or response.header(platform_headers.NOT_EXECUTED) is not None,
+        is_not_run=is_not_run,
+        is_unproven_refusal=response.status in REFUSAL_STATUSES
+        and not is_not_run,
         is_misrouted=is_misrouted,
         is_authentic=response.header(platform_headers.SIGNATURE) is not None,
         is_leaving=response.header(platform_headers.SERVER_LEAVING) == b"1",
--- a/src/dotterelpath/ports/backend.py
+++ b/src/dotterelpath/ports/backend.py
@@ -15,6 +15,7 @@
         "is_leaving",
         "is_misrouted",
         "is_not_run",
+        "is_unproven_refusal",
         "request_limit_per_s",
         "running",
         "slots",
@@ -33,6 +34,7 @@
         states_request_limit: bool = False,
         request_limit_per_s: float | None = None,
         is_leaving: bool = False,
+        is_unproven_refusal: bool = False,
     ) -> None:
         """Creates the metadata of a response.
 
@@ -49,6 +51,8 @@
             request_limit_per_s: The requests a second that the instance takes
                 from all daemons together, if stated and valid.
             is_leaving: Whether the instance says that it leaves.
+            is_unproven_refusal: Whether the status would promise the caller
+                that the request did not run, which is not certain.
         """
         self.is_not_run = is_not_run
         self.is_misrouted = is_misrouted
@@ -59,6 +63,7 @@
         self.states_request_limit = states_request_limit
         self.request_limit_per_s = request_limit_per_s
         self.is_leaving = is_leaving
+        self.is_unproven_refusal = is_unproven_refusal
 
 
 class ServerCodec(typing.Protocol):
--- a/src/dotterelpath/tasks/_request_sender.py
+++ b/src/dotterelpath/tasks/_request_sender.py
@@ -473,7 +473,12 @@
         if metadata.is_not_run:
             self._on_not_run(pending, instance, metadata, message)
             return
-        if response.status >= MIN_ERROR_STATUS or not metadata.is_authentic:
+        is_error = response.status >= MIN_ERROR_STATUS
+        if (
+            is_error
+            or metadata.is_unproven_refusal
+            or not (metadata.is_authentic)
+        ):
             self._on_failed_response(pending, attempt, metadata, message)
             return
         self._services.record_success(pending, instance, now_s - attempt.sent_s)
@@ -542,7 +547,8 @@
             if is_immediate:
                 symptom = health_reports.Symptom.FAILED
             self._services.record_symptom(pending, instance, symptom)
-        if message.is_complete and metadata.is_authentic:
+        is_reportable = message.is_complete and not metadata.is_unproven_refusal
+        if is_reportable and metadata.is_authentic:
             pending.last_failure = exchange.Outcome(
                 errors.ResultCode.ANSWERED,
                 response=response,
