Read on behind the last response of a connection that a stop ends

Cause: the daemon closed the connection behind the response that announced the end. A request that the caller had sent before it knew of the end reset the connection, and the caller's unread responses were lost with it.

Change: behind a response in a stop, the daemon ends its own side and discards what still comes, until the caller closes or for a second, as it does behind refusals.

--- a/features/connection.feature
+++ b/features/connection.feature
@@ -23,3 +23,11 @@
   Scenario: A connection that ends cuts nothing that it has taken
     When the connection machine runs 300 examples of 20 steps
     Then no invariant was violated
+
+  # The connection was closed behind the last response. Bytes that the caller
+  # sent before it knew reset it, and the responses were lost on their way.
+  Scenario: A response that announces the end is not lost to a reset
+    Given a connection on which a GET is outstanding
+    When the stop begins, and the GET is answered
+    Then the daemon ends its side only, and reads what the caller still sends
+    And it closes a second later if the caller does not
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import re
+import time
 
 import behave
 
+from dotterelpath.adapters import h11_frontend
 from features.support import connection_machine
 
 
@@ -47,7 +49,7 @@
 @behave.then("only the first GET is taken")
 def step_one_taken(context):
     assert context.caller.listener.taken_count == 1
-    assert context.caller.transport.is_closed
+    assert context.caller.transport.is_ended
 
 
 @behave.then(
@@ -75,3 +77,28 @@
 )
 def step_machine(context, examples, steps):
     connection_machine.check(examples, steps)
+
+
+@behave.when("the stop begins, and the GET is answered")
+def step_answer_in_stop(context):
+    context.caller.announce()
+    context.caller.respond(0, False)
+
+
+@behave.then(
+    "the daemon ends its side only, and reads what the caller still sends"
+)
+def step_half_closed(context):
+    transport = context.caller.transport
+    assert transport.is_ended and not transport.is_closed
+    context.caller.send("GET", False, False)
+    assert context.caller.listener.taken_count == 1
+
+
+@behave.then("it closes a second later if the caller does not")
+def step_closed_later(context):
+    connection = context.caller.connection
+    connection.check_timeouts(time.monotonic() + h11_frontend.LINGER_S - 0.1)
+    assert not context.caller.transport.is_closed
+    connection.check_timeouts(time.monotonic() + h11_frontend.LINGER_S + 0.1)
+    assert context.caller.transport.is_closed
--- a/src/dotterelpath/adapters/h11_frontend.py
+++ b/src/dotterelpath/adapters/h11_frontend.py
@@ -416,7 +416,8 @@
             must_linger = cycle.is_refused
         self._write(chunks)
         if must_close or self._is_drained:
-            self._end(must_linger)
+            # The caller may be sending more, not knowing of the end yet.
+            self._end(must_linger or self._is_closing)
             return
         if not self._open_cycles:
             self._last_activity_s = time.monotonic()
