--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -56,7 +56,7 @@
 
 def make_record(path, status, response=None):
     """Builds the record of a request that was sent whole."""
-    caller_record = callers.RequestRecord(path)
+    caller_record = callers.RequestRecord(path, f"{path}?id=r1")
     caller_record.is_sent = True
     caller_record.status = status
     caller_record.response = response or (SIGNED, {"target": f"{path}?id=r1"})
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,6 +19,10 @@
 ADDRESS_TTL_S = 1.0
 # "/deposits/1" is listed twice, so that it is drawn more often.
 PATHS = ("/presses/1", "/deposits/1", "/deposits/1", "/moving/1")
+# A list of connection options with one that is not one; a proxy must not let
+# it remove the header.
+ODD_OPTIONS = "keep-alive, Host"
+ODD_OPTIONS_SHARE = 0.1
 # Pause between two requests of one caller.
 PAUSE_S = 0.02
 
@@ -32,14 +36,27 @@
         ended_s: End of the request, or 0 while it is open.
         is_sent: Whether the complete request was written.
         status: The status code, or 0 without a complete response.
+        is_behind: Whether the request was sent behind an outstanding one, so
+            that the daemon may end the connection without reading it.
         response: Headers (names in lower case) and decoded body, or None.
     """
 
-    __slots__ = ("ended_s", "is_sent", "path", "response", "sent_s", "status")
-
-    def __init__(self, path: str) -> None:
+    __slots__ = (
+        "ended_s",
+        "is_behind",
+        "is_sent",
+        "path",
+        "response",
+        "sent_s",
+        "status",
+        "target",
+    )
+
+    def __init__(self, path: str, target: str = "") -> None:
         """Creates the record of a request that is about to be sent."""
         self.path = path
+        self.target = target
+        self.is_behind = False
         self.sent_s = time.monotonic()
         self.ended_s = 0.0
         self.is_sent = False
@@ -116,7 +133,8 @@
 
     def _send(self, request_id: str) -> None:
         """Sends a random request and records its outcome."""
-        record = RequestRecord(self._random.choice(PATHS))
+        path = self._random.choice(PATHS)
+        record = RequestRecord(path, f"{path}?id={request_id}")
         if not self._connect():
             return
         assert self._connection is not None
@@ -127,10 +145,12 @@
             platform_headers.REQUEST_ID.decode(): request_id,
             platform_headers.TIMEOUT_MS.decode(): str(int(TIMEOUT_S * 1000)),
         }
+        if self._random.random() < ODD_OPTIONS_SHARE:
+            headers["Connection"] = ODD_OPTIONS
         try:
             self._connection.request(
                 method,
-                f"{record.path}?id={request_id}",
+                record.target,
                 None if method == "GET" else b"x",
                 headers,
             )
@@ -139,7 +159,7 @@
             body = response.read()
             record.status = response.status
             response_headers = {k.lower(): v for k, v in response.getheaders()}
-            record.response = (response_headers, _decode_json(body))
+            record.response = (response_headers, decode_json(body))
             if response.will_close:
                 self._close()
         except (OSError, http.client.HTTPException):
@@ -172,8 +192,15 @@
             self._connection = None
 
 
-def _decode_json(body: bytes) -> typing.Any:
-    """Returns the decoded body, or None if it is not JSON."""
+def decode_json(body: bytes) -> typing.Any:
+    """Decodes a body.
+
+    Args:
+        body: The body.
+
+    Returns:
+        The decoded value, or None if it is not JSON.
+    """
     try:
         return json.loads(body)
     except ValueError:
--- a/soak/fault_injection.py
+++ b/soak/fault_injection.py
@@ -14,6 +14,8 @@
 SERVICES = {"presses": 4, "deposits": 4}
 # Settings of the faults that take more than a flag, by the action of the fault.
 STORE_MODES: dict[str, dict[str, typing.Any]] = {
+    # Pages and answers of different ages, so that a start sees several.
+    "aged": {"page_size": 3, "stale_ages_s": [0.0, 3.0, 1.0, 0.0, 2.0]},
     "slow": {"slow_s": 0.4},
     "lose": {"lose": 3},
     "stale": {"stale_s": 3.0},
@@ -23,8 +25,14 @@
     "kill": signal.SIGKILL,
     "pause": signal.SIGSTOP,
     "stop": signal.SIGTERM,
+    "stop_twice": signal.SIGTERM,
+    "stop_changed": signal.SIGTERM,
     "reload": signal.SIGHUP,
 }
+# The time between two signals to stop, in seconds.
+SECOND_STOP_S = 0.3
+# The grace times that settings change to before a stop, in seconds.
+GRACE_RANGE_S = (3.0, 6.0)
 # Time that a stop may take beyond the grace period before the soak fails. A
 # daemon that is paused while it stops takes longer than the grace period.
 STOP_MARGIN_S = 10.0
@@ -158,11 +166,21 @@
         if node.id in self._stop_faults:
             return
         assert node.process is not None
-        if fault.action == "reload":
+        if fault.action == "stop_changed":
+            # The start of the fault is as good as a random number.
+            shortest_s, longest_s = GRACE_RANGE_S
+            share = fault.start_s % 1.0
+            self.bounds["grace_s"] = (
+                shortest_s + (longest_s - shortest_s) * share
+            )
+        if fault.action in ("reload", "stop_changed"):
             self.write_settings(node)
-        if fault.action in ("kill", "stop"):
+        if fault.action.startswith("stop") or fault.action == "kill":
             self._stop_faults[node.id] = fault
         node.process.send_signal(SIGNALS[fault.action])
+        if fault.action == "stop_twice":
+            time.sleep(SECOND_STOP_S)
+            node.process.send_signal(signal.SIGTERM)
 
     def _end_daemon(self, fault: schedule.Fault) -> None:
         node = self.gateways[fault.target]
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -62,7 +62,7 @@
                     f" {record.status} ran at"
                     f" {[r.instance for r in request_runs]}"
                 )
-        if is_maintenance_only and _is_lost(record):
+        if is_maintenance_only and _is_lost(record, request_runs):
             violations.append(
                 f"lost during maintenance: {request_id} {record.path} status"
                 f" {record.status} sent {record.sent_s:.3f}"
@@ -99,10 +99,7 @@
     headers, body = record.response
     if "response-signature" not in headers or not isinstance(body, dict):
         return True
-    return (
-        body.get("target") != f"{record.path}?id={request_id}"
-        or not request_runs
-    )
+    return body.get("target") != record.target or not request_runs
 
 
 def _is_misrouted(
@@ -122,9 +119,14 @@
     return record.status in (401, 403, 404)
 
 
-def _is_lost(record: callers.RequestRecord) -> bool:
-    """Returns whether a completely sent request got no response."""
-    return record.is_sent and record.status == 0
+def _is_lost(record: callers.RequestRecord, request_runs: list[Run]) -> bool:
+    """Returns whether a completely sent request got no response.
+
+    One that was sent behind another may be left unread, but not once it was
+    passed on.
+    """
+    is_unread = record.is_behind and not request_runs
+    return record.is_sent and record.status == 0 and not is_unread
 
 
 CHECKS: dict[
--- a/soak/main.py
+++ b/soak/main.py
@@ -13,6 +13,7 @@
 from soak import callers
 from soak import fault_injection
 from soak import invariants
+from soak import pipelining
 from soak import schedule
 from standins import fleet as fleet_harness
 
@@ -45,8 +46,12 @@
         self._fleet = fault_injection.FaultInjectingFleet(
             folder / "processes.log", folder
         )
+        # Every second caller of a data centre pipelines.
         self._callers = [
-            callers.Caller(n, seed, self._fleet) for n in range(caller_count)
+            (pipelining.PipeliningCaller if n // 3 % 2 else callers.Caller)(
+                n, seed, self._fleet
+            )
+            for n in range(caller_count)
         ]
         self._latest_versions: dict[tuple[str, int], int] = {}
         self._drain_periods: list[tuple[str, float, float]] = []
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -5,9 +5,25 @@
 import random
 
 # Operations that operators plan. No request may be lost to them.
-MAINTENANCE_ACTIONS = ("stop", "reload", "configure", "drain")
+MAINTENANCE_ACTIONS = (
+    "stop",
+    "stop_twice",
+    "stop_changed",
+    "reload",
+    "configure",
+    "drain",
+)
 DAEMON_FAULTS = ("kill", "pause", "stop", "reload")
-STORE_FAULTS = ("down", "silent", "busy", "slow", "lose", "stale", "compact")
+STORE_FAULTS = (
+    "down",
+    "silent",
+    "busy",
+    "slow",
+    "lose",
+    "stale",
+    "aged",
+    "compact",
+)
 INSTANCE_FAULTS = (
     "fail",
     "silent",
@@ -16,6 +32,7 @@
     "late",
     "unframed",
     "shed",
+    "shed_endless",
     "moved",
 )
 # What a fault applies to. "instance" is listed twice, so that it is drawn more
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -6,6 +6,7 @@
 import collections
 import time
 import typing
+import urllib.parse
 
 import click
 import orjson
@@ -25,6 +26,9 @@
 class Instance:
     """Instance that signs its responses, with fault modes.
 
+    A request takes as many milliseconds as `work_ms` in its query says, or as
+    long as the mode says.
+
     Modes, set by a JSON body posted to `/_mode`:
         fail: Responds 500 without delay.
         work_s: Sets the duration of a request, in seconds.
@@ -39,6 +43,7 @@
         unsigned: Leaves out the signature.
         limit: Names this limit of requests a second in all responses.
         shed: Refuses requests with 503.
+        shed_endless: The same, with a body without end.
         moved: Refuses requests with 421, as if another instance had the
             address.
     """
@@ -77,6 +82,12 @@
         target = _header(request, platform_headers.TARGET_INSTANCE)
         if self._mode.get("moved") or target not in ("", self._id):
             return self._refusal(421, request_id)
+        if self._mode.get("shed_endless"):
+            await self._send_without_end(
+                connection,
+                request_id,
+                b"503 Full\r\n%b: 1" % platform_headers.NOT_EXECUTED,
+            )
         if self._mode.get("shed") or len(self._waiting) >= MAX_QUEUED:
             return self._refusal(503, request_id)
         await self._acquire_slot()
@@ -124,25 +135,25 @@
         }
         if self._mode.get("fail"):
             return self._response(request_id, {"failed": self._id}, 500)
-        await asyncio.sleep(self._mode["work_s"])
+        await asyncio.sleep(_work_s(request, self._mode["work_s"]))
         if self._mode.get("silent"):
             await asyncio.sleep(3600.0)
         if self._mode.get("drop"):
             return None
         if self._mode.get("endless"):
-            await self._send_without_end(connection, request_id)
+            await self._send_without_end(connection, request_id, b"200 OK")
         data = {"instance": self._id, "target": request.target}
         return self._respond_in_mode(connection, request_id, data)
 
     async def _send_without_end(
-        self, connection: frontend.Connection, request_id: str
+        self, connection: frontend.Connection, request_id: str, start: bytes
     ) -> None:
-        """Sends chunks until the request is cancelled."""
+        """Sends a response's start, then chunks until it is cancelled."""
         _write_raw(
             connection,
-            b"HTTP/1.1 200 OK\r\nrequest-id: %b\r\n%b: x\r\n"
+            b"HTTP/1.1 %b\r\nrequest-id: %b\r\n%b: x\r\n"
             b"transfer-encoding: chunked\r\n\r\n"
-            % (request_id.encode(), platform_headers.SIGNATURE),
+            % (start, request_id.encode(), platform_headers.SIGNATURE),
         )
         while True:
             _write_raw(connection, b"10000\r\n" + b"x" * 65536 + b"\r\n")
@@ -206,6 +217,13 @@
         return headers
 
 
+def _work_s(request: exchange.Request, usual_s: float) -> float:
+    """Returns how long a request takes, in seconds."""
+    query = urllib.parse.urlsplit(request.target).query
+    work_ms = dict(urllib.parse.parse_qsl(query)).get("work_ms")
+    return usual_s if work_ms is None else float(work_ms) / 1000.0
+
+
 def _write_raw(connection: frontend.Connection, data: bytes) -> None:
     connection._transport.write(data)  # noqa: SLF001
 
