Let the drain leave connections alone that still read behind the end

Change: the drain does not end a connection that is ending already; the stop waits for it, a second at most.

Evidence: the new line of the scenario failed before and passes now.

--- a/features/connection.feature
+++ b/features/connection.feature
@@ -30,4 +30,5 @@
     Given a connection on which a GET is outstanding
     When the stop begins, and the GET is answered
     Then the daemon ends its side only, and reads what the caller still sends
+    And the drain that follows does not close it either
     And it closes a second later if the caller does not
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -102,3 +102,9 @@
     assert not context.caller.transport.is_closed
     connection.check_timeouts(time.monotonic() + h11_frontend.LINGER_S + 0.1)
     assert context.caller.transport.is_closed
+
+
+@behave.then("the drain that follows does not close it either")
+def step_drain_lingering(context):
+    context.caller.drain()
+    assert not context.caller.transport.is_closed
--- a/src/dotterelpath/adapters/h11_frontend.py
+++ b/src/dotterelpath/adapters/h11_frontend.py
@@ -295,7 +295,7 @@
         self._is_closing = True
         self._is_draining = True
         self._drain_began_s = time.monotonic()
-        if self._is_drained:
+        if self._is_drained and not self._is_lingering:
             self._end()
 
     def announce_close(self) -> None:
