Drop datagrams with numbers that cannot be encoded again

What would be seen: after a ping whose number has more than 64 bits, a daemon hears no other daemon any more: the pong could not be encoded, and an error in the receiver closes the socket. Only a broken or foreign sender sends this.

Cause: numbers of datagrams were decoded without a bound; limits and usages could also be nan.

Change: a datagram with such a number is dropped and logged like any other malformed one.

--- a/src/dotterelpath/adapters/datagrams.py
+++ b/src/dotterelpath/adapters/datagrams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import typing
 
 import orjson
@@ -13,6 +14,9 @@
 from dotterelpath.domain import steering
 from dotterelpath.ports import datagrams
 
+# The largest number in a datagram; JSON encoders refuse larger ones.
+MAX_INTEGER = 2**63 - 1
+
 _log = structlog.get_logger()
 
 
@@ -144,7 +148,7 @@
     """
     sender = str(data["from"])
     if "ping" in data:
-        return datagrams.Ping(sender, int(data["ping"]))
+        return datagrams.Ping(sender, _decode_integer(data["ping"]))
     if "pong" in data:
         return _decode_pong(sender, data)
     if "leaving" in data:
@@ -152,7 +156,7 @@
             sender,
             health_reports.LeavingReport(
                 [
-                    (str(service), str(id), int(started))
+                    (str(service), str(id), _decode_integer(started))
                     for service, id, started in data["leaving"]
                 ]
             ),
@@ -164,14 +168,17 @@
             sender,
             health_reports.SuccessReport(
                 str(data["service"]),
-                [(str(id), int(started)) for id, started in data["served"]],
+                [
+                    (str(id), _decode_integer(started))
+                    for id, started in data["served"]
+                ],
             ),
             _decode_serving_count(data),
         )
     report = health_reports.HealthReport(
         str(data["service"]),
         str(data["instance"]),
-        int(data["started_ms"]),
+        _decode_integer(data["started_ms"]),
         health_reports.Symptom(data["seen"]),
     )
     return datagrams.HealthReportDatagram(sender, report)
@@ -180,16 +187,18 @@
 def _decode_pong(sender: str, data: dict[str, typing.Any]) -> datagrams.Pong:
     pong = datagrams.Pong(
         sender,
-        int(data["pong"]),
+        _decode_integer(data["pong"]),
         steering.DaemonState(data["state"]),
-        steering.Resources(float(data["cores"]), float(data["link_mbps"])),
+        steering.Resources(
+            _decode_number(data["cores"]), _decode_number(data["link_mbps"])
+        ),
         None,
     )
     # A daemon of an older build does not send the age. Its revision may be of
     # any age, so that it is of no use.
     if data["revision"] is not None and data.get("revision_age_s") is not None:
-        pong.revision = int(data["revision"])
-        pong.revision_age_s = max(0.0, float(data["revision_age_s"]))
+        pong.revision = _decode_integer(data["revision"])
+        pong.revision_age_s = max(0.0, _decode_number(data["revision_age_s"]))
     return pong
 
 
@@ -197,7 +206,11 @@
     sender: str, data: dict[str, typing.Any]
 ) -> datagrams.LimitReportDatagram:
     limits = [
-        (str(id), int(started), None if per_s is None else float(per_s))
+        (
+            str(id),
+            _decode_integer(started),
+            None if per_s is None else _decode_number(per_s),
+        )
         for id, started, per_s in data["limits"]
     ]
     return datagrams.LimitReportDatagram(
@@ -210,4 +223,28 @@
 def _decode_serving_count(data: dict[str, typing.Any]) -> int | None:
     """Decodes the number that daemons of an older build do not send."""
     count = data.get("serving")
-    return None if count is None else int(count)
+    return None if count is None else _decode_integer(count)
+
+
+def _decode_integer(value: typing.Any) -> int:
+    """Decodes a number that can be encoded again.
+
+    Raises:
+        ValueError: The number has more than 64 bits.
+    """
+    number = int(value)
+    if abs(number) > MAX_INTEGER:
+        raise ValueError(f"{number!r} has more than 64 bits")
+    return number
+
+
+def _decode_number(value: typing.Any) -> float:
+    """Decodes a finite number.
+
+    Raises:
+        ValueError: The number is infinite or none.
+    """
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f"{value!r} is not finite")
+    return number
