--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -150,6 +150,11 @@
     Then the request is answered
     And it ends with exit code 0
 
+  # A SIGHUP in the first quarter of a second ended the process.
+  Scenario: A daemon that starts survives the news of changed settings
+    When g1 is started again and gets a SIGHUP each 10 ms
+    Then it becomes ready, and ignored the signal until it could handle it
+
   Scenario: The log has the decisions on a request under its request id
     Given all instances of deposits have the fault drop
     When a platform caller sends POST /deposits/1 to g1
--- a/features/steps/changed_settings_steps.py
+++ b/features/steps/changed_settings_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 import concurrent.futures
 import json
+import pathlib
 import signal
 import time
 
@@ -118,3 +119,32 @@
 @behave.then("the request is answered")
 def step_answered(context):
     assert context.response.status == 200, context.response.status
+
+
+def has_signal(process, field):
+    """Tells whether SIGHUP is in a set of signals of a process."""
+    lines = pathlib.Path(f"/proc/{process.pid}/status").read_text().splitlines()
+    (mask,) = [line.split()[1] for line in lines if line.startswith(field)]
+    return bool(int(mask, 16) >> (signal.SIGHUP - 1) & 1)
+
+
+@behave.when("g1 is started again and gets a SIGHUP each 10 ms")
+def step_hup_at_start(context):
+    node = context.fleet.gateways["g1"]
+    node.process.kill()
+    node.process.wait()
+    context.fleet.start_gateway(node)
+    context.was_ignored = False
+    while not has_signal(node.process, "SigCgt"):
+        if has_signal(node.process, "SigIgn"):
+            context.was_ignored = True
+            node.process.send_signal(signal.SIGHUP)
+        time.sleep(0.01)
+
+
+@behave.then(
+    "it becomes ready, and ignored the signal until it could handle it"
+)
+def step_ready_after_hup(context):
+    assert context.was_ignored
+    context.fleet.wait_until_ready()
--- a/src/dotterelpath/tasks/settings_watcher.py
+++ b/src/dotterelpath/tasks/settings_watcher.py
@@ -60,7 +60,8 @@
         self._bounds = bounds
         self._parse = parse
         self._subscribers = subscribers
-        self._file_stamp = _file_stamp(path)
+        # Unknown, since the file may have changed after it was read.
+        self._file_stamp: tuple[int, int] | None = None
         self._wake = asyncio.Event()
 
     @property
