--- a/features/steps/leaving_report_steps.py
+++ b/features/steps/leaving_report_steps.py
@@ -8,9 +8,7 @@
 import orjson
 
 from dotterelpath.adapters import datagrams as datagram_codec
-from dotterelpath.domain import bounds
 from dotterelpath.domain import configuration
-from dotterelpath.domain import deployment
 from dotterelpath.domain import health_reports
 from dotterelpath.domain import registry
 from dotterelpath.domain import steering
@@ -22,6 +20,7 @@
 from dotterelpath.tasks import peer_monitor
 from dotterelpath.tasks import registrar
 from dotterelpath.tasks import store_events
+from features.support import deployments
 from features.support import gateway_world
 from features.support import world
 
@@ -183,30 +182,10 @@
         self.datagrams.append((port, datagram))
 
 
-def make_deployment():
-    endpoint = deployment.Endpoint("127.0.0.1", 1)
-    return deployment.Deployment(
-        "d0",
-        "a",
-        "r",
-        {},
-        endpoint,
-        endpoint,
-        None,
-        endpoint,
-        endpoint,
-        endpoint,
-        100.0,
-        100.0,
-        steering.Resources(1.0, 100.0),
-        bounds.Bounds(),
-    )
-
-
 def create_monitor(context):
     """Creates a monitor that knows the fleet and keeps what it sends."""
     monitor = peer_monitor.PeerMonitor(
-        make_deployment(),
+        deployments.make("d0", "a", 1, steering.Resources(1.0, 100.0)),
         world.FakeClock(),
         lambda: 0.0,
         lambda: 0,
--- a/features/support/steered_fleet.py
+++ b/features/support/steered_fleet.py
@@ -8,14 +8,13 @@
 import orjson
 
 from dotterelpath.adapters import datagrams as datagram_codec
-from dotterelpath.domain import bounds
 from dotterelpath.domain import configuration
-from dotterelpath.domain import deployment
 from dotterelpath.domain import fleet_view
 from dotterelpath.domain import steering
 from dotterelpath.tasks import fleet_events
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import peer_monitor
+from features.support import deployments
 from features.support import gateway_world
 
 STEP_S = 0.02
@@ -50,23 +49,12 @@
             copy.arrivals = Arrivals(fleet, self, instance_id)
         self.world.list_all()
         self.gateway_inbox = mailbox.Mailbox("gateway", 10**6)
-        endpoint = deployment.Endpoint("h", number)
         self.monitor = peer_monitor.PeerMonitor(
-            deployment.Deployment(
+            deployments.make(
                 self.id,
                 data_centre,
-                REGION,
-                {},
-                endpoint,
-                endpoint,
-                None,
-                endpoint,
-                endpoint,
-                endpoint,
-                100.0,
-                100.0,
+                number,
                 steering.Resources(1.0, LINK_MBPS),
-                bounds.Bounds(),
             ),
             self.world.clock,
             lambda: 0.0,
--- a/src/dotterelpath/adapters/h11_frontend.py
+++ b/src/dotterelpath/adapters/h11_frontend.py
@@ -17,6 +17,7 @@
 from dotterelpath.adapters import caller_codec
 from dotterelpath.adapters import headers as header_names
 from dotterelpath.adapters import request_body
+from dotterelpath.adapters import request_cycle
 from dotterelpath.adapters import traffic
 from dotterelpath.domain import body_budget
 from dotterelpath.domain import exchange
@@ -43,99 +44,6 @@
 _REASONS = {431: b"Request Header Fields Too Large"}
 
 
-class _RequestCycle:
-    """One request of a connection and the state of its response.
-
-    Each pipelined request has its own h11 connection, because h11 parses a
-    request only after the response to the previous one is complete. A refused
-    request is answered without reading its rest; the connection then closes.
-
-    A response is kept as it came until its turn, since only then it is known
-    whether the connection ends behind it.
-    """
-
-    __slots__ = (
-        "body",
-        "chunks",
-        "conn",
-        "head",
-        "is_answered",
-        "is_received",
-        "is_refused",
-        "is_streaming",
-        "method",
-        "request",
-        "response_head",
-    )
-
-    def __init__(
-        self, max_head_bytes: int, body: request_body.RequestBody
-    ) -> None:
-        self.conn = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=max_head_bytes
-        )
-        self.reset(body)
-
-    def reset(self, body: request_body.RequestBody) -> None:
-        self.head: frontend.Head | None = None
-        self.body = body
-        self.method = b""
-        self.request: exchange.Request | None = None
-        self.is_received = False
-        self.is_answered = False
-        self.is_refused = False
-        self.is_streaming = False
-        self.response_head: h11.Response | None = None
-        self.chunks: list[bytes] = []
-
-    @property
-    def is_done(self) -> bool:
-        """Whether the h11 connection can be reused for another request."""
-        return (
-            self.conn.our_state is h11.DONE
-            and self.conn.their_state is h11.DONE
-        )
-
-    @property
-    def is_last(self) -> bool:
-        """Whether the request, or the head of its response, said close."""
-        return self.conn.their_state is h11.MUST_CLOSE
-
-    def encode(self, is_last: bool) -> typing.Iterator[bytes]:
-        """Encodes what has come of the response since the last call.
-
-        Args:
-            is_last: Whether a head that is encoded now announces the end of
-                the connection.
-
-        Yields:
-            The bytes to write.
-
-        Raises:
-            h11.LocalProtocolError: The response cannot be encoded.
-        """
-        if self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            if self.response_head is None:
-                return
-            yield self.conn.send(self._final_head(is_last)) or b""
-        for data in self.chunks:
-            yield self.conn.send(h11.Data(data=data)) or b""
-        self.chunks = []
-        if self.is_answered:
-            yield self.conn.send(h11.EndOfMessage()) or b""
-
-    def _final_head(self, is_last: bool) -> h11.Response:
-        head = self.response_head
-        assert head is not None
-        if not is_last:
-            return head
-        return h11.Response(
-            status_code=head.status_code,
-            headers=[*head.headers, (b"connection", b"close")],
-            reason=head.reason,
-        )
-
-
 class H11Connection(asyncio.Protocol):
     """A caller's connection, which delivers complete requests."""
 
@@ -181,7 +89,7 @@
         self._traffic_counter = traffic_counter
         self._body_budget = budget
         self._cycle = self._new_cycle()
-        self._open_cycles: collections.deque[_RequestCycle] = (
+        self._open_cycles: collections.deque[request_cycle.RequestCycle] = (
             collections.deque()
         )
         self._transport: asyncio.Transport | None = None
@@ -240,7 +148,9 @@
         if self._transport is not None and cycle is not None:
             self._respond(cycle, outcome)
 
-    def _respond(self, cycle: _RequestCycle, outcome: exchange.Outcome) -> None:
+    def _respond(
+        self, cycle: request_cycle.RequestCycle, outcome: exchange.Outcome
+    ) -> None:
         encoded = self._codec.encode_response(outcome, cycle.request)
         fields = list(encoded.headers)
         is_streamed = outcome.stream_id is not None
@@ -360,7 +270,7 @@
 
     def _find_unanswered(
         self, request: exchange.Request | None
-    ) -> _RequestCycle | None:
+    ) -> request_cycle.RequestCycle | None:
         """Finds the given request if it has no response yet.
 
         Without a given request, finds the oldest one that has no response.
@@ -374,13 +284,13 @@
 
     def _find_stream(
         self, request: exchange.Request | None
-    ) -> _RequestCycle | None:
+    ) -> request_cycle.RequestCycle | None:
         for cycle in self._open_cycles:
             if cycle.is_streaming and request in (None, cycle.request):
                 return cycle
         return None
 
-    def _closes_after(self, cycle: _RequestCycle) -> bool:
+    def _closes_after(self, cycle: request_cycle.RequestCycle) -> bool:
         """Whether the response that is written next announces the end.
 
         Callers drop the requests that they pipelined behind such a response,
@@ -504,8 +414,10 @@
             self._cycle.conn.receive_data(unparsed)
         return True
 
-    def _new_cycle(self) -> _RequestCycle:
-        return _RequestCycle(self._limits.max_head_bytes, self._new_body())
+    def _new_cycle(self) -> request_cycle.RequestCycle:
+        return request_cycle.RequestCycle(
+            self._limits.max_head_bytes, self._new_body()
+        )
 
     def _new_body(self) -> request_body.RequestBody:
         return request_body.RequestBody(self._limits, self._body_budget)
@@ -539,7 +451,9 @@
                 return False
         return False
 
-    def _send_continue_if_expected(self, cycle: _RequestCycle) -> None:
+    def _send_continue_if_expected(
+        self, cycle: request_cycle.RequestCycle
+    ) -> None:
         is_expected = cycle.conn.they_are_waiting_for_100_continue
         if is_expected and self._transport and not self._open_cycles:
             continue_response = h11.InformationalResponse(
@@ -547,7 +461,9 @@
             )
             self._transport.write(cycle.conn.send(continue_response) or b"")
 
-    def _on_head(self, cycle: _RequestCycle, event: h11.Request) -> None:
+    def _on_head(
+        self, cycle: request_cycle.RequestCycle, event: h11.Request
+    ) -> None:
         cycle.method = event.method
         cycle.head = frontend.Head(
             event.method.decode("ascii"),
@@ -570,10 +486,12 @@
                 )
             )
 
-    def _on_data(self, cycle: _RequestCycle, event: h11.Data) -> None:
+    def _on_data(
+        self, cycle: request_cycle.RequestCycle, event: h11.Data
+    ) -> None:
         self._refuse_if(cycle.body.add(bytes(event.data)))
 
-    def _on_complete(self, cycle: _RequestCycle) -> None:
+    def _on_complete(self, cycle: request_cycle.RequestCycle) -> None:
         assert cycle.head is not None
         cycle.is_received = True
         self._open_cycles.append(cycle)
@@ -620,7 +538,7 @@
         self._refuse(code)
 
     def _respond_error(
-        self, cycle: _RequestCycle, error: errors.DotterelpathError
+        self, cycle: request_cycle.RequestCycle, error: errors.DotterelpathError
     ) -> None:
         outcome = exchange.Outcome(error.code, error.detail)
         if error.code is errors.ResultCode.OVERLOADED:
