Check in the soak that no request runs by an old configuration

The soak saw only versions that go back within a process. Now stale answers of its store have different ages at all times, pages have three items, and with planned work alone each request to the route that moves must run as the newest configuration says, from the bound in the settings on.

--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -96,6 +96,20 @@
         assert any(line.startswith(name) for line in reported), (name, reported)
     valid = make_record("/deposits/1", 200)
     assert not invariants.find_violations({"r1": valid}, {"r1": [run()]}, True)
+    moving = make_record("/moving/1", 200)
+    moving.sent_s, moving.ended_s = 10.0, 10.1
+    for moved_s, service, is_late in (
+        (7.0, "presses", True),
+        (7.0, "deposits", False),
+        (9.5, "presses", False),
+        (9.5, "deposits", False),
+    ):
+        found = invariants.find_late_configurations(
+            {"r1": moving},
+            {"r1": [run(service)]},
+            [(0.0, "presses"), (moved_s, "deposits")],
+        )
+        assert bool(found) == is_late, (moved_s, service)
     late = invariants.find_late_requests(
         {"r1": [run()]}, [("i-deposits-1", 5.0, 12.0)]
     )
--- a/soak/fault_injection.py
+++ b/soak/fault_injection.py
@@ -14,12 +14,16 @@
 SERVICES = {"presses": 4, "deposits": 4}
 # Settings of the faults that take more than a flag, by the action of the fault.
 STORE_MODES: dict[str, dict[str, typing.Any]] = {
-    # Pages and answers of different ages, so that a start sees several.
-    "aged": {"page_size": 3, "stale_ages_s": [0.0, 3.0, 1.0, 0.0, 2.0]},
     "slow": {"slow_s": 0.4},
     "lose": {"lose": 3},
     "stale": {"stale_s": 3.0},
 }
+# Answers that may be stale have different ages at all times, and so have the
+# pages of one list.
+USUAL_STORE_MODE: dict[str, typing.Any] = {
+    "page_size": 3,
+    "stale_ages_s": [0.0, 3.0, 1.0, 0.0, 2.0],
+}
 PATH_MODES: dict[str, dict[str, typing.Any]] = {"delay": {"delay_s": 0.3}}
 SIGNALS = {
     "kill": signal.SIGKILL,
@@ -77,6 +81,7 @@
             daemon_count: Number of daemons.
         """
         self.start_store()
+        self.set_store_faults()
         self.set_moving_route("presses")
         for service, count in SERVICES.items():
             self.start_instances(service, count)
@@ -127,6 +132,10 @@
             instance_id, service, address=address, **changed
         )
 
+    def set_store_faults(self, **faults: typing.Any) -> None:
+        """Sets the faults of the store beside its usual stale answers."""
+        super().set_store_faults(**{**USUAL_STORE_MODE, **faults})
+
     def begin(self, fault: schedule.Fault) -> None:
         """Injects a fault.
 
@@ -201,9 +210,8 @@
         if fault.action == "compact":
             fleet_harness.post(self.store, "/_compact", {})
             return
-        self.set_store_faults(
-            **STORE_MODES.get(fault.action, {fault.action: True})
-        )
+        mode = STORE_MODES.get(fault.action, {fault.action: True})
+        self.set_store_faults(**mode)
 
     def _end_store(self, fault: schedule.Fault) -> None:
         self.set_store_faults()
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 from soak import callers
+from standins import gateway_fleet
 
 # Statuses that guarantee that the request has not run and will not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Time after the start of a drain within which all daemons must stop sending
 # requests to the instance.
 DRAIN_DEADLINE_S = 3.0
+# Time after a change of the configuration from which requests must run by it:
+# the bound in the daemons' settings.
+CONFIGURATION_DEADLINE_S = gateway_fleet.BOUNDS["config_apply_s"]
 
 
 class Run:
@@ -140,6 +145,41 @@
 }
 
 
+def find_late_configurations(
+    records: dict[str, callers.RequestRecord],
+    runs: dict[str, list[Run]],
+    route_moves: list[tuple[float, str]],
+) -> list[str]:
+    """Finds requests that ran as only an older configuration says.
+
+    Args:
+        records: The requests that callers sent, by request id.
+        runs: The runs that instances recorded, by request id.
+        route_moves: When the route /moving/ moved, in seconds of the monotonic
+            clock, and to which service.
+
+    Returns:
+        One line for each violation.
+    """
+    violations = []
+    ends_s = [at_s for at_s, _ in route_moves[1:]] + [math.inf]
+    for request_id, record in records.items():
+        if not record.path.startswith("/moving/"):
+            continue
+        allowed = {
+            service
+            for (at_s, service), end_s in zip(route_moves, ends_s, strict=True)
+            if at_s <= (record.ended_s or math.inf)
+            and record.sent_s < end_s + CONFIGURATION_DEADLINE_S
+        }
+        violations += [
+            f"ran by an old configuration: {request_id} at {run.instance}"
+            for run in runs.get(request_id, [])
+            if run.service not in allowed
+        ]
+    return violations
+
+
 def find_late_requests(
     runs: dict[str, list[Run]], drain_periods: list[tuple[str, float, float]]
 ) -> list[str]:
--- a/soak/main.py
+++ b/soak/main.py
@@ -157,9 +157,14 @@
             statuses[record.status] = statuses.get(record.status, 0) + 1
         click.echo(f"  {len(records)} requests, by status: {statuses}")
         is_maintenance = schedule.is_maintenance_only(self._seed)
-        return invariants.find_violations(
-            records, runs, is_maintenance
-        ) + invariants.find_late_requests(runs, self._drain_periods)
+        violations = invariants.find_violations(records, runs, is_maintenance)
+        violations += invariants.find_late_requests(runs, self._drain_periods)
+        if is_maintenance:
+            # Other schedules cut daemons off from the store.
+            violations += invariants.find_late_configurations(
+                records, runs, self._fleet.route_moves
+            )
+        return violations
 
 
 @click.command()
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -21,7 +21,6 @@
     "slow",
     "lose",
     "stale",
-    "aged",
     "compact",
 )
 INSTANCE_FAULTS = (
