Test what four mutants of the new code got away with

Of eleven mutants, four passed the features: a hedge at the end of a stop, the wait for the rest of a request in a drain, an older answer of the store, and a confirmation by a replica that lacks the revision. No change of the program.

--- a/features/connection.feature
+++ b/features/connection.feature
@@ -32,3 +32,8 @@
     Then the daemon ends its side only, and reads what the caller still sends
     And the drain that follows does not close it either
     And it closes a second later if the caller does not
+
+  Scenario: A drain does not wait for the rest of a request that never comes
+    Given a connection on which half a request has arrived
+    When the stop begins and drains, and the rest does not come for a second
+    Then the caller reads status 408, and the last announces the end
--- a/features/following.feature
+++ b/features/following.feature
@@ -64,3 +64,14 @@
     Given a store with answers of any age that at times loses its history
     When a daemon watches and follows while keys change, from 4 seeds
     Then what it knows is always the store at one revision, never older
+
+  Scenario: An answer of the store that is older than what is known is no news
+    Given a daemon that knows revision 9 of the store
+    When an exact answer has revision 5 and an old value
+    Then the daemon takes the store for unavailable, and keeps what it knows
+
+  # A replica that did not have the watched revision yet confirmed it.
+  Scenario: A replica that lacks the watched revision confirms nothing
+    Given a daemon with followers, whose watch hears nothing any more
+    When the store goes on to revision 10, and its replicas are at revision 8
+    Then the daemon knows revision 10 within a second
--- a/features/gateway_fleet.feature
+++ b/features/gateway_fleet.feature
@@ -48,7 +48,7 @@
       | 8      | is not refused |
 
   Scenario: A late request at the end of a stop goes on without a hedge
-    Given a gateway that knows that its requests take 2 seconds
+    Given a gateway that knows that its requests take 0.2 seconds
     When a stop begins while a request is late, and ends in 0.5 seconds
     Then the late request goes on without a hedge
 
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -108,3 +108,23 @@
 def step_drain_lingering(context):
     context.caller.drain()
     assert not context.caller.transport.is_closed
+
+
+@behave.given("a connection on which half a request has arrived")
+def step_half_arrived(context):
+    context.caller = connection_machine.ConnectionMachine()
+    context.caller.send("GET", False, True)
+
+
+@behave.when(
+    "the stop begins and drains, and the rest does not come for a second"
+)
+def step_rest_missing(context):
+    connection = context.caller.connection
+    context.caller.announce()
+    context.caller.drain()
+    connection.check_timeouts(time.monotonic() + 0.5)
+    assert not context.caller.transport.written
+    connection.check_timeouts(
+        time.monotonic() + h11_frontend.DRAIN_READ_S + 0.1
+    )
--- a/features/steps/store_age_steps.py
+++ b/features/steps/store_age_steps.py
@@ -14,6 +14,7 @@
 from dotterelpath.adapters import store_client
 from dotterelpath.domain import exchange
 from dotterelpath.platform import store_codec
+from dotterelpath.ports import store as store_port
 from dotterelpath.tasks import fleet_events
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import store_events
@@ -212,3 +213,114 @@
 @behave.then("what it knows is always the store at one revision, never older")
 def step_one_revision(context):
     assert not context.found, context.found
+
+
+class ScriptedStore:
+    """A store whose answers a scenario sets; a watch that waits hears none."""
+
+    def __init__(self):
+        self.exact = store_port.Changes([], 9)
+        self.stale = store_port.Changes([], 9)
+
+    def set_daemon_count(self, count):
+        pass
+
+    async def watch(self, prefix, after_revision, wait_s, may_be_stale=False):
+        if not after_revision:
+            entry = store_port.VersionedValue("k", "new", 9)
+            return store_port.Changes([entry], 9, True)
+        await asyncio.sleep(3600.0 if wait_s > 1.0 else 0.01)
+        return self.stale if may_be_stale else self.exact
+
+
+def run_scripted(context, change_s, end_s, has_followers):
+    """Runs a reader of a scripted store, which changes at a time.
+
+    Returns the entries and the revisions that it passed on.
+    """
+    subscriber = mailbox.Mailbox("subscriber", 1000)
+    inbox = mailbox.Mailbox("reader", 1000)
+    reader = store_reader.StoreReader(
+        "",
+        context.scripted,
+        clock.SystemClock(),
+        random.Random(1),
+        inbox,
+        subscriber,
+        mailbox.Mailbox("peers", 1000),
+        1.0,
+    )
+
+    async def run():
+        task = asyncio.create_task(reader.run())
+        began_s = time.monotonic()
+        is_changed = False
+        while (passed_s := time.monotonic() - began_s) < end_s:
+            if has_followers:
+                inbox.force(fleet_events.PeerPinged(time.monotonic()))
+            if passed_s > change_s and not is_changed:
+                is_changed = True
+                context.change()
+            await asyncio.sleep(0.05)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(run())
+    found = []
+    while (message := subscriber.poll()) is not None:
+        found.append(message)
+    return found
+
+
+@behave.given("a daemon that knows revision 9 of the store")
+@behave.given("a daemon with followers, whose watch hears nothing any more")
+def step_scripted(context):
+    context.scripted = ScriptedStore()
+
+
+@behave.when("an exact answer has revision 5 and an old value")
+def step_exact_old(context):
+    def change():
+        entry = store_port.VersionedValue("k", "old", 5)
+        context.scripted.exact = store_port.Changes([entry], 5)
+
+    context.change = change
+    context.messages = run_scripted(context, 0.2, 2.5, False)
+
+
+@behave.then(
+    "the daemon takes the store for unavailable, and keeps what it knows"
+)
+def step_kept(context):
+    kinds = {type(message) for message in context.messages}
+    assert store_events.StoreLost in kinds, kinds
+    values = [
+        entry.value
+        for message in context.messages
+        if isinstance(message, store_events.StoreChanged)
+        for entry in message.changes.entries
+    ]
+    assert values == ["new"], values
+
+
+@behave.when(
+    "the store goes on to revision 10, and its replicas are at revision 8"
+)
+def step_replicas_behind(context):
+    def change():
+        entry = store_port.VersionedValue("k", "newer", 10)
+        context.scripted.exact = store_port.Changes([entry], 10)
+        context.scripted.stale = store_port.Changes([], 8)
+
+    context.change = change
+    context.messages = run_scripted(context, 0.5, 1.5, True)
+
+
+@behave.then("the daemon knows revision 10 within a second")
+def step_knows_ten(context):
+    revisions = [
+        message.changes.revision
+        for message in context.messages
+        if isinstance(message, store_events.StoreChanged)
+    ]
+    assert 10 in revisions, revisions
--- a/features/steps/waiting_at_stop_steps.py
+++ b/features/steps/waiting_at_stop_steps.py
@@ -59,11 +59,11 @@
     assert "waits" not in context.fleet.count_runs()
 
 
-@behave.given("a gateway that knows that its requests take 2 seconds")
-def step_slow(context):
+@behave.given("a gateway that knows that its requests take {work_s:g} seconds")
+def step_slow(context, work_s):
     world = gateway_world.GatewayWorld([gateway_world.route("/w/")], 2, 2)
     for instance in world.instances.values():
-        instance.work_s = 2.0
+        instance.work_s = work_s
     for tenths in range(0, 100, 25):
         world.schedule(tenths / 10, world.send_request, "/w/", 4.0)
     world.run(14.0)
