Wait in a scenario until the daemon that it stops has ended

Cause: the scenario ended with the refusal, shortly before its daemon did. In the log g4's stop began at 52.55 s and ended at 55.05 s. The next scenario's hook restarts daemons that have ended, found this one alive, and waited for it in vain; it was started again for the scenario after that (85.66 s).

Change: the scenario waits for the end, as the others that stop a daemon do.

--- a/features/steps/waiting_at_stop_steps.py
+++ b/features/steps/waiting_at_stop_steps.py
@@ -11,6 +11,7 @@
 from features.steps import connection_option_steps
 from features.steps import pipelined_stop_steps
 from features.support import gateway_world
+from standins import fleet as fleet_harness
 from standins import gateway_fleet
 
 PRESSES = 3
@@ -52,6 +53,10 @@
     assert context.response.status == 503, context.response.status
     assert float(context.response.headers["retry-after"]) > 0.0
     assert context.took_s < GRACE_S, context.took_s
+    node = context.fleet.gateways["g4"]
+    fleet_harness.wait_until(
+        lambda: node.process.poll() is not None, "g4 has ended"
+    )
 
 
 @behave.then("no instance ran it")
