Set down the interfaces of tenants and quotas

Two customers with hard load need tenants with keys and quotas over all VMs. This commit holds only what the parts share: a tenant, the credential and the identity of a request, whether a route needs a key, the priority of a pending request, and the result codes 2019 and 2020. Nothing sets them yet, so that deployments are served as before.

--- a/src/dotterelpath/domain/configuration.py
+++ b/src/dotterelpath/domain/configuration.py
@@ -43,6 +43,7 @@
 
     __slots__ = (
         "host",
+        "is_auth_exempt",
         "kind",
         "max_attempts",
         "name",
@@ -64,6 +65,7 @@
         timeout_s: float,
         target_latency_s: float,
         priority: int,
+        is_auth_exempt: bool = False,
     ) -> None:
         """Creates a route.
 
@@ -79,7 +81,9 @@
             target_latency_s: The latency, in seconds, above which a response
                 is of less use to the caller.
             priority: The priority; 0 is the highest.
+            is_auth_exempt: Whether requests need no key of a tenant.
         """
+        self.is_auth_exempt = is_auth_exempt
         self.name = name
         self.host = host
         self.prefix = prefix
--- a/src/dotterelpath/domain/exchange.py
+++ b/src/dotterelpath/domain/exchange.py
@@ -7,15 +7,32 @@
 Headers = list[tuple[bytes, bytes]]
 
 
+class Identity:
+    """Who a request runs for, in a configuration that has tenants."""
+
+    __slots__ = ("tenant_name",)
+
+    def __init__(self, tenant_name: str | None) -> None:
+        """Creates an identity.
+
+        Args:
+            tenant_name: The name of the tenant that holds the caller's key;
+                None for a request that needs no key and has no known one.
+        """
+        self.tenant_name = tenant_name
+
+
 class Request:
     """A caller's request, read in full."""
 
     __slots__ = (
         "attempt",
         "body",
+        "credential",
         "headers",
-        "key",
         "host",
+        "identity",
+        "key",
         "method",
         "received_s",
         "request_id",
@@ -38,6 +55,7 @@
         request_id: str = "",
         host: str = "",
         received_s: float | None = None,
+        credential: str | None = None,
     ) -> None:
         """Creates a request.
 
@@ -54,7 +72,12 @@
             host: The requested host, in lower case and without a port.
             received_s: The time at which the head was complete, on the
                 monotonic clock, in seconds.
+            credential: The key with which the caller proves its tenant, if it
+                sent one. It must not be logged or forwarded.
         """
+        self.credential = credential
+        # Set once the caller is known, if the configuration has tenants.
+        self.identity: Identity | None = None
         self.host = host
         self.received_s = received_s
         self.method = method
--- a/src/dotterelpath/errors.py
+++ b/src/dotterelpath/errors.py
@@ -41,6 +41,8 @@
     NO_DOCUMENT = 2016
     CALLER_GONE = 2017
     REQUEST_TIMEOUT = 2018
+    UNAUTHENTICATED = 2019
+    QUOTA_EXCEEDED = 2020
 
     BACKEND_BROKEN = 3001
     BACKEND_TIMEOUT = 3002
@@ -118,6 +120,8 @@
     ResultCode.NO_DOCUMENT: (503, "The daemon has no document yet."),
     ResultCode.CALLER_GONE: (499, "The caller closed before the request ran."),
     ResultCode.REQUEST_TIMEOUT: (408, "The request came in too slowly."),
+    ResultCode.UNAUTHENTICATED: (401, "The request has no known key."),
+    ResultCode.QUOTA_EXCEEDED: (429, "The tenant has used up its quota."),
     ResultCode.BACKEND_BROKEN: (502, "The backend server's connection broke."),
     ResultCode.BACKEND_TIMEOUT: (504, "The backend server did not answer."),
     ResultCode.HOME_UNREACHABLE: (503, "The key's home cannot be reached."),
--- a/src/dotterelpath/platform/caller_codec.py
+++ b/src/dotterelpath/platform/caller_codec.py
@@ -13,7 +13,7 @@
 MAX_TIMEOUT_MS = 3_600_000
 
 # Statuses that, besides 503, tell callers that the request was not run.
-_NOT_RUN_STATUSES = frozenset({400, 404, 405, 408, 413, 431})
+_NOT_RUN_STATUSES = frozenset({400, 401, 404, 405, 408, 413, 429, 431})
 _DROPPED_HEADERS = frozenset({b"content-length", b"expect"})
 _END_TO_END_HEADERS = frozenset(
     {
--- a/src/dotterelpath/tasks/_pending.py
+++ b/src/dotterelpath/tasks/_pending.py
@@ -13,6 +13,7 @@
 from dotterelpath.domain import request_queue
 from dotterelpath.domain import retry_window
 from dotterelpath.domain import success_log
+from dotterelpath.domain import tenants
 from dotterelpath.tasks import messages
 from dotterelpath.tasks import reply
 
@@ -113,6 +114,7 @@
         "sent_to",
         "service",
         "stream_id",
+        "tenant",
         "unreachable_instances",
     )
 
@@ -134,6 +136,7 @@
         )
         self.route: configuration.Route | None = None
         self.service: ServiceState | None = None
+        self.tenant: tenants.Tenant | None = None
         self.open_attempts: dict[int, OpenAttempt] = {}
         self.sent_to: list[str] = []
         # For each attempt: why its instance was selected, and the estimated
@@ -154,6 +157,13 @@
         """The ids of the instances that attempts were made at."""
         return self.sent_to + self.unreachable_instances
 
+    @property
+    def priority(self) -> int:
+        """The priority of the tenant, or else of the route; 0 is the highest."""
+        if self.tenant is not None and self.tenant.priority is not None:
+            return self.tenant.priority
+        return self.route.priority if self.route is not None else 0
+
     @property
     def is_idempotent(self) -> bool:
         """Whether the request may run more than once."""
--- a/src/dotterelpath/tasks/_request_sender.py
+++ b/src/dotterelpath/tasks/_request_sender.py
@@ -339,7 +339,7 @@
         state = pending.service
         queued = request_queue.QueuedRequest(
             pending,
-            pending.route.priority,
+            pending.priority,
             now_s,
             pending.arrived_s + pending.route.target_latency_s,
             pending.deadline_s,
@@ -425,7 +425,7 @@
             # Only attempts that delay queued requests are recorded. An attempt
             # at an unhealthy instance mostly fails at once and delays none.
             pending.service.queue.record_start(
-                pending.route.priority, duration_s, now_s
+                pending.priority, duration_s, now_s
             )
         attempt = _pending.OpenAttempt(
             pending, instance, now_s, now_s + slow_after_s
