--- a/src/dotterelpath/tasks/_pending.py
+++ b/src/dotterelpath/tasks/_pending.py
@@ -159,7 +159,7 @@
 
     @property
     def priority(self) -> int:
-        """The priority of the tenant, or else of the route; 0 is the highest."""
+        """The priority of the tenant, or else of the route; 0 is highest."""
         if self.tenant is not None and self.tenant.priority is not None:
             return self.tenant.priority
         return self.route.priority if self.route is not None else 0
