Authenticate requests by the keys of tenants

A configuration may list tenants with keys. The gateway ran every request and forwarded Authorization and Tenant-Id as the caller sent them.

The item codec decodes the tenants into a table of keyed digests, the caller codec decodes the key, the gateway refuses unknown ones with 401 after it has found the route, and the server codec replaces both headers. Odd tenants are left out and logged without their keys. A configuration without tenants is served as before.

--- a/src/dotterelpath/domain/configuration.py
+++ b/src/dotterelpath/domain/configuration.py
@@ -9,6 +9,7 @@
 import enum
 
 from dotterelpath import errors
+from dotterelpath.domain import tenants as tenants_domain
 
 
 class RequestKind(enum.Enum):
@@ -153,7 +154,7 @@
 class Configuration:
     """One version of the configuration, complete and validated."""
 
-    __slots__ = ("_by_host", "limits", "services", "version")
+    __slots__ = ("_by_host", "limits", "services", "tenants", "version")
 
     def __init__(
         self,
@@ -161,6 +162,7 @@
         services: dict[str, Service],
         routes: list[Route],
         limits: CallerLimits,
+        tenants: tenants_domain.TenantTable | None = None,
     ) -> None:
         """Creates a configuration.
 
@@ -169,7 +171,9 @@
             services: The services by name.
             routes: All routes.
             limits: The limits on callers' requests.
+            tenants: The tenants; None if requests need no key.
         """
+        self.tenants = tenants
         self.version = version
         self.services = services
         self.limits = limits
--- a/src/dotterelpath/platform/caller_codec.py
+++ b/src/dotterelpath/platform/caller_codec.py
@@ -11,6 +11,8 @@
 
 # Longer timeouts of callers are reduced to this.
 MAX_TIMEOUT_MS = 3_600_000
+# The longest value of the header that carries the caller's key, in bytes.
+MAX_AUTHORIZATION_BYTES = 1024
 
 # Statuses that, besides 503, tell callers that the request was not run.
 _NOT_RUN_STATUSES = frozenset({400, 401, 404, 405, 408, 413, 429, 431})
@@ -68,6 +70,7 @@
             request_id=request_id,
             host=host.partition(":")[0].lower(),
             received_s=head.received_s,
+            credential=_decode_credential(head.headers),
         )
 
     def encode_response(
@@ -91,6 +94,10 @@
                     request.request_id.encode("latin-1"),
                 )
             )
+        if outcome.code is errors.ResultCode.UNAUTHENTICATED:
+            headers.append(
+                (platform_headers.WWW_AUTHENTICATE, platform_headers.KEY_SCHEME)
+            )
         if outcome.retry_after_s is not None:
             # The platform's callers accept fractions of a second.
             retry_after = f"{outcome.retry_after_s:.2f}".encode()
@@ -124,6 +131,30 @@
     return values[0].decode("latin-1") if values else None
 
 
+def _decode_credential(headers: exchange.Headers) -> str | None:
+    """Decodes the caller's key.
+
+    An unusable header is no error here, since it only concerns configurations
+    with tenants; others forward it.
+
+    Returns:
+        The key, or None if there is none or the header is repeated, of another
+        scheme or too long. Bytes that are not UTF-8 are escaped.
+    """
+    values = [
+        value
+        for name, value in headers
+        if name == platform_headers.AUTHORIZATION
+    ]
+    if len(values) != 1 or len(values[0]) > MAX_AUTHORIZATION_BYTES:
+        return None
+    scheme, _, key = values[0].partition(b" ")
+    key = key.strip(b" ")
+    if scheme.lower() != platform_headers.KEY_SCHEME or not key:
+        return None
+    return key.decode("utf-8", "surrogateescape")
+
+
 def _parse_timeout_s(headers: exchange.Headers) -> float | None:
     """Parses the time left until the caller's deadline, in seconds."""
     text = _single_value(headers, platform_headers.TIMEOUT_MS)
--- a/src/dotterelpath/platform/headers.py
+++ b/src/dotterelpath/platform/headers.py
@@ -2,6 +2,14 @@
 
 # The id of a request; a caller that retries sends another id.
 REQUEST_ID = b"request-id"
+# The caller's key, after the scheme; only if the configuration has tenants.
+AUTHORIZATION = b"authorization"
+# The scheme of a key; schemes are compared without case.
+KEY_SCHEME = b"token"
+# Names the scheme to a caller without a known key.
+WWW_AUTHENTICATE = b"www-authenticate"
+# The name of the tenant that a request runs for.
+TENANT_ID = b"tenant-id"
 # The time left until the caller's deadline, in milliseconds; despite its name,
 # not a point in time.
 TIMEOUT_MS = b"deadline-ms"
--- a/src/dotterelpath/platform/server_codec.py
+++ b/src/dotterelpath/platform/server_codec.py
@@ -22,6 +22,13 @@
     {platform_headers.TIMEOUT_MS, platform_headers.TARGET_INSTANCE}
 )
 
+# Replaced if the configuration has tenants: instances get no key of a caller,
+# and no name of a tenant that a caller made up.
+_REPLACED_WITH_TENANTS = _REPLACED_HEADERS | {
+    platform_headers.AUTHORIZATION,
+    platform_headers.TENANT_ID,
+}
+
 
 class ServerCodec:
     """Speaks the platform's protocol; see backend.ServerCodec."""
@@ -47,11 +54,17 @@
     ) -> exchange.Headers:
         """Encodes a request's headers; see backend.ServerCodec."""
         timeout_ms = max(1, int(timeout_s * 1000.0))
+        identity = request.identity
+        replaced = (
+            _REPLACED_HEADERS if identity is None else _REPLACED_WITH_TENANTS
+        )
         headers = [
-            header
-            for header in request.headers
-            if header[0] not in _REPLACED_HEADERS
+            header for header in request.headers if header[0] not in replaced
         ]
+        if identity is not None and identity.tenant_name is not None:
+            headers.append(
+                (platform_headers.TENANT_ID, identity.tenant_name.encode())
+            )
         headers.append((platform_headers.TIMEOUT_MS, str(timeout_ms).encode()))
         headers.append(
             (platform_headers.TARGET_INSTANCE, instance_id.encode("latin-1"))
--- a/src/dotterelpath/platform/store_item_codec.py
+++ b/src/dotterelpath/platform/store_item_codec.py
@@ -4,6 +4,7 @@
 
 import re
 import reprlib
+import secrets
 import typing
 
 import orjson
@@ -11,7 +12,9 @@
 from dotterelpath.domain import configuration
 from dotterelpath.domain import registry
 from dotterelpath.domain import steering
+from dotterelpath.domain import tenants
 from dotterelpath.platform import fields
+from dotterelpath.platform import tenant_codec
 from dotterelpath.ports import store
 from dotterelpath.ports import store_items
 
@@ -19,6 +22,9 @@
 INSTANCE_PREFIX = "servers/"
 DAEMON_PREFIX = "dotterelpath/daemons/"
 
+# The size of the secret of the keys' digests, in bytes.
+SECRET_BYTES = 32
+
 _VERSION_PATTERN = re.compile(r"r(\d{1,18})\Z")
 _INSTANCE_ID_PATTERN = re.compile(r"[A-Za-z0-9._:-]{1,190}\Z")
 _IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
@@ -30,9 +36,17 @@
 
 
 class StoreItemCodec:
-    """Speaks the platform's formats; see store_items.StoreItemCodec."""
+    """Speaks the platform's formats; see store_items.StoreItemCodec.
+
+    Keeps the last table of tenants, whose digests the next one reuses.
+    """
+
+    __slots__ = ("_secret", "_tenants")
 
-    __slots__ = ()
+    def __init__(self) -> None:
+        """Creates a codec with a new secret for the digests of keys."""
+        self._secret = secrets.token_bytes(SECRET_BYTES)
+        self._tenants: tenants.TenantTable | None = None
 
     @property
     def prefix(self) -> str:
@@ -43,7 +57,7 @@
         """Decodes an item; see store_items.StoreItemCodec."""
         try:
             if item.key == CONFIGURATION_KEY:
-                return _decode_configuration(item)
+                return self._decode_configuration(item)
             if item.key.startswith(INSTANCE_PREFIX):
                 return _decode_instance(item)
             if item.key.startswith(DAEMON_PREFIX):
@@ -71,6 +85,45 @@
             }
         ).decode()
 
+    def _decode_configuration(
+        self, item: store.VersionedValue
+    ) -> store_items.Item:
+        if item.value is None:
+            raise fields.FieldError("the configuration was deleted")
+        data = fields.check_object(
+            orjson.loads(item.value), "the configuration"
+        )
+        services = _decode_services(data)
+        routes, unknown_request_kinds = _decode_routes(data, services)
+        version = _decode_version(data)
+        limits = fields.check_object(data.get("limits"), "limits")
+        table, faults = self._decode_tenants(data)
+        return store_items.ConfigurationItem(
+            configuration.Configuration(
+                version, services, routes, _decode_limits(limits), table
+            ),
+            unknown_request_kinds,
+            faults,
+        )
+
+    def _decode_tenants(
+        self, data: dict[str, typing.Any]
+    ) -> tuple[tenants.TenantTable | None, list[str]]:
+        """Decodes the tenants; none are listed if requests need no key."""
+        rows = data.get("tenants")
+        if rows is None or rows == []:
+            return None, []
+        decoded = tenant_codec.decode(rows)
+        table = tenants.TenantTable(
+            decoded.listed.values(), self._secret, self._tenants
+        )
+        self._tenants = table
+        faults = decoded.faults + [
+            f"tenants {reprlib.repr(names)} list the same key"
+            for names in table.shared_by
+        ]
+        return table, faults
+
 
 def _instance_id(item: store.VersionedValue) -> str | None:
     if item.key.startswith(INSTANCE_PREFIX):
@@ -140,17 +193,19 @@
     return store_items.DaemonItem(daemon_id, daemon)
 
 
-def _decode_configuration(item: store.VersionedValue) -> store_items.Item:
-    if item.value is None:
-        raise fields.FieldError("the configuration was deleted")
-    data = fields.check_object(orjson.loads(item.value), "the configuration")
-    version_text = fields.get_string(data, "version")
-    version = _VERSION_PATTERN.match(version_text)
+def _decode_version(data: dict[str, typing.Any]) -> int:
+    text = fields.get_string(data, "version")
+    version = _VERSION_PATTERN.match(text)
     if version is None:
         raise fields.FieldError(
-            f"the version is {reprlib.repr(version_text)}, not r and 1 to 18"
-            " digits"
+            f"the version is {reprlib.repr(text)}, not r and 1 to 18 digits"
         )
+    return int(version.group(1))
+
+
+def _decode_services(
+    data: dict[str, typing.Any],
+) -> dict[str, configuration.Service]:
     services = {}
     for row in fields.get_list(data, "services"):
         service = fields.check_object(row, "a service")
@@ -158,6 +213,13 @@
         services[name] = configuration.Service(
             name, fields.get_integer(service, "max_connections")
         )
+    return services
+
+
+def _decode_routes(
+    data: dict[str, typing.Any], services: dict[str, configuration.Service]
+) -> tuple[list[configuration.Route], dict[str, str]]:
+    """Decodes the routes, and the unknown types by the name of their route."""
     routes = []
     unknown_request_kinds = {}
     for row in fields.get_list(data, "hosts"):
@@ -171,15 +233,7 @@
             route_type = fields.get_string(route_data, "route_type")
             if route_type not in _KIND_BY_ROUTE_TYPE:
                 unknown_request_kinds[route.name] = reprlib.repr(route_type)
-    return store_items.ConfigurationItem(
-        configuration.Configuration(
-            int(version.group(1)),
-            services,
-            routes,
-            _decode_limits(fields.check_object(data.get("limits"), "limits")),
-        ),
-        unknown_request_kinds,
-    )
+    return routes, unknown_request_kinds
 
 
 def _decode_limits(data: dict[str, typing.Any]) -> configuration.CallerLimits:
@@ -219,6 +273,8 @@
         fields.get_number(data, "timeout_s"),
         fields.get_number(data, "target_latency_s"),
         fields.get_integer(data, "priority"),
+        # Any other value than true needs a key, which is safe for all.
+        data.get("auth_exempt") is True,
     )
 
 
--- a/src/dotterelpath/ports/store_items.py
+++ b/src/dotterelpath/ports/store_items.py
@@ -17,12 +17,13 @@
 class ConfigurationItem:
     """The operators' configuration."""
 
-    __slots__ = ("configuration", "unknown_request_kinds")
+    __slots__ = ("configuration", "tenant_faults", "unknown_request_kinds")
 
     def __init__(
         self,
         configuration: configuration.Configuration,
         unknown_request_kinds: dict[str, str] | None = None,
+        tenant_faults: list[str] | None = None,
     ) -> None:
         """Creates an item.
 
@@ -30,7 +31,10 @@
             configuration: The configuration.
             unknown_request_kinds: The unknown types by the name of their route;
                 the requests of these routes run at most once.
+            tenant_faults: What is wrong with tenants or keys that are left
+                out, without the keys.
         """
+        self.tenant_faults = tenant_faults or []
         self.configuration = configuration
         self.unknown_request_kinds = unknown_request_kinds or {}
 
--- a/src/dotterelpath/tasks/gateway.py
+++ b/src/dotterelpath/tasks/gateway.py
@@ -16,6 +16,7 @@
 from dotterelpath.ports import metrics as metrics_port
 from dotterelpath.ports import randomness
 from dotterelpath.ports import timers as timers_port
+from dotterelpath.tasks import _authentication
 from dotterelpath.tasks import _pending
 from dotterelpath.tasks import _request_sender
 from dotterelpath.tasks import _services
@@ -261,6 +262,9 @@
             raise errors.DotterelpathError(errors.ResultCode.NO_DOCUMENT)
         request = pending.request
         pending.route = self._configuration.find(request.host, request.path)
+        _authentication.authenticate(
+            pending, self._configuration, pending.route
+        )
         pending.deadline_s = min(
             pending.deadline_s, pending.arrived_s + pending.route.timeout_s
         )
@@ -304,7 +308,8 @@
         self._metrics.record_request(
             service,
             f"priority-{route.priority}" if route else "",
-            pending.request.workspace,
+            # The platform has no workspaces.
+            pending.tenant.name if pending.tenant else "",
             outcome.code,
             duration_s,
             max(0.0, duration_s - pending.backend_duration_s),
@@ -317,6 +322,7 @@
             status=outcome.response.status if outcome.response else 0,
             route=route.name if route else "",
             service=service,
+            **_authentication.log_fields(pending),
             configuration=version,
             instances=pending.attempted_instances,
             reasons=pending.selection_reasons,
--- a/src/dotterelpath/tasks/registrar.py
+++ b/src/dotterelpath/tasks/registrar.py
@@ -22,6 +22,9 @@
 
 # How often missing instances are checked for expiry, in seconds.
 EXPIRY_CHECK_INTERVAL_S = 0.1
+# The most faults of tenants that are logged for one configuration, which may
+# list many thousands of tenants.
+MAX_LOGGED_TENANT_FAULTS = 20
 
 _log = structlog.get_logger()
 
@@ -45,6 +48,7 @@
         "_refused_configuration",
         "_registry",
         "_subscribers",
+        "_tenant_faults",
         "_timers",
     )
 
@@ -85,6 +89,12 @@
         self._daemons: dict[str, steering.Daemon] = {}
         self._is_expiry_scheduled = False
         self._refused_configuration: str | None = None
+        self._tenant_faults: list[str] = []
+
+    @property
+    def tenant_faults(self) -> list[str]:
+        """What is wrong with tenants of the configuration in force."""
+        return self._tenant_faults
 
     @property
     def refused_configuration(self) -> str | None:
@@ -160,14 +170,31 @@
                     kind=kind,
                 )
                 self._metrics.record_unknown_item("request kind")
+            self._report_tenant_faults(item.tenant_faults)
+            had_tenants = current is not None and current.tenants is not None
+            if had_tenants and newer.tenants is None:
+                _log.warning("tenants removed, requests need no key")
             _log.info(
                 "configuration in force",
                 version=newer.version,
                 routes=len(newer.routes),
+                tenants=None if newer.tenants is None else len(newer.tenants),
                 before=current.version if current else 0,
             )
             self._publish(fleet_events.ConfigurationChanged(newer))
 
+    def _report_tenant_faults(self, faults: list[str]) -> None:
+        """Logs the faults, unless those before were the same."""
+        if faults == self._tenant_faults:
+            return
+        self._tenant_faults = faults
+        for fault in faults[:MAX_LOGGED_TENANT_FAULTS]:
+            _log.warning("tenant or key left out", fault=fault)
+        if len(faults) > MAX_LOGGED_TENANT_FAULTS:
+            _log.warning("tenants or keys left out", count=len(faults))
+        if faults:
+            self._metrics.record_unknown_item("tenant")
+
     def _on_invalid_item(self, item: store_items.InvalidItem) -> None:
         _log.warning("store item invalid", key=item.key, reason=item.reason)
         if item.instance_id is not None:
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -188,8 +188,19 @@
         key = store_item_codec.INSTANCE_PREFIX + instance_id
         fleet.post(self.store, "/_put", {key: None})
 
-    def configure(self, *routes: Json, version: int | None = None) -> None:
-        """Writes a configuration to the store, as the operator does."""
+    def configure(
+        self,
+        *routes: Json,
+        version: int | None = None,
+        tenants: Json = None,
+    ) -> None:
+        """Writes a configuration to the store, as the operator does.
+
+        Args:
+            *routes: The routes.
+            version: The version; by default the next one.
+            tenants: The tenants, if the configuration has any.
+        """
         self.version = version or self.version + 1
         services = sorted(
             {
@@ -211,6 +222,8 @@
             },
             "hosts": [{"host": HOST, "path_rules": list(routes)}],
         }
+        if tenants is not None:
+            data["tenants"] = tenants
         self.put_configuration(json.dumps(data))
 
     def put_configuration(self, text: str) -> None:
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -21,6 +21,8 @@
 MAX_QUEUED = 16
 # The pause between two chunks of 64 KiB of a body without end, in seconds.
 ENDLESS_PAUSE_S = 0.005
+# Recorded for each request that has one of them.
+IDENTITY_HEADERS = (platform_headers.AUTHORIZATION, platform_headers.TENANT_ID)
 
 
 class Instance:
@@ -65,6 +67,7 @@
         self._record: dict[str, typing.Any] = {
             "runs": collections.Counter(),
             "times": {},
+            "identities": {},
             "cancelled": [],
             "last": {},
         }
@@ -124,6 +127,13 @@
     ) -> exchange.Response | None:
         self._record["runs"][request_id] += 1
         self._record["times"][request_id] = time.monotonic()
+        identity = [
+            (name.decode(), value.decode())
+            for name, value in request.headers
+            if name in IDENTITY_HEADERS
+        ]
+        if identity:
+            self._record["identities"][request_id] = identity
         self._record["last"] = {
             "method": request.method,
             "target": request.target,
