Check in the soak that each service is served again after the faults

A daemon could serve a service never again without breaking a promise to any one caller, and the soak had no check for it. The draws of the other faults are unchanged.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -14,3 +14,8 @@
 
   Scenario: Each check of the soak detects a violation
     Then the soak detects each of the constructed violations
+
+  # Refusals without end used up all connections to an instance, and its daemon
+  # served nothing until a restart; no promise to one caller was broken.
+  Scenario: The soak detects a daemon that serves nothing after the faults
+    Then the soak detects a daemon that serves nothing after the faults
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -4,13 +4,16 @@
 
 import subprocess
 import sys
+import types
 
 import behave
 
 from soak import callers
 from soak import invariants
+from soak import recovery
 from soak import schedule
 from standins import fleet as fleet_harness
+from standins import gateway_fleet
 
 SIGNED = {"response-signature": "x"}
 
@@ -116,3 +119,15 @@
     assert late and not invariants.find_late_requests(
         {"r1": [run()]}, [("i-deposits-1", 8.0, 12.0)]
     )
+
+
+@behave.then("the soak detects a daemon that serves nothing after the faults")
+def step_detect_unserved(context):
+    fleet = types.SimpleNamespace(gateways={})
+    # Nothing listens at the ports of a process that was never started.
+    fleet.gateways["g1"] = gateway_fleet.GatewayProcess(
+        "g1", "a", fleet_harness.ROOT / "out", 0
+    )
+    found = recovery.find_unserved_services(fleet, recovery_s=0.5)
+    assert len(found) == len(recovery.PATHS), found
+    assert all(line.startswith("not served again: g1") for line in found)
--- a/soak/fault_injection.py
+++ b/soak/fault_injection.py
@@ -234,6 +234,17 @@
         service = fault.target.split("-")[1]
         self.register_instance(fault.target, service, born=self._next_epoch())
 
+    def _begin_service(self, fault: schedule.Fault) -> None:
+        for instance_id in self._instances_of(fault.target):
+            self.set_mode(instance_id, **{fault.action: True})
+
+    def _end_service(self, fault: schedule.Fault) -> None:
+        for instance_id in self._instances_of(fault.target):
+            self.set_mode(instance_id)
+
+    def _instances_of(self, service: str) -> list[str]:
+        return [i for i in self.instances if i.split("-")[1] == service]
+
     def _next_epoch(self) -> int:
         """Returns a new epoch; an entry with a later epoch is newer."""
         self.instance_epoch += 1
--- a/soak/main.py
+++ b/soak/main.py
@@ -14,6 +14,7 @@
 from soak import fault_injection
 from soak import invariants
 from soak import pipelining
+from soak import recovery
 from soak import schedule
 from standins import fleet as fleet_harness
 
@@ -68,6 +69,7 @@
                 caller.start()
             violations = self._run_schedule()
             self._fleet.clear_faults()
+            violations += recovery.find_unserved_services(self._fleet)
             for caller in self._callers:
                 caller.stop_requested.set()
             for caller in self._callers:
@@ -148,6 +150,8 @@
             observed = self._fleet.instance_record(instance)
             service = instance.split("-")[1]
             for request_id, count in observed["runs"].items():
+                if request_id.startswith(recovery.ID_PREFIX):
+                    continue
                 run = invariants.Run(
                     instance, service, count, observed["times"][request_id]
                 )
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -37,6 +37,9 @@
 # What a fault applies to. "instance" is listed twice, so that it is drawn more
 # often: the way an instance fails decides whether a retry is allowed.
 FAULT_KINDS = ("daemon", "store", "instance", "instance", "path", "operator")
+# Faults of all instances of a service at the same time, which use up all
+# attempts, connections and retries.
+SERVICE_FAULTS = ("fail", "silent", "shed", "shed_endless")
 PATH_FAULTS = ("delay", "drop_forth", "drop_back", "freeze_open")
 # Mean time between the starts of two faults. Most faults last longer, so that
 # several overlap.
@@ -68,11 +71,12 @@
 
         Args:
             start_s: The start, in seconds from the start of the schedule.
-            kind: The kind of target: "daemon", "store", "instance", "path"
-                (network path to an instance) or "operator".
+            kind: The kind of target: "daemon", "store", "instance", "service"
+                (all its instances), "path" (network path to an instance) or
+                "operator".
             action: The action, such as "kill" or "drain".
-            target: The id of the daemon or instance, "store", or "-" for
-                the operator.
+            target: The id of the daemon or instance, the name of the service,
+                "store", or "-" for the operator.
             duration_s: The duration, in seconds.
         """
         self.start_s = start_s
@@ -131,7 +135,24 @@
             start_s += interval_s
         else:
             start_s += rng.expovariate(1.0 / interval_s)
-    return faults
+    if not is_maintenance:
+        faults.append(_draw_service_fault(seed, seconds, instances))
+    return sorted(faults, key=lambda fault: fault.start_s)
+
+
+def _draw_service_fault(
+    seed: int, seconds: float, instances: list[str]
+) -> Fault:
+    """Draws a fault of a whole service, without changing the other draws."""
+    rng = random.Random(f"service {seed}")
+    services = sorted({instance.split("-")[1] for instance in instances})
+    return Fault(
+        rng.uniform(0.0, max(0.0, seconds - MAX_DURATION_S)),
+        "service",
+        rng.choice(SERVICE_FAULTS),
+        rng.choice(services),
+        MAX_DURATION_S,
+    )
 
 
 def _draw_action(rng: random.Random, is_maintenance: bool) -> tuple[str, str]:
