Serve downloads and bound the read-ahead of responses

The route type download was unknown, so its requests ran at most once.

Downloads are idempotent and held whole up to 1 MiB. The front end acknowledges chunks when the caller's connection forwards them, and a stream is read up to 1 MiB ahead within 32 MiB for all streams.

--- a/src/dotterelpath/domain/configuration.py
+++ b/src/dotterelpath/domain/configuration.py
@@ -20,6 +20,8 @@
     NON_IDEMPOTENT = "non-idempotent"
     # A request with a large body, which may run at most once.
     UPLOAD = "upload"
+    # A request with a large response, which may run more than once.
+    DOWNLOAD = "download"
 
 
 class RouteTarget:
@@ -97,7 +99,7 @@
     @property
     def is_idempotent(self) -> bool:
         """Whether a request may run more than once."""
-        return self.kind is RequestKind.IDEMPOTENT
+        return self.kind in (RequestKind.IDEMPOTENT, RequestKind.DOWNLOAD)
 
 
 class Service:
--- a/src/dotterelpath/platform/store_item_codec.py
+++ b/src/dotterelpath/platform/store_item_codec.py
@@ -26,6 +26,7 @@
     "idempotent": configuration.RequestKind.IDEMPOTENT,
     "non_idempotent": configuration.RequestKind.NON_IDEMPOTENT,
     "upload": configuration.RequestKind.UPLOAD,
+    "download": configuration.RequestKind.DOWNLOAD,
 }
 
 
--- a/src/dotterelpath/tasks/_request_sender.py
+++ b/src/dotterelpath/tasks/_request_sender.py
@@ -9,12 +9,14 @@
 
 from dotterelpath import errors
 from dotterelpath.domain import attempts
+from dotterelpath.domain import configuration
 from dotterelpath.domain import exchange
 from dotterelpath.domain import health_reports
 from dotterelpath.domain import instance_state
 from dotterelpath.domain import load_balancer
 from dotterelpath.domain import registry
 from dotterelpath.domain import request_queue
+from dotterelpath.domain import stream_window
 from dotterelpath.domain import vms
 from dotterelpath.ports import backend
 from dotterelpath.ports import clock as clock_port
@@ -447,10 +449,23 @@
                 pending.request,
                 pending.deadline_s,
                 not pending.is_idempotent,
-                MAX_BUFFERED_RESPONSE_BYTES,
+                self._max_buffered_bytes(pending.route),
             )
         )
 
+    def _max_buffered_bytes(self, route: configuration.Route) -> int:
+        """Returns the longest response that is held whole, in bytes."""
+        if route.kind is not configuration.RequestKind.DOWNLOAD:
+            return MAX_BUFFERED_RESPONSE_BYTES
+        downloads = sum(
+            attempt.pending.route is not None
+            and attempt.pending.route.kind is route.kind
+            for attempt in self._open_attempts.values()
+        )
+        return stream_window.max_held_bytes(
+            downloads, MAX_BUFFERED_RESPONSE_BYTES
+        )
+
     def _on_response(
         self,
         pending: _pending.PendingRequest,
--- a/src/dotterelpath/tasks/backend_pool.py
+++ b/src/dotterelpath/tasks/backend_pool.py
@@ -98,6 +98,7 @@
         "_mailbox",
         "_pool_by_connection",
         "_pools",
+        "_read_ahead",
         "_streams",
         "_sweep_timer",
     )
@@ -129,6 +130,7 @@
         self._active_connections: dict[int, backend.Connection] = {}
         self._pool_by_connection: dict[backend.Connection, _InstancePool] = {}
         self._streams: dict[int, stream_window.StreamWindow] = {}
+        self._read_ahead = stream_window.ReadAhead()
         self._connect_tasks: set[asyncio.Task[None]] = set()
         self._sweep_timer: asyncio.TimerHandle | None = None
 
@@ -152,7 +154,9 @@
         if is_complete:
             self._release(connection, attempt_id)
         else:
-            self._streams[attempt_id] = stream_window.StreamWindow()
+            self._streams[attempt_id] = stream_window.StreamWindow(
+                self._read_ahead
+            )
         self._dispatcher.force(
             messages.AttemptEnded(
                 attempt_id,
@@ -215,8 +219,6 @@
             self.on_cancel_attempt(message)
         elif isinstance(message, messages.ConnectFinished):
             self.on_connect_finished(message)
-        elif isinstance(message, messages.FlowControlChanged):
-            self.on_flow_control_changed(message)
         elif isinstance(message, messages.ChunkWritten):
             self.on_chunk_written(message)
 
@@ -243,7 +245,7 @@
         Args:
             message: The attempt to cancel.
         """
-        self._streams.pop(message.attempt_id, None)
+        self._drop_stream(message.attempt_id)
         connection = self._active_connections.pop(message.attempt_id, None)
         if connection is None:
             self._remove_waiting(message.attempt_id)
@@ -281,19 +283,6 @@
         else:
             pool.idle.append(message.connection)
 
-    def on_flow_control_changed(
-        self, message: messages.FlowControlChanged
-    ) -> None:
-        """Pauses or resumes reading a response for a slow caller.
-
-        Args:
-            message: The attempt, and whether to pause.
-        """
-        stream = self._streams.get(message.attempt_id)
-        if stream is not None:
-            stream.set_caller_paused(message.is_paused)
-            self._apply_flow_control(message.attempt_id, stream)
-
     def on_chunk_written(self, message: messages.ChunkWritten) -> None:
         """Resumes reading a response once its chunks have been written.
 
@@ -453,9 +442,14 @@
                     return
 
     def _end_stream(self, attempt_id: int, is_complete: bool) -> None:
-        self._streams.pop(attempt_id, None)
+        self._drop_stream(attempt_id)
         self._dispatcher.force(messages.ResponseEnded(attempt_id, is_complete))
 
+    def _drop_stream(self, attempt_id: int) -> None:
+        stream = self._streams.pop(attempt_id, None)
+        if stream is not None:
+            stream.close()
+
     def _schedule_sweep(self) -> None:
         loop = asyncio.get_running_loop()
         self._sweep_timer = loop.call_later(SWEEP_INTERVAL_S, self._close_idle)
--- a/src/dotterelpath/tasks/front_end.py
+++ b/src/dotterelpath/tasks/front_end.py
@@ -52,12 +52,14 @@
         "_is_leaving",
         "_limits",
         "_mailbox",
+        "_paused",
         "_pending",
         "_port",
         "_server",
         "_sweep_timer",
         "_tokens_by_attempt",
         "_tokens_by_connection",
+        "_unacknowledged",
     )
 
     def __init__(
@@ -100,6 +102,10 @@
         self._tokens_by_connection: dict[frontend.Connection, set[int]] = {}
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._tokens_by_attempt: dict[int, int] = {}
+        # Connections whose write buffer is full.
+        self._paused: set[frontend.Connection] = set()
+        # The bytes of the chunks that wait in their connection, by attempt.
+        self._unacknowledged: dict[frontend.Connection, dict[int, int]] = {}
         self._drained = asyncio.Event()
         self._is_draining = False
         self._is_leaving = False
@@ -161,6 +167,8 @@
     def on_disconnected(self, connection: frontend.Connection) -> None:
         """Cancels a closed connection's requests; see frontend.Listener."""
         self._connections.discard(connection)
+        self._paused.discard(connection)
+        self._unacknowledged.pop(connection, None)
         for token in self._tokens_by_connection.pop(connection, ()):
             self._pending.pop(token, None)
             self._cancel_stream(token)
@@ -171,11 +179,12 @@
 
     def on_paused(self, connection: frontend.Connection) -> None:
         """Pauses the responses to a slow caller; see frontend.Listener."""
-        self._set_responses_paused(connection, True)
+        self._paused.add(connection)
 
     def on_resumed(self, connection: frontend.Connection) -> None:
         """Resumes the responses to a caller; see frontend.Listener."""
-        self._set_responses_paused(connection, False)
+        self._paused.discard(connection)
+        self._acknowledge_chunks(connection)
 
     def on_request_ended(self, message: messages.RequestEnded) -> None:
         """Writes a response.
@@ -193,10 +202,12 @@
         """
         pending = self._streaming_request(message.attempt_id)
         if pending is not None:
-            pending.connection.write_chunk(message.data, pending.request)
-            self._backend_pool.force(
-                messages.ChunkWritten(message.attempt_id, len(message.data))
-            )
+            connection = pending.connection
+            connection.write_chunk(message.data, pending.request)
+            sizes = self._unacknowledged.setdefault(connection, {})
+            size = sizes.get(message.attempt_id, 0)
+            sizes[message.attempt_id] = size + len(message.data)
+            self._acknowledge_chunks(connection)
 
     def on_response_ended(self, message: messages.ResponseEnded) -> None:
         """Ends a streamed response, or aborts the connection if it is cut off.
@@ -208,6 +219,7 @@
         token = self._tokens_by_attempt.pop(message.attempt_id, None)
         if pending is None or token is None:
             return
+        self._drop_unacknowledged(pending.connection, message.attempt_id)
         self._release(token)
         if message.is_complete:
             pending.connection.end_response(pending.request)
@@ -282,6 +294,7 @@
             tokens.discard(token)
             if not tokens:
                 del self._tokens_by_connection[pending.connection]
+            self._acknowledge_chunks(pending.connection)
 
     def _streaming_request(self, attempt_id: int) -> _PendingRequest | None:
         token = self._tokens_by_attempt.get(attempt_id)
@@ -295,15 +308,38 @@
                     messages.CancelAttempt(attempt_id, False)
                 )
 
-    def _set_responses_paused(
-        self, connection: frontend.Connection, is_paused: bool
-    ) -> None:
-        tokens = self._tokens_by_connection.get(connection, ())
-        for attempt_id, stream_token in self._tokens_by_attempt.items():
-            if stream_token in tokens:
+    def _is_forwarding(
+        self, connection: frontend.Connection, token: int
+    ) -> bool:
+        """Whether the connection takes more bytes of a response now.
+
+        It does not while its write buffer is full, or while a request before
+        this one has no complete response yet.
+        """
+        return connection not in self._paused and token == min(
+            self._tokens_by_connection.get(connection, (token,))
+        )
+
+    def _acknowledge_chunks(self, connection: frontend.Connection) -> None:
+        """Acknowledges the chunks that the connection now forwards."""
+        sizes = self._unacknowledged.get(connection, {})
+        for attempt_id, size in list(sizes.items()):
+            if self._is_forwarding(
+                connection, self._tokens_by_attempt[attempt_id]
+            ):
+                del sizes[attempt_id]
                 self._backend_pool.force(
-                    messages.FlowControlChanged(attempt_id, is_paused)
+                    messages.ChunkWritten(attempt_id, size)
                 )
+        if not sizes:
+            self._unacknowledged.pop(connection, None)
+
+    def _drop_unacknowledged(
+        self, connection: frontend.Connection, attempt_id: int
+    ) -> None:
+        sizes = self._unacknowledged.get(connection)
+        if sizes is not None:
+            sizes.pop(attempt_id, None)
 
     def _check_drained(self) -> None:
         if self._is_draining and not self._connections:
--- a/src/dotterelpath/tasks/messages.py
+++ b/src/dotterelpath/tasks/messages.py
@@ -204,24 +204,12 @@
         self.is_complete = is_complete
 
 
-class FlowControlChanged:
-    """Pauses or resumes a streamed response whose caller reads slowly."""
-
-    __slots__ = ("attempt_id", "is_paused")
-
-    def __init__(self, attempt_id: int, is_paused: bool) -> None:
-        """Creates the message.
-
-        Args:
-            attempt_id: The attempt that the response belongs to.
-            is_paused: Whether to pause reading from the instance.
-        """
-        self.attempt_id = attempt_id
-        self.is_paused = is_paused
-
-
 class ChunkWritten:
-    """A chunk of a streamed response was written to the caller."""
+    """Bytes of a streamed response no longer wait in the daemon.
+
+    Sent when the caller's connection forwards them: its write buffer is not
+    full, and the responses before this one are complete.
+    """
 
     __slots__ = ("attempt_id", "size")
 
@@ -230,7 +218,7 @@
 
         Args:
             attempt_id: The attempt that the response belongs to.
-            size: The size of the chunk, in bytes.
+            size: The number of bytes.
         """
         self.attempt_id = attempt_id
         self.size = size
