Let rejected requests wait for the retry budget

Such a request now waits until the budget allows its retry, or until its typical work no longer fits before its deadline. Freed budget goes to the request that loses most: by priority, in time before late, nearest target time. A refusal names the time at which the budget has room again.

The scenarios of gateway_decisions, floor, stops and request_limits pass. Of gateway_load the scenario with 1000 full instances fails as before.

--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -36,6 +36,8 @@
         self.data_centre = "a"
         self.work_s = work_s
         self.failure_rate = 0.0
+        # The rate of responses that say that the request was not run.
+        self.rejection_rate = 0.0
         # The limit that the instance names in its responses, as text.
         self.named_limit = None
         self.says_leaving = False
@@ -199,7 +201,11 @@
             now_s = self.clock.time_s - 1000.0
             self.schedule(now_s + 0.002, self.finish, message, 500)
             return
-        if len(instance.running) < instance.slots:
+        rejection_rate = instance.rejection_rate
+        if rejection_rate and self.random.random() < rejection_rate:
+            now_s = self.clock.time_s - 1000.0
+            self.schedule(now_s + 0.002, self.finish, message, 503, True)
+        elif len(instance.running) < instance.slots:
             self.start(instance, message)
         else:
             instance.waiting.append(message)
@@ -213,7 +219,7 @@
         now_s = self.clock.time_s - 1000.0
         self.schedule(now_s + work_s, self.finish, message, instance.status)
 
-    def finish(self, message, status):
+    def finish(self, message, status, is_not_run=False):
         """Sends an instance's response, unless the request was cancelled."""
         instance = self.attempts.pop(message.attempt_id, None)
         if instance is None:
@@ -227,6 +233,8 @@
                 (load + str(instance.slots)).encode(),
             ),
         ]
+        if is_not_run:
+            headers.append((platform_headers.NOT_EXECUTED, b"1"))
         if instance.says_leaving:
             headers.append((platform_headers.SERVER_LEAVING, b"1"))
         if instance.named_limit is not None:
--- a/src/dotterelpath/adapters/metrics.py
+++ b/src/dotterelpath/adapters/metrics.py
@@ -45,6 +45,7 @@
         "_series",
         "_store_calls",
         "_unknown_items",
+        "_waits",
         "_workspace_duration",
         "_workspace_series",
     )
@@ -59,6 +60,7 @@
         )
         self._requests = self._counter("requests", "Requests by result.")
         self._retries = self._counter("retries", "Further tries.")
+        self._waits = self._counter("waits", "Requests that waited.")
         self._store_calls = self._counter("store_calls", "Calls to the store.")
         self._unknown_items = self._counter(
             "unknown_items", "Parts of the store that cannot be used."
@@ -101,6 +103,10 @@
         kind = "hedge" if is_hedge else "retry"
         self._retries.inc({"service": service, "kind": kind})
 
+    def record_wait(self, service: str, reason: str) -> None:
+        """Records that a request waits; see metrics.Metrics."""
+        self._waits.inc({"service": service, "reason": reason})
+
     def set_avoided_count(self, service: str, count: int) -> None:
         """Sets the number of avoided instances; see metrics.Metrics."""
         self._avoided.set({"service": service}, count)
--- a/src/dotterelpath/domain/retry_window.py
+++ b/src/dotterelpath/domain/retry_window.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 
 # The share of the allowed retries per request that a daemon makes at most. The
 # rest is a margin for requests and retries that fall into different windows.
@@ -71,13 +72,40 @@
             window_s: The length of the window, in seconds.
             now_s: The current time on the monotonic clock, in seconds.
         """
+        return self._excess(ratio, slack, window_s, now_s) <= 0.0
+
+    def next_start_s(
+        self, ratio: float, slack: float, window_s: float, now_s: float
+    ) -> float:
+        """Returns when a retry will be allowed if requests keep their rate.
+
+        Args:
+            ratio: The retries allowed for each request.
+            slack: This daemon's part of the fixed allowance, in retries.
+            window_s: The length of the window, in seconds.
+            now_s: The current time on the monotonic clock, in seconds.
+
+        Returns:
+            A time on the monotonic clock, in seconds, at most a window ahead.
+        """
+        excess = math.ceil(self._excess(ratio, slack, window_s, now_s))
+        if excess <= 0:
+            return now_s
+        if excess > len(self._retries):
+            return now_s + window_s
+        return self._retries[excess - 1] + window_s
+
+    def _excess(
+        self, ratio: float, slack: float, window_s: float, now_s: float
+    ) -> float:
+        """Returns how many retries too many the next one would be."""
         _drop_before(self._requests, now_s - window_s)
         _drop_before(self._retries, now_s - window_s)
         allowed = (
             USED_RATIO_SHARE * ratio * len(self._requests)
             + USED_SLACK_SHARE * slack
         )
-        return len(self._retries) + 1 <= allowed
+        return len(self._retries) + 1 - allowed
 
 
 def _drop_before(counted: collections.deque[float], before_s: float) -> None:
--- a/src/dotterelpath/ports/metrics.py
+++ b/src/dotterelpath/ports/metrics.py
@@ -39,6 +39,14 @@
             is_hedge: Whether the first attempt was still in flight.
         """
 
+    def record_wait(self, service: str, reason: str) -> None:
+        """Records that a request waits before an attempt.
+
+        Args:
+            service: The service.
+            reason: What the request waits for.
+        """
+
     def set_avoided_count(self, service: str, count: int) -> None:
         """Sets how many instances of a service this daemon avoids.
 
--- a/src/dotterelpath/tasks/_pending.py
+++ b/src/dotterelpath/tasks/_pending.py
@@ -35,7 +35,9 @@
         "queue",
         "removed_instances",
         "retries",
+        "retries_checked_s",
         "success_log",
+        "waiting_retries",
     )
 
     def __init__(self, name: str, data_centre: str) -> None:
@@ -53,6 +55,12 @@
         # When this daemon last reported the limits of requests that it holds.
         self.limits_reported_s = -math.inf
         self.retries = retry_window.RetryWindow()
+        # The requests whose retry the budget does not allow yet.
+        self.waiting_retries: request_queue.Queue[PendingRequest] = (
+            request_queue.Queue()
+        )
+        # When it was last checked whether these can wait longer.
+        self.retries_checked_s = -math.inf
         self.success_log = success_log.SuccessLog()
         self.degradation = probing.DegradationMonitor()
         # The start time of each instance that leaves, or was not found at its
@@ -116,6 +124,7 @@
         "stream_id",
         "tenant",
         "unreachable_instances",
+        "wait_reasons",
     )
 
     def __init__(self, message: messages.RequestArrived, now_s: float) -> None:
@@ -144,6 +153,8 @@
         self.selection_reasons: list[str] = []
         self.failure_probabilities: list[float] = []
         self.unreachable_instances: list[str] = []
+        # Why the request waited, in order, without repetitions.
+        self.wait_reasons: list[str] = []
         self.may_have_run = False
         # The last error response, sent to the caller if no attempt succeeds.
         self.last_failure: exchange.Outcome | None = None
--- a/src/dotterelpath/tasks/_request_sender.py
+++ b/src/dotterelpath/tasks/_request_sender.py
@@ -23,6 +23,7 @@
 from dotterelpath.tasks import _pending
 from dotterelpath.tasks import _services
 from dotterelpath.tasks import _streams
+from dotterelpath.tasks import _waiting_retries
 from dotterelpath.tasks import events
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import messages
@@ -67,6 +68,7 @@
         "_stop_end_s",
         "_streams",
         "_timers",
+        "_waiting_retries",
     )
 
     def __init__(
@@ -107,6 +109,9 @@
         self._streams: _streams.Streams[_pending.PendingRequest] = (
             _streams.Streams()
         )
+        self._waiting_retries = _waiting_retries.WaitingRetries(
+            services, self._fail
+        )
         # The services whose queue will be checked by a timer.
         self._scheduled_services: set[str] = set()
 
@@ -142,6 +147,7 @@
         if pending.service is None:
             return
         pending.service.queue.remove(pending)
+        self._waiting_retries.remove(pending)
         if pending.is_idempotent:
             self._cancel_attempts(pending)
             self.dispatch_queued(pending.service)
@@ -169,6 +175,8 @@
             code = errors.ResultCode.BACKEND_TIMEOUT
             self._finish(pending, exchange.Outcome(code))
         else:
+            self._waiting_retries.refuse(pending)
+        if not pending.is_ended:
             self._fail(
                 pending,
                 errors.ResultCode.OVERLOADED,
@@ -273,6 +281,9 @@
             for queued in list(state.queue.ordered(now_s)):
                 state.queue.remove(queued.item)
                 self._refuse_at_stop(queued.item)
+            for queued in state.waiting_retries.ordered(now_s):
+                self._waiting_retries.remove(queued.item)
+                self._refuse_at_stop(queued.item)
 
     def _refuse_at_stop(self, pending: _pending.PendingRequest) -> None:
         self._fail(
@@ -296,9 +307,10 @@
         Args:
             state: The service.
         """
-        if not len(state.queue):
+        if not len(state.queue) and not len(state.waiting_retries):
             return
         now_s = self._clock.now_s()
+        self._dispatch_retries(state, now_s)
         for queued in state.queue.ordered(now_s):
             selection = self._services.select_instance(queued.item)
             if selection.instance is None:
@@ -309,6 +321,19 @@
             self._handle_late_requests(state, now_s)
         self._schedule_dispatch(state, now_s)
 
+    def _dispatch_retries(
+        self, state: _pending.ServiceState, now_s: float
+    ) -> None:
+        """Sends requests that wait for the retry budget while it allows."""
+        self._waiting_retries.refuse_overdue(state, now_s)
+        while taken := self._waiting_retries.take(state, now_s):
+            pending, code, detail = taken
+            selection = self._services.select_instance(pending)
+            if not _has_target(selection):
+                self._fail(pending, code, detail)
+            elif self._services.spend_attempt(pending):
+                self._send_retry(pending, selection, code, detail)
+
     def _send_or_enqueue(self, pending: _pending.PendingRequest) -> None:
         """Sends a request, queues it, or fails it if there is no instance.
 
@@ -337,7 +362,20 @@
         assert pending.service is not None and pending.route is not None
         now_s = self._clock.now_s()
         state = pending.service
-        queued = request_queue.QueuedRequest(
+        queued = self._queued(pending, now_s)
+        self._record_wait(pending, _services.WaitReason.SLOT)
+        state.queue.add(queued, now_s)
+        slots = self._services.slot_share(state)
+        first_start_s = state.balancer.next_start_s(now_s)
+        if state.queue.may_be_infeasible(queued, slots, now_s, first_start_s):
+            self._handle_late_requests(state, now_s)
+        self._schedule_dispatch(state, now_s)
+
+    def _queued(
+        self, pending: _pending.PendingRequest, now_s: float
+    ) -> request_queue.QueuedRequest[_pending.PendingRequest]:
+        assert pending.route is not None
+        return request_queue.QueuedRequest(
             pending,
             pending.priority,
             now_s,
@@ -345,17 +383,19 @@
             pending.deadline_s,
             self._services.expected_duration_s(pending),
         )
-        state.queue.add(queued, now_s)
-        slots = self._services.slot_share(state)
-        first_start_s = state.balancer.next_start_s(now_s)
-        if state.queue.may_be_infeasible(queued, slots, now_s, first_start_s):
-            self._handle_late_requests(state, now_s)
-        self._schedule_dispatch(state, now_s)
+
+    def _record_wait(
+        self, pending: _pending.PendingRequest, reason: _services.WaitReason
+    ) -> None:
+        if pending.wait_reasons[-1:] != [reason.value]:
+            pending.wait_reasons.append(reason.value)
+            self._metrics.record_wait(self._service_name(pending), reason.value)
 
     def _schedule_dispatch(
         self, state: _pending.ServiceState, now_s: float
     ) -> None:
-        if len(state.queue) and state.name not in self._scheduled_services:
+        is_waiting = len(state.queue) or len(state.waiting_retries)
+        if is_waiting and state.name not in self._scheduled_services:
             self._scheduled_services.add(state.name)
             self._timers.add(now_s + QUEUE_POLL_S, state)
 
@@ -605,7 +645,7 @@
         """Retries a request on another instance, or fails it.
 
         A request is retried if it is idempotent or certainly has not run, and
-        if time and the retry budget allow it.
+        if time and its attempts allow it. It waits for the retry budget.
         """
         if pending.is_ended or pending.open_attempts:
             return
@@ -614,24 +654,49 @@
             self._fail(pending, code, detail)
             return
         selection = self._services.select_instance(pending)
-        has_target = selection.instance is not None or selection.can_wait
+        if not _has_target(selection) or not pending.attempts_left:
+            self._fail(pending, code, detail)
+            return
+        state = pending.service
+        assert state is not None
         # The budget is spent last, so that only retries that are made cost it.
-        if has_target and self._services.spend_attempt(pending):
-            _log.info(
-                "request retried",
-                request_id=pending.request.request_id,
-                code=int(code),
-                detail=detail,
-                tried=pending.attempted_instances,
-                to=selection.instance.id if selection.instance else "",
+        if not len(state.waiting_retries) and self._services.spend_attempt(
+            pending
+        ):
+            self._send_retry(pending, selection, code, detail)
+        elif self._is_stop_ending:
+            self._fail(pending, code, detail)
+        else:
+            now_s = self._clock.now_s()
+            self._record_wait(pending, _services.WaitReason.RETRY_BUDGET)
+            self._waiting_retries.add(
+                self._queued(pending, now_s), code, detail, now_s
             )
-            self._metrics.record_retry(self._service_name(pending), False)
-            if selection.instance is not None:
-                self._send(pending, selection)
-            else:
-                self._enqueue(pending)
-            return
-        self._fail(pending, code, detail)
+            self._dispatch_retries(state, now_s)
+            self._schedule_dispatch(state, now_s)
+
+    def _send_retry(
+        self,
+        pending: _pending.PendingRequest,
+        selection: load_balancer.Selection,
+        code: errors.ResultCode,
+        detail: str,
+    ) -> None:
+        """Sends or queues a request whose retry was taken from the budget."""
+        _log.info(
+            "request retried",
+            request_id=pending.request.request_id,
+            code=int(code),
+            detail=detail,
+            tried=pending.attempted_instances,
+            to=selection.instance.id if selection.instance else "",
+            waited_for=pending.wait_reasons,
+        )
+        self._metrics.record_retry(self._service_name(pending), False)
+        if selection.instance is not None:
+            self._send(pending, selection)
+        else:
+            self._enqueue(pending)
 
     def _has_time_for_retry(self, pending: _pending.PendingRequest) -> bool:
         return self._clock.now_s() + MIN_ATTEMPT_S < pending.deadline_s
@@ -691,6 +756,10 @@
 }
 
 
+def _has_target(selection: load_balancer.Selection) -> bool:
+    return selection.instance is not None or selection.can_wait
+
+
 def _is_not_run(code: errors.ResultCode) -> bool:
     return code.outcome_class is errors.OutcomeClass.NOT_RUN
 
--- a/src/dotterelpath/tasks/_services.py
+++ b/src/dotterelpath/tasks/_services.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import typing
 
 import structlog
@@ -34,6 +35,15 @@
 _log = structlog.get_logger()
 
 
+class WaitReason(enum.Enum):
+    """Why a request waits."""
+
+    # No instance that should run it has a free slot.
+    SLOT = "slot"
+    # The retry budget is spent.
+    RETRY_BUDGET = "retry budget"
+
+
 class Services:
     """Holds the state of each service.
 
@@ -344,18 +354,22 @@
             self._clock.now_s(),
         )
 
-    def can_retry(self, pending: _pending.PendingRequest) -> bool:
-        """Whether the request could be retried if its next attempt fails."""
-        assert pending.service is not None
-        if not pending.is_idempotent or pending.attempts_left < 2:
-            return False
-        return pending.service.retries.can_spend(
+    def can_spend_retry(self, state: _pending.ServiceState) -> bool:
+        """Whether the retry budget of a service allows a retry now."""
+        return state.retries.can_spend(
             self._bounds.retry_ratio,
             self._retry_slack,
             self._bounds.retry_window_s,
             self._clock.now_s(),
         )
 
+    def can_retry(self, pending: _pending.PendingRequest) -> bool:
+        """Whether the request could be retried if its next attempt fails."""
+        assert pending.service is not None
+        if not pending.is_idempotent or pending.attempts_left < 2:
+            return False
+        return self.can_spend_retry(pending.service)
+
     @property
     def _retry_slack(self) -> float:
         """This daemon's share of the fixed allowance, in retries per window."""
@@ -366,7 +380,9 @@
     def retry_after_s(self, pending: _pending.PendingRequest) -> float:
         """Returns how long a refused caller should wait, in seconds.
 
-        Spreads the callers at random around the time that the queue needs.
+        Spreads the callers at random around the time that the queue needs. A
+        new request has no more attempts than the refused one until the budget
+        allows a retry again.
         """
         assert pending.service is not None
         state = pending.service
@@ -375,8 +391,22 @@
             * self.expected_duration_s(pending)
             / self.slot_share(state)
         )
-        return max(MIN_RETRY_AFTER_S, queue_time_s) * (
-            0.5 + self._random.random()
+        spread = self._random.random()
+        now_s = self._clock.now_s()
+        budget_time_s = 0.0
+        if WaitReason.RETRY_BUDGET.value in pending.wait_reasons:
+            budget_time_s = (
+                state.retries.next_start_s(
+                    self._bounds.retry_ratio,
+                    self._retry_slack,
+                    self._bounds.retry_window_s,
+                    now_s,
+                )
+                - now_s
+            )
+        return max(
+            max(MIN_RETRY_AFTER_S, queue_time_s) * (0.5 + spread),
+            budget_time_s * (1.0 + spread / 2.0),
         )
 
     def record_symptom(
--- a/src/dotterelpath/tasks/gateway.py
+++ b/src/dotterelpath/tasks/gateway.py
@@ -321,6 +321,7 @@
             instances=pending.attempted_instances,
             reasons=pending.selection_reasons,
             chances=pending.failure_probabilities,
+            waited_for=pending.wait_reasons,
             took_ms=round(duration_s * 1000.0, 1),
             backend_ms=round(pending.backend_duration_s * 1000.0, 1),
             left_ms=round((pending.deadline_s - now_s) * 1000.0, 1),
