Stop serving keys that may have been revoked

A daemon that the store refuses, or that was frozen, went on serving with the tenants that it last read, for as long as its callers kept their connections.

While others still reach the store, the daemon is not ready after config_apply_s and refuses requests (DAEMON_STALE) half of max_stretch_s later; if all lose the store at once, all go on. A daemon whose knowledge nothing confirms asks two further daemons, since those it usually asks may be refused as well. JSON with NaN or Infinity no longer refuses the whole configuration.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -23,6 +23,7 @@
     r"kv-(key|range|watch|txn|lease|keep)|\"op/|\"servers/|path_rules"
     r"|route_type|traffic_split|[Nn]ot-[Ee]xecuted|[Tt]arget-[Ii]nstance"
     r"|[Rr]esponse-[Ss]ignature|ttl_s_time|DOTTERELPATH_CONFIG"
+    r"|[Tt]enant-[Ii]d|api_keys|\"auth_exempt\"|strict_revoke"
 )
 
 
@@ -60,10 +61,20 @@
                     "max_attempts": 1,
                     "service": "s",
                     "traffic_split": [{"service": "s", "weight": 1}],
+                    "auth_exempt": False,
                 }
             ],
         }
     ],
+    "tenants": [
+        {
+            "name": "t",
+            "api_keys": ["k"],
+            "priority": 0,
+            "rate_per_s": 1,
+            "burst": 1,
+        }
+    ],
 }
 SETTINGS = {
     "node_name": "g1",
@@ -79,7 +90,7 @@
         "memory_mb": 300,
         "link_mbps": 100,
     },
-    "bounds": ["true_or_false=true", "drain_s=2"],
+    "bounds": ["true_or_false=true", "drain_s=2", "strict_revoke=false"],
     "platform": {
         "address": "127.0.0.1:5",
         "reads_per_s": 100,
@@ -115,8 +126,13 @@
 
 def decode(key, data):
     """Decodes an item of the store."""
+    return decode_text(key, json.dumps(data))
+
+
+def decode_text(key, text):
+    """Decodes an item of the store, given as text."""
     return store_item_codec.StoreItemCodec().decode(
-        store.VersionedValue(key, json.dumps(data), 1)
+        store.VersionedValue(key, text, 1)
     )
 
 
--- a/src/dotterelpath/domain/bounds.py
+++ b/src/dotterelpath/domain/bounds.py
@@ -11,10 +11,13 @@
         "apply_s",
         "drain_s",
         "grace_s",
+        "is_revocation_strict",
+        "max_stretch_s",
         "min_used_share",
         "retry_ratio",
         "retry_slack",
         "retry_window_s",
+        "revoke_s",
     )
 
     def __init__(
@@ -27,6 +30,9 @@
         retry_window_s: float = 10.0,
         address_ttl_s: float = 5.0,
         min_used_share: float = 1.0,
+        revoke_s: float = 5.0,
+        max_stretch_s: float = 5.0,
+        is_revocation_strict: bool = False,
     ) -> None:
         """Creates limits.
 
@@ -46,7 +52,17 @@
                 in seconds.
             min_used_share: The share of a service's instances that must get
                 requests while many of its requests are not served.
+            revoke_s: The time since the store last confirmed what a daemon
+                knows, in seconds, after which the daemon refuses requests if
+                the revocation of keys is strict.
+            max_stretch_s: The time, in seconds, that a change of the tenants
+                may take beyond apply_s at a daemon that the store refuses.
+            is_revocation_strict: Whether daemons refuse requests while nothing
+                confirms that their tenants are current.
         """
+        self.revoke_s = revoke_s
+        self.max_stretch_s = max_stretch_s
+        self.is_revocation_strict = is_revocation_strict
         self.min_used_share = min_used_share
         self.drain_s = drain_s
         self.grace_s = grace_s
--- a/src/dotterelpath/gateway_daemon.py
+++ b/src/dotterelpath/gateway_daemon.py
@@ -327,6 +327,7 @@
             inboxes.registrar,
             inboxes.neighbourhood,
             bounds.store_apply_s,
+            bounds.is_revocation_strict,
         )
         start("store reader", reader.run())
         daemon = self._deployment.daemon
--- a/src/dotterelpath/platform/fields.py
+++ b/src/dotterelpath/platform/fields.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import ipaddress
+import math
 import reprlib
 import typing
 
@@ -48,6 +49,8 @@
         raise FieldError(f"{name} is {reprlib.repr(value)}, not a number")
     if value < 0:
         raise FieldError(f"{name} is {reprlib.repr(value)}, less than 0")
+    if not math.isfinite(value):
+        raise FieldError(f"{name} is {reprlib.repr(value)}, not finite")
     return float(value)
 
 
--- a/src/dotterelpath/platform/settings.py
+++ b/src/dotterelpath/platform/settings.py
@@ -26,7 +26,12 @@
     "retry_window_s": "budget_window_s",
     "address_ttl_s": "ttl_max_s",
     "min_used_share": "floor_share",
+    "revoke_s": "revoke_s",
+    "max_stretch_s": "max_stretch_s",
 }
+# The same for bounds that are true or false.
+_FLAG_NAMES = {"is_revocation_strict": "strict_revoke"}
+_FLAGS = {"true": True, "false": False, "1": True, "0": False}
 
 
 def parse(content: bytes) -> deployment.Deployment:
@@ -103,16 +108,20 @@
 
 def _parse_bounds(entries: list[typing.Any]) -> bounds.Bounds:
     """Parses entries of the form name=value; absent bounds have defaults."""
-    values: dict[str, float] = {}
+    values: dict[str, typing.Any] = {}
     for entry in entries:
         name, _, value = str(entry).partition("=")
+        name = name.strip()
+        if name in _FLAG_NAMES.values():
+            values[name] = _parse_flag(entry, value)
+            continue
         try:
             number = float(value)
             if not 0.0 <= number < math.inf:
                 raise ValueError(value)
-            values[name.strip()] = number
+            values[name] = number
         except ValueError:
-            if name.strip() in _BOUND_NAMES.values():
+            if name in _BOUND_NAMES.values():
                 raise fields.FieldError(
                     f"the bound {reprlib.repr(entry)} is not a number of at"
                     " least 0"
@@ -123,7 +132,16 @@
     return bounds.Bounds(
         **{
             attribute: values[name]
-            for attribute, name in _BOUND_NAMES.items()
+            for attribute, name in (_BOUND_NAMES | _FLAG_NAMES).items()
             if name in values
         }
     )
+
+
+def _parse_flag(entry: typing.Any, value: str) -> bool:
+    flag = _FLAGS.get(value.strip().lower())
+    if flag is None:
+        raise fields.FieldError(
+            f"the bound {reprlib.repr(entry)} is neither true nor false"
+        )
+    return flag
--- a/src/dotterelpath/platform/store_item_codec.py
+++ b/src/dotterelpath/platform/store_item_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import re
 import reprlib
 import secrets
@@ -24,6 +25,7 @@
 
 # The size of the secret of the keys' digests, in bytes.
 SECRET_BYTES = 32
+MAX_INTEGER_DIGITS = 18
 
 _VERSION_PATTERN = re.compile(r"r(\d{1,18})\Z")
 _INSTANCE_ID_PATTERN = re.compile(r"[A-Za-z0-9._:-]{1,190}\Z")
@@ -91,7 +93,7 @@
         if item.value is None:
             raise fields.FieldError("the configuration was deleted")
         data = fields.check_object(
-            orjson.loads(item.value), "the configuration"
+            _load_configuration(item.value), "the configuration"
         )
         services = _decode_services(data)
         routes, unknown_request_kinds = _decode_routes(data, services)
@@ -193,6 +195,31 @@
     return store_items.DaemonItem(daemon_id, daemon)
 
 
+def _load_configuration(text: str) -> typing.Any:
+    """Parses JSON, in which numbers may be infinite or no numbers.
+
+    JSON has no such numbers, but common encoders write them. Only the part that
+    has one must be refused, as it would be for a number out of range.
+    """
+    try:
+        return orjson.loads(text)
+    except orjson.JSONDecodeError:
+        try:
+            data = json.loads(text, parse_int=_parse_integer)
+            # Refuses strings that cannot be encoded.
+            orjson.dumps(data)
+        except (RecursionError, orjson.JSONEncodeError) as error:
+            raise fields.FieldError(f"the JSON is unusable: {error}") from None
+        return data
+
+
+def _parse_integer(text: str) -> int:
+    # The faster parser refuses longer integers, too.
+    if len(text) > MAX_INTEGER_DIGITS:
+        raise fields.FieldError("an integer is too long")
+    return int(text)
+
+
 def _decode_version(data: dict[str, typing.Any]) -> int:
     text = fields.get_string(data, "version")
     version = _VERSION_PATTERN.match(text)
--- a/src/dotterelpath/tasks/fleet_events.py
+++ b/src/dotterelpath/tasks/fleet_events.py
@@ -100,6 +100,42 @@
         self.confirmed_s = confirmed_s
 
 
+class StoreRead:
+    """This daemon has read the store."""
+
+    __slots__ = ("is_exact", "revision", "sent_s")
+
+    def __init__(self, revision: int, sent_s: float, is_exact: bool) -> None:
+        """Creates the message.
+
+        Args:
+            revision: The store revision up to which all changes are known.
+            sent_s: When the read was sent, on the monotonic clock, in seconds.
+            is_exact: Whether the response cannot be older than the read.
+        """
+        self.revision = revision
+        self.sent_s = sent_s
+        self.is_exact = is_exact
+
+
+class FreshnessChanged:
+    """What this daemon knows of the age of its tenants has changed."""
+
+    __slots__ = ("confirmed_s", "refuse_from_s")
+
+    def __init__(self, confirmed_s: float, refuse_from_s: float) -> None:
+        """Creates the message.
+
+        Args:
+            confirmed_s: When the tenants were last known to be current, on the
+                monotonic clock, in seconds.
+            refuse_from_s: From when requests are refused, on the same clock;
+                infinite if they are not.
+        """
+        self.confirmed_s = confirmed_s
+        self.refuse_from_s = refuse_from_s
+
+
 class DaemonsChanged:
     """The daemons that the store lists have changed."""
 
--- a/src/dotterelpath/tasks/gateway.py
+++ b/src/dotterelpath/tasks/gateway.py
@@ -43,6 +43,7 @@
     """
 
     __slots__ = (
+        "_authenticator",
         "_clock",
         "_configuration",
         "_handlers",
@@ -92,6 +93,7 @@
         self._metrics = metrics
         self._mailbox = inbox
         self._configuration: configuration.Configuration | None = None
+        self._authenticator = _authentication.Authenticator(bounds, timers)
         self._splitter = configuration.TrafficSplitter()
         self._pending_requests: dict[
             reply.ReplyTo, _pending.PendingRequest
@@ -182,9 +184,21 @@
             message: The configuration.
         """
         self._configuration = message.configuration
+        self._authenticator.on_configuration_changed(
+            message.configuration, self._clock.now_s()
+        )
         self._splitter.keep_only(message.configuration.routes)
         self._services.set_services(message.configuration.services)
 
+    def on_bounds_changed(self, message: fleet_events.BoundsChanged) -> None:
+        """Applies changed limits.
+
+        Args:
+            message: The limits.
+        """
+        self._services.on_bounds_changed(message)
+        self._authenticator.on_bounds_changed(message)
+
     def on_registry_changed(
         self, message: fleet_events.RegistryChanged
     ) -> None:
@@ -209,6 +223,8 @@
                 self._request_sender.on_attempt_slow(item, now_s)
             elif isinstance(item, _pending.ServiceState):
                 self._request_sender.on_dispatch_due(item)
+            elif isinstance(item, _authentication.Authenticator):
+                item.on_heartbeat(now_s)
             elif now_s >= item.deadline_s:
                 self._request_sender.time_out(item)
                 self._pending_requests.pop(item.reply_to, None)
@@ -239,7 +255,10 @@
             events.StopEnding: sender.on_stop_ending,
             fleet_events.ConfigurationChanged: self.on_configuration_changed,
             fleet_events.RegistryChanged: self.on_registry_changed,
-            fleet_events.BoundsChanged: services.on_bounds_changed,
+            fleet_events.BoundsChanged: self.on_bounds_changed,
+            fleet_events.FreshnessChanged: (
+                self._authenticator.on_freshness_changed
+            ),
             fleet_events.ServingDaemonsChanged: (
                 services.on_serving_daemons_changed
             ),
@@ -261,8 +280,11 @@
         if self._configuration is None:
             raise errors.DotterelpathError(errors.ResultCode.NO_DOCUMENT)
         request = pending.request
+        self._authenticator.check_freshness(
+            self._configuration, self._clock.now_s()
+        )
         pending.route = self._configuration.find(request.host, request.path)
-        _authentication.authenticate(
+        self._authenticator.authenticate(
             pending, self._configuration, pending.route
         )
         pending.deadline_s = min(
--- a/src/dotterelpath/tasks/peer_monitor.py
+++ b/src/dotterelpath/tasks/peer_monitor.py
@@ -17,6 +17,7 @@
 from dotterelpath.ports import addressing
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import datagrams
+from dotterelpath.tasks import _store_freshness
 from dotterelpath.tasks import events
 from dotterelpath.tasks import fleet_events
 from dotterelpath.tasks import mailbox
@@ -47,6 +48,7 @@
         "_datagrams",
         "_deployment",
         "_fleet_view",
+        "_freshness",
         "_gateway",
         "_has_instance_list",
         "_is_leaving",
@@ -96,6 +98,9 @@
         self._mailbox = inbox
         self._gateway = gateway
         self._store_reader = store_reader
+        self._freshness = _store_freshness.StoreFreshness(
+            local_deployment.daemon_id, local_deployment.bounds, gateway
+        )
         self._store_revision: int | None = None
         self._store_confirmed_s = -math.inf
         self._ping_reported_s = -math.inf
@@ -126,8 +131,17 @@
             return steering.DaemonState.LEAVING
         if self._configuration is None or not self._has_instance_list:
             return steering.DaemonState.STARTING
+        if self.is_stale:
+            # Other daemons, also of older builds, send no callers to a daemon
+            # that starts.
+            return steering.DaemonState.STARTING
         return steering.DaemonState.READY
 
+    @property
+    def is_stale(self) -> bool:
+        """Whether this daemon knows that its tenants are outdated."""
+        return self._freshness.is_stale(self._clock.now_s())
+
     @property
     def is_ready(self) -> bool:
         """Whether callers are served; see addressing.AddressResolver."""
@@ -204,6 +218,9 @@
             self.on_tick()
         elif isinstance(message, fleet_events.ConfigurationChanged):
             self._configuration = message.configuration
+            self._freshness.set_has_tenants(
+                message.configuration.tenants is not None, self._clock.now_s()
+            )
             self._publish_serving_daemons()
         elif isinstance(message, fleet_events.RegistryChanged):
             # The list may be empty.
@@ -213,8 +230,11 @@
         elif isinstance(message, fleet_events.WatchedRevisionChanged):
             self._store_revision = message.revision
             self._store_confirmed_s = message.confirmed_s
+        elif isinstance(message, fleet_events.StoreRead):
+            self._freshness.on_store_read(message, self._clock.now_s())
         elif isinstance(message, fleet_events.BoundsChanged):
             self._bounds = message.bounds
+            self._freshness.set_bounds(message.bounds)
         elif isinstance(message, events.LeaveBegan):
             self._is_leaving = True
 
@@ -373,6 +393,10 @@
         """Pings the daemons that callers are, or would next be, sent to."""
         now_s = self._clock.now_s()
         peers = self._fleet_view.to_ping(now_s)
+        self._freshness.update(now_s)
+        peers += self._freshness.daemons_to_ask(
+            self._fleet_view.daemons, peers, now_s
+        )
         self._fleet_view.record_response(
             self._deployment.daemon_id, self.state, self._usage, now_s
         )
@@ -427,12 +451,11 @@
         pinged_s = self._pinged_s.get(pong.sequence)
         if pong.revision is None or pinged_s is None:
             return
+        confirmed_s = pinged_s - pong.revision_age_s
+        self._freshness.record_report(pong.revision, confirmed_s, now_s)
         self._store_reader.force(
             fleet_events.RevisionReceived(
-                pong.sender_id,
-                pong.revision,
-                pinged_s - pong.revision_age_s,
-                now_s,
+                pong.sender_id, pong.revision, confirmed_s, now_s
             )
         )
 
--- a/src/dotterelpath/tasks/registrar.py
+++ b/src/dotterelpath/tasks/registrar.py
@@ -75,7 +75,8 @@
             inbox: This task's mailbox.
             subscribers: The mailboxes that get each new configuration and the
                 instances.
-            peer_monitor: Gets the daemons.
+            peer_monitor: Gets the daemons, and the reads of the store once
+                their changes are published.
         """
         self._peer_monitor = peer_monitor
         self._item_codec = item_codec
@@ -114,6 +115,8 @@
         """
         if isinstance(message, store_events.StoreChanged):
             self.on_store_changed(message)
+        elif isinstance(message, fleet_events.StoreRead):
+            self._peer_monitor.force(message)
         elif isinstance(message, messages.Tick):
             self.on_tick()
         elif isinstance(message, fleet_events.BoundsChanged):
--- a/src/dotterelpath/tasks/store_reader.py
+++ b/src/dotterelpath/tasks/store_reader.py
@@ -68,6 +68,7 @@
         "_fallback_watch_s",
         "_follower",
         "_is_store_lost",
+        "_is_strict",
         "_mailbox",
         "_may_list_stale",
         "_newest_revision",
@@ -92,6 +93,7 @@
         subscriber: mailbox.Mailbox[typing.Any],
         peer_monitor: mailbox.Mailbox[typing.Any],
         apply_s: float,
+        is_strict: bool = False,
     ) -> None:
         """Creates the task's state.
 
@@ -101,10 +103,13 @@
             clock: Tells the time.
             random: Spreads the retries of the daemons.
             inbox: This task's mailbox.
-            subscriber: The mailbox that gets the changes.
+            subscriber: The mailbox that gets the changes, and the reads.
             peer_monitor: Gets the revision to report to other daemons.
             apply_s: The time in which a change must be in force, in seconds.
+            is_strict: Whether requests are refused unless the store has
+                confirmed lately what is known.
         """
+        self._is_strict = is_strict
         self._apply_s = apply_s
         self._started_s = clock.now_s()
         self._prefix = prefix
@@ -169,6 +174,7 @@
         elif isinstance(message, fleet_events.DaemonsChanged):
             self._store.set_daemon_count(len(message.daemons))
         elif isinstance(message, fleet_events.BoundsChanged):
+            self._is_strict = message.bounds.is_revocation_strict
             self._apply_s = message.bounds.store_apply_s
             self._follower.set_apply_s(self._apply_s)
 
@@ -211,10 +217,9 @@
         await self._wait_for_batch(changes)
 
     def _must_confirm(self, now_s: float) -> bool:
-        """Whether followers rely on the watched revision."""
-        return (
-            self._published_revision is not None
-            and self._follower.has_followers(now_s)
+        """Whether followers or requests rely on the watched revision."""
+        return self._published_revision is not None and (
+            self._is_strict or self._follower.has_followers(now_s)
         )
 
     async def _confirm_until_changed(self) -> store_port.Changes:
@@ -229,20 +234,24 @@
         """Lets the store confirm the watched revision.
 
         A stale response that does not know the revision yet proves nothing;
-        another read, which is not stale, replaces it.
+        another read, which is not stale, replaces it. If requests rely on it,
+        only the latter proves enough.
 
         Returns:
             The later changes. If there are none, the revision is confirmed.
         """
         sent_s = self._clock.now_s()
+        is_exact = self._is_strict
         changes = await self._store.watch(
-            self._prefix, self._revision, 0.0, may_be_stale=True
+            self._prefix, self._revision, 0.0, may_be_stale=not is_exact
         )
         if changes.revision < self._revision:
             sent_s = self._clock.now_s()
+            is_exact = True
             changes = await self._store.watch(self._prefix, self._revision, 0.0)
         if not changes.entries:
             self._confirmed_s = max(self._confirmed_s, sent_s)
+            self._report_read(sent_s, is_exact)
             self._publish_revision(self._revision)
         return changes
 
@@ -273,9 +282,10 @@
         changes = await self._store.watch(
             self._prefix, self._revision, 0.0, may_be_stale=True
         )
-        if changes.revision < target_revision:
+        is_exact = changes.revision < target_revision
+        if is_exact:
             changes = await self._store.watch(self._prefix, self._revision, 0.0)
-        self._on_changes(changes, sent_s)
+        self._on_changes(changes, sent_s, is_exact)
         await self._wait_for_batch(changes)
 
     async def _follow(self) -> None:
@@ -310,12 +320,18 @@
         # revision that it publishes.
         return WATCH_TIMEOUT_S if self._published_revision is not None else 0.0
 
-    def _on_changes(self, changes: store_port.Changes, sent_s: float) -> None:
+    def _on_changes(
+        self,
+        changes: store_port.Changes,
+        sent_s: float,
+        is_exact: bool = True,
+    ) -> None:
         """Passes the response to a call on.
 
         Args:
             changes: The response.
             sent_s: When the call was sent, on the monotonic clock, in seconds.
+            is_exact: Whether the response cannot be older than the call.
 
         Raises:
             StoreError: The response is older than what is known already.
@@ -335,6 +351,16 @@
         self._revision = self._newest_revision = changes.revision
         self._confirmed_s = max(self._confirmed_s, sent_s)
         self._report_changes(changes, max_silence_s)
+        self._report_read(sent_s, is_exact)
+
+    def _report_read(self, sent_s: float, is_exact: bool) -> None:
+        """Reports up to which revision this daemon has read the store.
+
+        The report takes the way of the changes, which are in force first.
+        """
+        self._subscriber.force(
+            fleet_events.StoreRead(self._revision, sent_s, is_exact)
+        )
 
     def _report_changes(
         self, changes: store_port.Changes, max_silence_s: float
