--- a/src/dotterelpath/adapters/gateway_status.py
+++ b/src/dotterelpath/adapters/gateway_status.py
@@ -8,12 +8,16 @@
 from dotterelpath.adapters import api
 from dotterelpath.adapters import metrics as metrics_adapter
 from dotterelpath.domain import body_budget
+from dotterelpath.domain import configuration as configuration_domain
 from dotterelpath.domain import exchange
 from dotterelpath.domain import request_limits
 from dotterelpath.tasks import gateway as gateway_task
 from dotterelpath.tasks import peer_monitor as peer_monitor_task
 from dotterelpath.tasks import registrar as registrar_task
 
+# A configuration may list many thousands of tenants.
+MAX_SHOWN_FAULTS = 20
+
 
 class GatewayStatus:
     """Serves the calls /metrics and /status."""
@@ -68,6 +72,10 @@
                 "state": self._peer_monitor.state.value,
                 "version": configuration.version if configuration else None,
                 "refused_configuration": self._registrar.refused_configuration,
+                "tenants": _tenant_status(
+                    configuration, self._registrar.tenant_faults
+                ),
+                "stale": self._peer_monitor.is_stale,
                 "in_flight": self._gateway.in_flight,
                 "body_bytes": self._body_budget.held_bytes,
                 "store_watched": self._peer_monitor.store_revision is not None,
@@ -80,6 +88,18 @@
         )
 
 
+def _tenant_status(
+    configuration: configuration_domain.Configuration | None, faults: list[str]
+) -> dict[str, typing.Any] | None:
+    if configuration is None or configuration.tenants is None:
+        return None
+    return {
+        "count": len(configuration.tenants),
+        "fault_count": len(faults),
+        "faults": faults[:MAX_SHOWN_FAULTS],
+    }
+
+
 def _limit_status(
     limit: request_limits.RequestLimit | None, now_s: float
 ) -> dict[str, typing.Any] | None:
--- a/src/dotterelpath/cli/main.py
+++ b/src/dotterelpath/cli/main.py
@@ -255,6 +255,7 @@
         lines.append(
             f"newest configuration refused: {data['refused_configuration']}"
         )
+    lines += _tenant_lines(data)
     for name, service in sorted(data["services"].items()):
         lines.append(
             f"service {name}  waiting {service['waiting']}"
@@ -284,6 +285,18 @@
     context.print_result(data, lines)
 
 
+def _tenant_lines(data: dict[str, typing.Any]) -> list[str]:
+    tenants = data["tenants"]
+    if tenants is None:
+        return []
+    freshness = "outdated" if data["stale"] else "current"
+    count, fault_count = tenants["count"], tenants["fault_count"]
+    return [
+        f"tenants {count}  {freshness}  faults {fault_count}",
+        *(f"  {fault}" for fault in tenants["faults"]),
+    ]
+
+
 def _limit_text(limit: dict[str, typing.Any] | None) -> str:
     if limit is None:
         return ""
--- a/src/dotterelpath/tasks/_store_freshness.py
+++ b/src/dotterelpath/tasks/_store_freshness.py
@@ -87,6 +87,14 @@
         self._has_tenants = has_tenants
         self.update(now_s)
 
+    def must_check(self, daemons: dict[str, steering.Daemon]) -> bool:
+        """Tells whether time alone may make further daemons worth asking.
+
+        Args:
+            daemons: All daemons by id.
+        """
+        return self._has_tenants and len(daemons) > 1
+
     def record_report(
         self, revision: int, confirmed_s: float, now_s: float
     ) -> None:
--- a/src/dotterelpath/tasks/peer_monitor.py
+++ b/src/dotterelpath/tasks/peer_monitor.py
@@ -222,6 +222,9 @@
                 message.configuration.tenants is not None, self._clock.now_s()
             )
             self._publish_serving_daemons()
+            must_check = self._freshness.must_check(self._fleet_view.daemons)
+            if must_check and self._tick_timer is None:
+                self._schedule()
         elif isinstance(message, fleet_events.RegistryChanged):
             # The list may be empty.
             self._has_instance_list = True
@@ -411,7 +414,7 @@
         self._measure_usage(now_s)
         self._publish_serving_daemons()
         self._tick_timer = None
-        if peers:
+        if peers or self._freshness.must_check(self._fleet_view.daemons):
             self._schedule()
 
     def _publish_serving_daemons(self) -> None:
--- a/standins/kv_store.py
+++ b/standins/kv_store.py
@@ -37,6 +37,8 @@
         page_size: Most items in one response to a range read.
         silent_ports: Never responds to calls at these ports, nor to the
             watches that wait there.
+        busy_ports: Responds 503 to calls at these ports, also to the watches
+            that wait there.
 
     `/_put` writes items as the operator or an instance does, `/_compact`
     deletes the history of events, and `/_counts` returns the number of calls.
@@ -105,7 +107,8 @@
         if self._faults.get("down"):
             return None
         await self._hang_if_silent(port)
-        if self._faults.get("busy"):
+        is_busy_port = port in self._faults.get("busy_ports", ())
+        if self._faults.get("busy") or is_busy_port:
             return http.json_response({}, 503)
         await asyncio.sleep(self._faults.get("slow_s", 0.0))
         if path == "/v1/kv-watch":
@@ -211,6 +214,8 @@
                 return None
             if port in self._faults.get("silent_ports", ()):
                 await asyncio.sleep(3600.0)
+            if port in self._faults.get("busy_ports", ()):
+                return http.json_response({}, 503)
             if after < self._compacted_revision:
                 return http.json_response({}, 410)
             events = [
