--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -9,6 +9,7 @@
 
 from soak import callers
 from soak import invariants
+from soak import keys
 from soak import schedule
 from standins import fleet as fleet_harness
 
@@ -116,3 +117,32 @@
     assert late and not invariants.find_late_requests(
         {"r1": [run()]}, [("i-deposits-1", 8.0, 12.0)]
     )
+    check_keys()
+
+
+def check_keys():
+    """Checks requests that were sent around the removal of a key."""
+    key = keys.Key("ada", "secret")
+    key.added_s, key.removal_began_s, key.removed_s = 1.0, 10.0, 10.0
+    ada, bob = [["tenant-id", "ada"]], [["tenant-id", "bob"]]
+    leaked = [*ada, ["authorization", "Token secret"]]
+    for sent_s, status, seen, outages, expected in (
+        (10.5, 200, ada, [], None),
+        (12.0, 200, ada, [], "ran with a revoked key"),
+        (12.0, 200, ada, [(9.0, 10.5)], None),
+        (15.0, 200, ada, [(9.0, 10.5)], "ran with a revoked key"),
+        (12.0, 401, None, [], None),
+        (1.5, 401, None, [], None),
+        (5.0, 401, None, [], "refused with a known key"),
+        (5.0, 200, bob, [], "wrong identity"),
+        (5.0, 200, leaked, [], "wrong identity"),
+        (5.0, 200, ada, [], None),
+    ):
+        record = make_record("/presses/1", status)
+        record.key, record.sent_s, record.ended_s = key, sent_s, sent_s + 0.1
+        runs = {} if seen is None else {"r1": [run("presses")]}
+        found = keys.find_violations(
+            {"r1": record}, runs, {"r1": seen or []}, outages
+        )
+        is_right = not found if expected is None else len(found) == 1
+        assert is_right and (expected or "") in "".join(found), (sent_s, found)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -39,12 +39,14 @@
         is_behind: Whether the request was sent behind an outstanding one, so
             that the daemon may end the connection without reading it.
         response: Headers (names in lower case) and decoded body, or None.
+        key: The key of a tenant that was sent (see keys.Key), or None.
     """
 
     __slots__ = (
         "ended_s",
         "is_behind",
         "is_sent",
+        "key",
         "path",
         "response",
         "sent_s",
@@ -62,6 +64,7 @@
         self.is_sent = False
         self.status = 0
         self.response: typing.Any = None
+        self.key: typing.Any = None
 
     @property
     def is_idempotent(self) -> bool:
@@ -73,7 +76,11 @@
     """A thread that resolves addresses and sends one request at a time."""
 
     def __init__(
-        self, number: int, seed: int, fleet: gateway_fleet.GatewayFleet
+        self,
+        number: int,
+        seed: int,
+        fleet: gateway_fleet.GatewayFleet,
+        key_ring: typing.Any = None,
     ) -> None:
         """Creates a caller; start() runs it.
 
@@ -82,12 +89,16 @@
                 random numbers depend on it.
             seed: The seed of the random numbers.
             fleet: The daemons to send requests to.
+            key_ring: Gives each request a key (see keys.KeyRing); by default
+                requests have none.
         """
         super().__init__(name=f"caller {number}", daemon=True)
         self.records: dict[str, RequestRecord] = {}
         self.stop_requested = threading.Event()
         self._number = number
         self._random = random.Random(f"{seed}/{number}")
+        self._key_random = random.Random(f"{seed}/{number}/keys")
+        self._key_ring = key_ring
         self._fleet = fleet
         self._data_centre = "abc"[number % 3]
         self._daemon_ports: list[int] = []
@@ -131,6 +142,14 @@
                 self._close()
             return
 
+    def _add_key(self, record: RequestRecord) -> dict[str, str]:
+        """Draws a key for a request; returns the header that has it."""
+        if self._key_ring is None:
+            return {}
+        record.key = self._key_ring.draw(self._key_random)
+        name = platform_headers.AUTHORIZATION.decode()
+        return {name: f"Token {record.key.text}"}
+
     def _send(self, request_id: str) -> None:
         """Sends a random request and records its outcome."""
         path = self._random.choice(PATHS)
@@ -144,6 +163,7 @@
             "Host": gateway_fleet.HOST,
             platform_headers.REQUEST_ID.decode(): request_id,
             platform_headers.TIMEOUT_MS.decode(): str(int(TIMEOUT_S * 1000)),
+            **self._add_key(record),
         }
         if self._random.random() < ODD_OPTIONS_SHARE:
             headers["Connection"] = ODD_OPTIONS
--- a/soak/fault_injection.py
+++ b/soak/fault_injection.py
@@ -7,6 +7,7 @@
 import time
 import typing
 
+from soak import keys
 from soak import schedule
 from standins import fleet as fleet_harness
 from standins import gateway_fleet
@@ -49,6 +50,9 @@
         drain_started_s: Start of the current drain, in seconds of the monotonic
             clock, by the id of the instance.
         route_moves: Time and service of each change of the route /moving/.
+        key_ring: The keys of the tenants; None if there are none.
+        outages: Start and end of each fault of the store that may delay
+            changes, in seconds of the monotonic clock.
     """
 
     __slots__ = (
@@ -56,6 +60,8 @@
         "_relay_ports",
         "_stop_faults",
         "drain_started_s",
+        "key_ring",
+        "outages",
         "route_moves",
     )
 
@@ -73,6 +79,8 @@
         self._stop_faults: dict[str, schedule.Fault] = {}
         self.drain_started_s: dict[str, float] = {}
         self.route_moves: list[tuple[float, str]] = []
+        self.key_ring: keys.KeyRing | None = None
+        self.outages: list[tuple[float, float]] = []
 
     def start(self, daemon_count: int) -> None:
         """Starts all processes and waits until all daemons know all instances.
@@ -96,13 +104,25 @@
         Args:
             service: The name of the service.
         """
+        self._write_routes(service)
+        self.route_moves.append((time.monotonic(), service))
+
+    def rotate_key(self) -> None:
+        """Replaces a key, if there are tenants."""
+        if self.key_ring is not None:
+            _, service = self.route_moves[-1]
+            self.key_ring.rotate(lambda: self._write_routes(service))
+
+    def _write_routes(self, service: str) -> None:
         non_idempotent = {"route_type": "non_idempotent", "max_attempts": 2}
         self.configure(
             gateway_fleet.route("/presses/", "presses"),
             gateway_fleet.route("/deposits/", "deposits", **non_idempotent),
             gateway_fleet.route("/moving/", service),
+            tenants=self.key_ring.to_json() if self.key_ring else None,
         )
-        self.route_moves.append((time.monotonic(), service))
+        if self.key_ring is not None:
+            self.key_ring.on_written()
 
     def register_instance(
         self, instance_id: str, service: str, **changed: typing.Any
@@ -211,6 +231,9 @@
             fleet_harness.post(self.store, "/_compact", {})
             return
         mode = STORE_MODES.get(fault.action, {fault.action: True})
+        if fault.action in keys.DELAYING_FAULTS:
+            now_s = time.monotonic()
+            self.outages.append((now_s, now_s + fault.duration_s))
         self.set_store_faults(**mode)
 
     def _end_store(self, fault: schedule.Fault) -> None:
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -121,7 +121,9 @@
 def _is_rejected(
     request_id: str, record: callers.RequestRecord, request_runs: list[Run]
 ) -> bool:
-    return record.status in (401, 403, 404)
+    # The check of keys covers requests that have one.
+    is_unauthenticated = record.status == 401 and record.key is None
+    return record.status in (403, 404) or is_unauthenticated
 
 
 def _is_lost(record: callers.RequestRecord, request_runs: list[Run]) -> bool:
--- a/soak/main.py
+++ b/soak/main.py
@@ -13,6 +13,7 @@
 from soak import callers
 from soak import fault_injection
 from soak import invariants
+from soak import keys
 from soak import pipelining
 from soak import schedule
 from standins import fleet as fleet_harness
@@ -27,7 +28,12 @@
     """The soak of one seed: its processes, callers and faults."""
 
     def __init__(
-        self, seed: int, seconds: float, daemon_count: int, caller_count: int
+        self,
+        seed: int,
+        seconds: float,
+        daemon_count: int,
+        caller_count: int,
+        has_tenants: bool = False,
     ) -> None:
         """Creates a soak and empties its output folder.
 
@@ -36,6 +42,7 @@
             seconds: Length of the schedule of faults.
             daemon_count: Number of daemons.
             caller_count: Number of callers.
+            has_tenants: Whether requests need keys, which are replaced.
         """
         self._seed = seed
         self._seconds = seconds
@@ -46,10 +53,12 @@
         self._fleet = fault_injection.FaultInjectingFleet(
             folder / "processes.log", folder
         )
+        if has_tenants:
+            self._fleet.key_ring = keys.KeyRing(seed)
         # Every second caller of a data centre pipelines.
         self._callers = [
             (pipelining.PipeliningCaller if n // 3 % 2 else callers.Caller)(
-                n, seed, self._fleet
+                n, seed, self._fleet, self._fleet.key_ring
             )
             for n in range(caller_count)
         ]
@@ -100,6 +109,7 @@
             else:
                 click.echo(f"  {fault}")
                 self._fleet.begin(fault)
+                self._fleet.rotate_key()
             violations += self._find_version_regressions()
         return violations
 
@@ -144,9 +154,11 @@
             for request_id, record in caller.records.items()
         }
         runs: dict[str, list[invariants.Run]] = {}
+        identities: dict[str, list[list[str]]] = {}
         for instance in self._fleet.instances:
             observed = self._fleet.instance_record(instance)
             service = instance.split("-")[1]
+            identities |= observed["identities"]
             for request_id, count in observed["runs"].items():
                 run = invariants.Run(
                     instance, service, count, observed["times"][request_id]
@@ -159,6 +171,9 @@
         is_maintenance = schedule.is_maintenance_only(self._seed)
         violations = invariants.find_violations(records, runs, is_maintenance)
         violations += invariants.find_late_requests(runs, self._drain_periods)
+        violations += keys.find_violations(
+            records, runs, identities, self._fleet.outages
+        )
         if is_maintenance:
             # Other schedules cut daemons off from the store.
             violations += invariants.find_late_configurations(
@@ -177,6 +192,7 @@
     help="Number of daemons, spread over three data centres.",
 )
 @click.option("--callers", "number", default=12, help="Number of callers.")
+@click.option("--tenants", is_flag=True, help="Let requests need keys.")
 @click.option(
     "--seeds-file",
     type=click.Path(path_type=pathlib.Path, exists=True),
@@ -188,6 +204,7 @@
     seconds: float,
     daemons: int,
     number: int,
+    tenants: bool,
     seeds_file: pathlib.Path | None,
 ) -> None:
     """Injects random faults into real daemons and checks the invariants."""
@@ -200,7 +217,7 @@
     failed_seeds = []
     for run_seed in seeds:
         click.echo(f"seed {run_seed}")
-        violations = SoakRun(run_seed, seconds, daemons, number).run()
+        violations = SoakRun(run_seed, seconds, daemons, number, tenants).run()
         for line in violations[:20]:
             click.echo(f"  VIOLATED {line}")
         if violations:
--- a/soak/pipelining.py
+++ b/soak/pipelining.py
@@ -65,11 +65,15 @@
         record = callers.RequestRecord(path, target)
         record.is_behind = is_behind
         self.records[request_id] = record
+        key_lines = "".join(
+            f"{name}: {value}\r\n"
+            for name, value in self._add_key(record).items()
+        )
         head = (
             f"GET {target} HTTP/1.1\r\nHost: {gateway_fleet.HOST}\r\n"
             f"{platform_headers.REQUEST_ID.decode()}: {request_id}\r\n"
             f"{platform_headers.TIMEOUT_MS.decode()}:"
-            f" {int(callers.TIMEOUT_S * 1000)}\r\n\r\n"
+            f" {int(callers.TIMEOUT_S * 1000)}\r\n{key_lines}\r\n"
         )
         raw.sendall(head.encode())
         record.is_sent = True
