--- a/features/steps/tenant_fleet_steps.py
+++ b/features/steps/tenant_fleet_steps.py
@@ -267,3 +267,50 @@
 def step_tool(context):
     gateway_steps.step_run_tool(context)
     assert "tenants 1  current  faults 0" in context.output, context.output
+
+
+def write_bounds(context, **changed):
+    """Writes bounds into the settings of all daemons and lets them reload."""
+    context.fleet.bounds |= changed
+    for node in context.fleet.gateways.values():
+        context.fleet.write_settings(node)
+        node.process.send_signal(signal.SIGHUP)
+
+
+@behave.given("the settings revoke keys strictly within {revoke_s:d} seconds")
+def step_strict(context, revoke_s):
+    context.add_cleanup(write_bounds, context, strict_revoke="false")
+    write_bounds(context, strict_revoke="true", revoke_s=revoke_s)
+
+
+@behave.then(
+    "a request with the key kept is served by each daemon for {for_s:d} seconds"
+)
+def step_served_for(context, for_s):
+    end_s = time.monotonic() + for_s
+    while time.monotonic() < end_s:
+        step_kept_served(context)
+
+
+@behave.when("the store is down for {down_s:d} seconds")
+def step_store_down(context, down_s):
+    context.fleet.set_store_faults(down=True)
+    time.sleep(down_s)
+
+
+@behave.then("each daemon refuses a request with the key kept as stale")
+def step_refused(context):
+    found = {id: send(context, id, "kept-key") for id in context.fleet.gateways}
+    assert set(found.values()) == {503}, found
+    log = gateway_steps.log_since(context.log_start)
+    assert '"code":2011' in log
+
+
+@behave.then("once the store is back, each daemon serves it")
+def step_serves_again(context):
+    context.fleet.set_store_faults()
+    for node in context.fleet.gateways:
+        fleet_harness.wait_until(
+            lambda id=node: send(context, id, "kept-key") == 200,
+            f"{node} serves again",
+        )
--- a/features/tenant_fleet.feature
+++ b/features/tenant_fleet.feature
@@ -51,3 +51,10 @@
     Then neither the log nor the pages of g1 have a key
     And the metrics of g1 have the tenant ada
     And the tool's gateway command shows 1 tenant and that g1 is current
+
+  Scenario: Strict daemons refuse requests while nothing confirms their keys
+    Given the settings revoke keys strictly within 2 seconds
+    Then a request with the key kept is served by each daemon for 4 seconds
+    When the store is down for 4 seconds
+    Then each daemon refuses a request with the key kept as stale
+    And once the store is back, each daemon serves it
--- a/src/dotterelpath/domain/revocation.py
+++ b/src/dotterelpath/domain/revocation.py
@@ -109,7 +109,10 @@
             now_s: The time of the report on the monotonic clock, in seconds.
         """
         if revision <= self._revision:
-            self._confirmed_s = max(self._confirmed_s, confirmed_s)
+            # A lower revision may be confirmed by a copy of the store that
+            # lags behind.
+            if revision == self._revision:
+                self._confirmed_s = max(self._confirmed_s, confirmed_s)
             return
         self._evidence_s = max(self._evidence_s, confirmed_s)
         last = self._reports[-1] if self._reports else None
