Share tenants' quotas among daemons: the decisions

Two customers bring tenants whose requests arrive at several daemons, and each tenant's quota holds for all of them together. Each daemon keeps a copy of a tenant's token bucket, takes its own requests from it at once and those of the others from their reports, and limits what the others cannot know yet to its fraction of the bucket.

--- /dev/null
+++ b/src/dotterelpath/domain/quota_reports.py
@@ -0,0 +1,111 @@
+"""What daemons tell each other of tenants' quotas."""
+
+from __future__ import annotations
+
+import typing
+
+# The shortest time between two reports, in seconds.
+PERIOD_S = 0.1
+# The longest time between two reports of a serving daemon, in seconds, if the
+# bytes allow it.
+HEARTBEAT_S = 0.4
+# The most tenants in one report.
+MAX_ENTRIES = 64
+# The limit of the names and numbers in one report, in bytes. The datagram has
+# at most 1,200 bytes, which no network splits.
+MAX_ENTRY_BYTES = 800
+# Bytes of one entry beside the name, and of a report beside its entries.
+ENTRY_BYTES = 24
+HEADER_BYTES = 110
+# The bytes a second that the reports to all daemons take.
+BYTES_PER_S = 4000.0
+# Entries take no more bytes than let the next report follow in this time, in
+# seconds, but may always take the bytes below.
+MAX_INTERVAL_S = 0.35
+MIN_ENTRY_BYTES = 80
+
+Entry = tuple[str, float, int]
+
+
+class Header:
+    """Identifies a report and acknowledges the receiver's."""
+
+    __slots__ = ("acknowledged", "heard", "run", "sequence")
+
+    def __init__(
+        self,
+        run: int,
+        sequence: int,
+        acknowledged: int = 0,
+        heard: typing.Sequence[str] | None = None,
+    ) -> None:
+        """Creates a header.
+
+        Args:
+            run: A number that tells the sender's processes apart.
+            sequence: The number of the report, which increases.
+            acknowledged: The receiver's last report that the sender has; 0 if
+                it has none.
+            heard: The daemons that the sender has contact with; None if the
+                report does not name them.
+        """
+        self.run = run
+        self.sequence = sequence
+        self.acknowledged = acknowledged
+        self.heard = heard
+
+
+class Report:
+    """What a daemon tells the others of its tenants."""
+
+    __slots__ = ("acknowledgements", "entries", "header")
+
+    def __init__(
+        self,
+        header: Header,
+        entries: list[Entry],
+        acknowledgements: dict[str, int],
+    ) -> None:
+        """Creates a report.
+
+        Args:
+            header: The header, without an acknowledgement.
+            entries: The name, the demand in requests a second and the count of
+                admitted requests of each tenant.
+            acknowledgements: The number of the last report of each other
+                daemon, which only that daemon gets.
+        """
+        self.header = header
+        self.entries = entries
+        self.acknowledgements = acknowledgements
+
+
+def entry_bytes(name: str) -> int:
+    """Returns the most bytes of an entry; JSON may escape characters.
+
+    Args:
+        name: The name of the tenant.
+    """
+    if name.isprintable() and '"' not in name and "\\" not in name:
+        return len(name.encode()) + ENTRY_BYTES
+    return 6 * len(name) + ENTRY_BYTES
+
+
+def entry_budget(receivers: int) -> float:
+    """Returns the bytes that the entries of one report may take.
+
+    Args:
+        receivers: How many daemons get the report.
+    """
+    share = BYTES_PER_S * MAX_INTERVAL_S / receivers - HEADER_BYTES
+    return min(MAX_ENTRY_BYTES, max(MIN_ENTRY_BYTES, share))
+
+
+def longest_interval_s(receivers: int) -> float:
+    """Returns the longest time between two reports, in seconds.
+
+    Args:
+        receivers: How many daemons get the reports.
+    """
+    size = HEADER_BYTES + entry_budget(receivers)
+    return max(HEARTBEAT_S, size * receivers / BYTES_PER_S)
--- /dev/null
+++ b/src/dotterelpath/domain/quota_shares.py
@@ -0,0 +1,446 @@
+"""This daemon's share of one tenant's quota."""
+
+from __future__ import annotations
+
+import collections
+import math
+
+from dotterelpath.domain import quota_peers
+from dotterelpath.domain import quota_rules
+from dotterelpath.domain import tenants
+
+# A daemon that does not serve callers gets single requests. It admits the first
+# of a tenant and then this part of the rate, at most MAX_STRAY_TOKENS at once.
+STRAY_RATE_PART = 0.05
+MAX_STRAY_TOKENS = 2.0
+# Demand and refusals are averaged with this time constant, in seconds.
+AVERAGE_S = 0.8
+# What a daemon admitted before its first report is at most this much, unless
+# its earlier reports were received.
+MAX_FIRST_COUNT = 2
+# A daemon forgets a tenant without requests for this time, in seconds. The
+# rule's windows are shorter.
+IDLE_S = 10.0
+# Demand that is not confirmed for this time is taken for none, in seconds. It
+# is confirmed every two seconds, so that its last report must have been lost.
+DEMAND_TIMEOUT_S = 8.0
+# Counts are kept for this time without a report, in seconds: longer than the
+# daemon that counts keeps them, which then counts from 0 again.
+COUNT_TIMEOUT_S = 20.0
+# Callers are told to return within this time, in seconds.
+MAX_RETRY_AFTER_S = 60.0
+
+
+class PeerUse:
+    """What another daemon reported of a tenant."""
+
+    __slots__ = ("at_s", "count", "demand")
+
+    def __init__(self, demand: float, count: int, at_s: float) -> None:
+        """Creates a report.
+
+        Args:
+            demand: The requests that arrive at the daemon, a second.
+            count: The requests that it has admitted so far.
+            at_s: When this arrived, on the monotonic clock, in seconds.
+        """
+        self.demand = demand
+        self.count = count
+        self.at_s = at_s
+
+
+class Average:
+    """The decaying average of events a second."""
+
+    __slots__ = ("_at_s", "_per_s")
+
+    def __init__(self) -> None:
+        """Creates an average without events."""
+        self._per_s = 0.0
+        self._at_s = 0.0
+
+    def record(self, now_s: float, most_per_s: float = math.inf) -> None:
+        """Counts an event.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+            most_per_s: The highest average, so that it falls from there at once
+                when there are fewer events.
+        """
+        self._per_s = min(most_per_s, self.per_s(now_s) + 1.0 / AVERAGE_S)
+        self._at_s = now_s
+
+    def per_s(self, now_s: float) -> float:
+        """Returns the events a second.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        if self._per_s == 0.0:
+            return 0.0
+        return self._per_s * math.exp((self._at_s - now_s) / AVERAGE_S)
+
+
+class TenantShare:
+    """Admits a tenant's requests from the pool that daemons share.
+
+    The pool is a token bucket of which each daemon keeps a copy, filled at the
+    tenant's rate. Each daemon takes its own requests from its copy at once,
+    and those of the others when it hears of them. What the others do not know
+    of yet (the unsettled requests) stays within the daemon's fraction of the
+    pool. The fractions of all daemons add up to 1, so that all of them
+    together take no more than the pool has, whatever they know of each other.
+    """
+
+    __slots__ = (
+        "_count",
+        "_filled_s",
+        "_level",
+        "_mode",
+        "_refunds",
+        "_rule",
+        "_sent",
+        "_settled_count",
+        "_settled_demand",
+        "_tenant",
+        "arrivals",
+        "last_request_s",
+        "peers",
+        "refusals",
+        "sent_count",
+        "sent_demand",
+        "sent_s",
+        "used",
+    )
+
+    def __init__(
+        self,
+        tenant: tenants.Tenant,
+        rule: quota_rules.Rule,
+        mode: quota_rules.Mode,
+        level: float,
+        now_s: float,
+    ) -> None:
+        """Creates a share without requests.
+
+        Args:
+            tenant: The tenant.
+            rule: How many of its requests may run.
+            mode: Where this daemon takes tokens from.
+            level: The tokens in the pool.
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        self._tenant = tenant
+        self._rule = rule
+        self._mode = mode
+        self._level = level
+        self._filled_s = now_s
+        self._count = 0
+        self._refunds = 0
+        self._settled_count = 0
+        self._settled_demand = 0.0
+        # The number, the count and the demand of reports that are not settled.
+        self._sent: collections.deque[tuple[int, int, float]] = (
+            collections.deque()
+        )
+        self.sent_count = 0
+        self.sent_demand = 0.0
+        self.sent_s = -math.inf
+        self.last_request_s = now_s
+        self.arrivals = Average()
+        self.used = Average()
+        self.refusals = Average()
+        self.peers: dict[str, PeerUse] = {}
+
+    @property
+    def tenant(self) -> tenants.Tenant:
+        """The tenant, as it was given last."""
+        return self._tenant
+
+    @property
+    def mode(self) -> quota_rules.Mode:
+        """Where this daemon takes tokens from."""
+        return self._mode
+
+    @property
+    def count(self) -> int:
+        """The requests admitted so far."""
+        return self._count
+
+    @property
+    def level(self) -> float:
+        """The tokens in the pool, as this daemon knows it."""
+        return self._level
+
+    def demand(self, now_s: float) -> float:
+        """Returns the arriving requests a second, at most the tenant's rate.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        return min(self._tenant.rate_per_s, self.arrivals.per_s(now_s))
+
+    def update(
+        self,
+        tenant: tenants.Tenant,
+        rule: quota_rules.Rule,
+        standing: quota_peers.Standing,
+        settled_sequence: int,
+        now_s: float,
+    ) -> None:
+        """Brings the share up to date.
+
+        Args:
+            tenant: The tenant; its quota may have changed.
+            rule: How many of its requests may run.
+            standing: The contact with the other daemons.
+            settled_sequence: The latest own report that all of them have.
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        self._tenant = tenant
+        self._rule = rule
+        while self._sent and self._sent[0][0] <= settled_sequence:
+            _, self._settled_count, self._settled_demand = self._sent.popleft()
+        mode = quota_rules.find_mode(standing)
+        if mode is not self._mode:
+            self._enter(mode, standing)
+        elapsed_s = max(0.0, now_s - self._filled_s)
+        self._filled_s = now_s
+        # A debt is bounded, also when the quota is lowered.
+        self._level = max(
+            -rule.pool(tenant),
+            min(
+                self._capacity(standing),
+                self._level + elapsed_s * self._fill_per_s(standing),
+            ),
+        )
+
+    def admit(self, standing: quota_peers.Standing, now_s: float) -> bool:
+        """Decides on a request, after update.
+
+        Args:
+            standing: The contact with the other daemons.
+            now_s: The current time on the monotonic clock, in seconds.
+
+        Returns:
+            Whether the request may run.
+        """
+        if now_s - self.last_request_s > IDLE_S:
+            # The others have forgotten the count.
+            self._count = self._settled_count = self.sent_count = 0
+            self._sent.clear()
+        self.last_request_s = now_s
+        self.arrivals.record(now_s, self._tenant.rate_per_s)
+        if self._level < max(1.0, self._needed_level(standing)):
+            self.refusals.record(now_s)
+            return False
+        self._level -= 1.0
+        self.used.record(now_s)
+        if self._refunds:
+            self._refunds -= 1
+        else:
+            self._count += 1
+        return True
+
+    def refund(self) -> None:
+        """Returns the token of a request that did not run.
+
+        The counts that other daemons know must not decrease. The next request
+        that is admitted is therefore not counted.
+        """
+        self._level += 1.0
+        self._refunds += 1
+
+    def retry_after_s(
+        self, standing: quota_peers.Standing, now_s: float, draw: float
+    ) -> float:
+        """Returns when a refused caller should return, in seconds.
+
+        This is when there is a token, and then as long as the callers that
+        were refused lately would need, one after another.
+
+        Args:
+            standing: The contact with the other daemons.
+            now_s: The current time on the monotonic clock, in seconds.
+            draw: A random number in [0, 1) that spreads the callers.
+        """
+        needed = max(1.0, self._needed_level(standing))
+        fill_per_s = self._fill_per_s(standing)
+        own_per_s = fill_per_s * self.fraction(standing)
+        waiting = self.refusals.per_s(now_s) * AVERAGE_S
+        if own_per_s <= 0.0:
+            return MAX_RETRY_AFTER_S
+        wait_s = max(0.0, needed - self._level) / fill_per_s
+        return min(MAX_RETRY_AFTER_S, wait_s + draw * waiting / own_per_s)
+
+    def fraction(self, standing: quota_peers.Standing) -> float:
+        """Returns the part of the pool that this daemon may take.
+
+        Args:
+            standing: The contact with the other daemons.
+        """
+        if self._mode is not quota_rules.Mode.MEMBER or standing.members == 1:
+            return 1.0
+        own = self._known_demand
+        return self._fraction_of(own, own + self._peer_demand, standing)
+
+    def record_sent(self, sequence: int, now_s: float) -> None:
+        """Records that a report names this tenant.
+
+        Args:
+            sequence: The number of the report.
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        self.sent_s = now_s
+        self.sent_count = self._count
+        self.sent_demand = self.demand(now_s)
+        self._sent.append((sequence, self._count, self.sent_demand))
+
+    def record_peer(
+        self,
+        peer_id: str,
+        demand: float,
+        count: int,
+        is_known: bool,
+        now_s: float,
+    ) -> None:
+        """Takes what another daemon admitted from the pool.
+
+        Args:
+            peer_id: The daemon.
+            demand: The requests that arrive there, a second.
+            count: The requests that it has admitted so far.
+            is_known: Whether earlier reports of it were received.
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        demand = min(demand, self._tenant.rate_per_s)
+        admitted = added_count(self.peers, peer_id, count, is_known)
+        self.peers[peer_id] = PeerUse(demand, count, now_s)
+        self.take(admitted)
+
+    def take(self, tokens: float) -> None:
+        """Takes tokens from the pool, down to a bounded debt.
+
+        Args:
+            tokens: How many.
+        """
+        pool = self._rule.pool(self._tenant)
+        self._level = max(min(self._level, -pool), self._level - tokens)
+
+    def drop_peer(
+        self,
+        peer_id: str,
+        silent_s: float,
+        standing: quota_peers.Standing,
+    ) -> None:
+        """Forgets a daemon that has been silent for the time of its reserve.
+
+        It may have admitted, without a report, its fraction of the pool until
+        it went down to its floor.
+
+        Args:
+            peer_id: The daemon.
+            silent_s: The time for which it may have used its share, in seconds.
+            standing: The contact with the other daemons.
+        """
+        peer = self.peers.pop(peer_id, None)
+        if peer is None or peer.demand == 0.0:
+            return
+        total = self._known_demand + self._peer_demand + peer.demand
+        fraction = self._fraction_of(peer.demand, total, standing)
+        rate_per_s = self._tenant.rate_per_s
+        self.take(fraction * (max(0.0, self._level) + rate_per_s * silent_s))
+
+    def allowed(self, standing: quota_peers.Standing) -> float:
+        """Returns how many requests may be unsettled.
+
+        Args:
+            standing: The contact with the other daemons.
+        """
+        unsettled = self._count - self._settled_count
+        return max(1.0, self.fraction(standing) * (self._level + unsettled))
+
+    def _needed_level(self, standing: quota_peers.Standing) -> float:
+        """Returns the level at which the next request may be admitted."""
+        unsettled = self._count - self._settled_count
+        if self._mode is not quota_rules.Mode.MEMBER or unsettled < 1:
+            return 1.0
+        return (unsettled + 1.0) / self.fraction(standing) - unsettled
+
+    @property
+    def _known_demand(self) -> float:
+        """The own demand that no other daemon can believe to be lower."""
+        sent = (demand for _, _, demand in self._sent)
+        return min(self._settled_demand, *sent, math.inf)
+
+    @property
+    def _peer_demand(self) -> float:
+        return sum(peer.demand for peer in self.peers.values())
+
+    def _fraction_of(
+        self, demand: float, total: float, standing: quota_peers.Standing
+    ) -> float:
+        floor = quota_rules.find_floor(
+            self._rule.pool(self._tenant), standing.members
+        )
+        part = demand / total if total > 0.0 else 0.0
+        return floor + (1.0 - floor * standing.members) * part
+
+    def _capacity(self, standing: quota_peers.Standing) -> float:
+        if self._mode is quota_rules.Mode.STRAY:
+            return MAX_STRAY_TOKENS
+        pool = self._rule.pool(self._tenant)
+        return max(1.0, pool * quota_rules.pool_part(pool, standing))
+
+    def _fill_per_s(self, standing: quota_peers.Standing) -> float:
+        if self._mode is quota_rules.Mode.STRAY:
+            return self._tenant.rate_per_s * STRAY_RATE_PART
+        pool = self._rule.pool(self._tenant)
+        return self._tenant.rate_per_s * quota_rules.pool_part(pool, standing)
+
+    def _enter(
+        self, mode: quota_rules.Mode, standing: quota_peers.Standing
+    ) -> None:
+        """Changes where tokens come from, without a gain."""
+        unsettled = self._count - self._settled_count
+        if self._mode is quota_rules.Mode.MEMBER and standing.members > 1:
+            # What is left of the fraction; the others may take the rest.
+            left = self.fraction(standing) * (self._level + unsettled)
+            self._level = min(self._level, max(0.0, left - unsettled))
+        self._mode = mode
+        # Others reserve what a daemon alone or a stray may take.
+        self._settled_count = self._count
+        self._sent.clear()
+
+
+def drop_outdated(peers: dict[str, PeerUse], now_s: float) -> None:
+    """Forgets what other daemons have not confirmed for long.
+
+    Args:
+        peers: The last reports by daemon.
+        now_s: The current time on the monotonic clock, in seconds.
+    """
+    for id, peer in list(peers.items()):
+        if now_s - peer.at_s > COUNT_TIMEOUT_S:
+            del peers[id]
+        elif now_s - peer.at_s > DEMAND_TIMEOUT_S:
+            peer.demand = 0.0
+
+
+def added_count(
+    peers: dict[str, PeerUse], peer_id: str, count: int, is_known: bool
+) -> int:
+    """Returns how many requests a daemon admitted since its last report.
+
+    A daemon that forgot a tenant without requests counts from 0 again.
+
+    Args:
+        peers: The last reports by daemon.
+        peer_id: The daemon.
+        count: The requests that it has admitted so far.
+        is_known: Whether earlier reports of it were received.
+    """
+    last = peers.get(peer_id)
+    if last is None:
+        return count if is_known else min(count, MAX_FIRST_COUNT)
+    return count - last.count if count >= last.count else count
--- /dev/null
+++ b/src/dotterelpath/domain/quotas.py
@@ -0,0 +1,485 @@
+"""The quotas of all tenants at this daemon."""
+
+from __future__ import annotations
+
+import math
+import typing
+
+from dotterelpath.domain import quota_peers
+from dotterelpath.domain import quota_reports
+from dotterelpath.domain import quota_rules
+from dotterelpath.domain import quota_shares
+from dotterelpath.domain import tenants
+
+# An entry with new requests is sent after this time at the latest, and one
+# without after the other, in seconds.
+ENTRY_PERIOD_S = 1.0
+REPEAT_PERIOD_S = 2.0
+# An entry is sent at once if this part of what may be unsettled is new, or if
+# the demand has changed by this part.
+CHANGED_PART = 0.25
+# Changes of the demand below this part of the rate are not sent at once.
+NOTABLE_DEMAND_PART = 0.1
+# The shortest time between two reports of a changed demand, in seconds.
+DEMAND_PERIOD_S = 0.3
+# A tenant whose pool is below this part is announced as used up to daemons that
+# do not serve callers.
+USED_UP_PART = 0.5
+# An announcement holds for this time and is repeated in the other, in seconds.
+USED_UP_S = 3.0
+ANNOUNCE_PERIOD_S = 1.0
+# Nothing is reported after this time without a request of a tenant with a
+# limit, in seconds.
+ACTIVE_S = 60.0
+# A daemon that did nothing for this time was paused, in seconds. It ticks four
+# times in it while quotas are kept.
+PAUSE_S = 1.0
+# The limit of tenants of which it is kept that they have used up their quota.
+MAX_USED_UP = 4096
+SWEEP_PERIOD_S = 1.0
+
+
+class TenantStatus:
+    """A tenant's requests at this daemon, for people."""
+
+    __slots__ = (
+        "fraction",
+        "level",
+        "mode",
+        "refused_per_s",
+        "reports",
+        "tenant",
+        "used_per_s",
+    )
+
+    def __init__(
+        self,
+        share: quota_shares.TenantShare,
+        standing: quota_peers.Standing,
+        now_s: float,
+    ) -> None:
+        """Creates the status.
+
+        Args:
+            share: This daemon's share of the quota.
+            standing: The contact with the other daemons.
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        self.tenant = share.tenant
+        self.used_per_s = share.used.per_s(now_s)
+        self.refused_per_s = share.refusals.per_s(now_s)
+        self.fraction = share.fraction(standing)
+        self.level = share.level
+        self.mode = share.mode
+        self.reports = len(share.peers)
+
+
+class Quotas:
+    """Admits the requests of tenants with a limit, with the other daemons."""
+
+    __slots__ = (
+        "_active_until_s",
+        "_announced",
+        "_announced_s",
+        "_complete_since_s",
+        "_has_limits",
+        "_has_news",
+        "_next_report_s",
+        "_peers",
+        "_reported_s",
+        "_rule",
+        "_run",
+        "_seen_s",
+        "_shares",
+        "_swept_s",
+        "_tenants",
+        "_touched",
+        "_used_up_until_s",
+    )
+
+    def __init__(self, rule: quota_rules.Rule, run: int) -> None:
+        """Creates an object without tenants.
+
+        Args:
+            rule: How many requests of a tenant may run.
+            run: A number that tells this process from earlier ones.
+        """
+        self._rule = rule
+        self._run = run
+        self._peers = quota_peers.Peers()
+        self._shares: dict[str, quota_shares.TenantShare] = {}
+        self._tenants: typing.Mapping[str, tenants.Tenant] = {}
+        self._has_limits = False
+        # The tenants with requests that reports do not yet repeat.
+        self._touched: dict[str, quota_shares.TenantShare] = {}
+        self._active_until_s = -math.inf
+        self._seen_s = math.inf
+        self._swept_s = -math.inf
+        self._reported_s = -math.inf
+        self._next_report_s = -math.inf
+        self._has_news = False
+        # Since when this daemon has heard all others.
+        self._complete_since_s = math.inf
+        self._announced: frozenset[str] = frozenset()
+        self._announced_s = -math.inf
+        self._used_up_until_s: dict[str, float] = {}
+
+    @property
+    def rule(self) -> quota_rules.Rule:
+        """How many requests of a tenant may run."""
+        return self._rule
+
+    def set_rule(self, rule: quota_rules.Rule) -> None:
+        """Applies changed settings.
+
+        Args:
+            rule: How many requests of a tenant may run.
+        """
+        self._rule = rule
+
+    def set_tenants(self, known: typing.Mapping[str, tenants.Tenant]) -> None:
+        """Sets the tenants of the configuration in force.
+
+        Reports on other tenants are ignored.
+
+        Args:
+            known: The tenants by name.
+        """
+        self._tenants = known
+        self._has_limits = any(t.rate_per_s > 0.0 for t in known.values())
+
+    def set_serving(
+        self, own_id: str, serving: typing.Iterable[str], is_serving: bool
+    ) -> None:
+        """Sets the daemons that share the quotas.
+
+        Args:
+            own_id: The id of this daemon.
+            serving: The ids of the serving daemons.
+            is_serving: Whether this daemon is one of them.
+        """
+        self._peers.set_serving(own_id, serving, is_serving)
+
+    def is_active(self, now_s: float) -> bool:
+        """Whether there are limits, or requests were limited lately.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        return self._has_limits or now_s < self._active_until_s
+
+    def admit(self, tenant: tenants.Tenant, now_s: float) -> bool:
+        """Decides whether a request may run.
+
+        Args:
+            tenant: The tenant, as the configuration in force has it.
+            now_s: The current time on the monotonic clock, in seconds.
+
+        Returns:
+            Whether the request is within the quota.
+        """
+        if tenant.rate_per_s <= 0.0:
+            return True
+        self._observe(now_s)
+        self._active_until_s = now_s + ACTIVE_S
+        standing = self._peers.standing(now_s)
+        share = self._update(tenant, standing, now_s)
+        self._touched[tenant.name] = share
+        if (
+            share.mode is quota_rules.Mode.STRAY
+            and self._used_up_until_s.get(tenant.name, -math.inf) > now_s
+        ):
+            share.refusals.record(now_s)
+            return False
+        return share.admit(standing, now_s)
+
+    def refund(self, tenant: tenants.Tenant, now_s: float) -> None:
+        """Returns the token of an admitted request that did not run.
+
+        Args:
+            tenant: The tenant that the request was admitted for.
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        share = self._shares.get(tenant.name)
+        if tenant.rate_per_s > 0.0 and share is not None:
+            share.refund()
+
+    def retry_after_s(
+        self, tenant: tenants.Tenant, now_s: float, draw: float
+    ) -> float:
+        """Returns when a refused caller should return, in seconds.
+
+        Args:
+            tenant: The tenant.
+            now_s: The current time on the monotonic clock, in seconds.
+            draw: A random number in [0, 1) that spreads the callers.
+        """
+        standing = self._peers.standing(now_s)
+        share = self._update(tenant, standing, now_s)
+        wait_s = share.retry_after_s(standing, now_s, draw)
+        if share.mode is quota_rules.Mode.STRAY:
+            until_s = self._used_up_until_s.get(tenant.name, now_s)
+            wait_s = max(wait_s, until_s - now_s)
+        return wait_s
+
+    def take_report(self, now_s: float) -> quota_reports.Report | None:
+        """Returns what is due to be sent to the serving daemons, if anything.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        self._observe(now_s)
+        if not self.is_active(now_s) or now_s < self._next_report_s:
+            return None
+        standing = self._peers.standing(now_s)
+        due = self._due_shares(standing, now_s)
+        is_beat = (
+            standing.is_serving
+            and now_s - self._reported_s >= quota_reports.HEARTBEAT_S
+        )
+        if not due and not is_beat and not self._has_news:
+            return None
+        heard = self._peers.connected(now_s) if is_beat else None
+        sequence = self._peers.start_report(now_s)
+        receivers = self._peers.receiver_count
+        budget = quota_reports.entry_budget(receivers)
+        entries: list[quota_reports.Entry] = []
+        used = 0
+        for share in due[: quota_reports.MAX_ENTRIES]:
+            size = quota_reports.entry_bytes(share.tenant.name)
+            if size > quota_reports.MAX_ENTRY_BYTES:
+                continue
+            if entries and used + size > budget:
+                break
+            used += size
+            share.record_sent(sequence, now_s)
+            entries.append(
+                (share.tenant.name, round(share.sent_demand, 2), share.count)
+            )
+        if is_beat:
+            self._reported_s = now_s
+        self._has_news = False
+        size = quota_reports.HEADER_BYTES + used
+        cost_s = size * receivers / quota_reports.BYTES_PER_S
+        self._next_report_s = now_s + max(quota_reports.PERIOD_S, cost_s)
+        header = quota_reports.Header(self._run, sequence, 0, heard)
+        return quota_reports.Report(
+            header, entries, self._peers.acknowledgements()
+        )
+
+    def take_announcement(self, now_s: float) -> list[str] | None:
+        """Returns the tenants that have used up their quota, if that is due.
+
+        Daemons that do not serve callers are told, so that single requests at
+        many of them do not add up.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        since_s = now_s - self._announced_s
+        if not self._peers.standing(now_s).is_serving or (
+            since_s < quota_reports.PERIOD_S
+        ):
+            return None
+        used_up = [
+            name
+            for name, share in self._shares.items()
+            if self._is_used_up(share, now_s)
+        ]
+        is_new = any(name not in self._announced for name in used_up)
+        if not used_up or not (is_new or since_s >= ANNOUNCE_PERIOD_S):
+            return None
+        self._announced = frozenset(used_up)
+        self._announced_s = now_s
+        found, size = [], 0
+        for name in used_up[: quota_reports.MAX_ENTRIES]:
+            size += quota_reports.entry_bytes(name)
+            if size <= quota_reports.MAX_ENTRY_BYTES:
+                found.append(name)
+        return found
+
+    def record_announcement(
+        self, names: typing.Sequence[str], now_s: float
+    ) -> None:
+        """Records that tenants have used up their quota.
+
+        Args:
+            names: The tenants.
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        if self._peers.standing(now_s).is_serving:
+            return
+        for name in names[: quota_reports.MAX_ENTRIES]:
+            known = name in self._used_up_until_s
+            if known or len(self._used_up_until_s) < MAX_USED_UP:
+                self._used_up_until_s[name] = now_s + USED_UP_S
+
+    def record_report(
+        self,
+        sender: str,
+        header: quota_reports.Header,
+        entries: typing.Sequence[quota_reports.Entry],
+        now_s: float,
+    ) -> None:
+        """Applies the report of another daemon.
+
+        Args:
+            sender: The daemon.
+            header: The report's header.
+            entries: The name, the demand in requests a second and the count of
+                admitted requests of each tenant.
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        self._observe(now_s)
+        is_known = self._peers.record(sender, header, now_s)
+        if is_known is None:
+            return
+        if entries:
+            self._has_news = True
+            self._active_until_s = now_s + ACTIVE_S
+        for name, demand, count in entries[: quota_reports.MAX_ENTRIES]:
+            if not (0.0 <= demand < math.inf and count >= 0):
+                continue
+            share = self._shares.get(name)
+            tenant = self._tenants.get(name, share.tenant if share else None)
+            if tenant is not None and tenant.rate_per_s > 0.0:
+                share = self._update(tenant, self._peers.standing(now_s), now_s)
+                share.record_peer(sender, demand, count, is_known, now_s)
+
+    def busiest(self, count: int, now_s: float) -> list[TenantStatus]:
+        """Returns the tenants with the most requests here.
+
+        Args:
+            count: How many tenants to return.
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        found = sorted(
+            self._shares.values(),
+            key=lambda share: -share.arrivals.per_s(now_s),
+        )
+        standing = self._peers.standing(now_s)
+        return [TenantStatus(s, standing, now_s) for s in found[:count]]
+
+    def standing(self, now_s: float) -> quota_peers.Standing:
+        """Returns the contact with the other daemons.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        return self._peers.standing(now_s)
+
+    def _update(
+        self,
+        tenant: tenants.Tenant,
+        standing: quota_peers.Standing,
+        now_s: float,
+    ) -> quota_shares.TenantShare:
+        share = self._shares.get(tenant.name)
+        if share is None:
+            share = self._new_share(tenant, standing, now_s)
+            self._shares[tenant.name] = share
+        share.update(
+            tenant,
+            self._rule,
+            standing,
+            self._peers.settled_sequence(now_s),
+            now_s,
+        )
+        return share
+
+    def _is_used_up(
+        self, share: quota_shares.TenantShare, now_s: float
+    ) -> bool:
+        bound = USED_UP_PART * self._rule.pool(share.tenant)
+        if share.level >= bound:
+            return False
+        # The level was computed at the last request or report.
+        standing = self._peers.standing(now_s)
+        return self._update(share.tenant, standing, now_s).level < bound
+
+    def _new_share(
+        self,
+        tenant: tenants.Tenant,
+        standing: quota_peers.Standing,
+        now_s: float,
+    ) -> quota_shares.TenantShare:
+        """Creates the share of a tenant that had no requests lately."""
+        mode = quota_rules.find_mode(standing)
+        level = self._rule.pool(tenant)
+        if mode is quota_rules.Mode.STRAY:
+            level = 1.0
+        elif now_s - self._complete_since_s < self._rule.window_s:
+            # What the others admitted, or this one before it started, is not
+            # known.
+            tolerance = self._rule.tolerance(tenant)
+            level = min(level, quota_rules.START_PART * tolerance)
+        return quota_shares.TenantShare(tenant, self._rule, mode, level, now_s)
+
+    def _observe(self, now_s: float) -> None:
+        """Notices pauses of this process, and forgets what is outdated."""
+        if self.is_active(now_s) and now_s - self._seen_s > PAUSE_S:
+            self._peers.resume(now_s)
+            self._complete_since_s = math.inf
+        self._seen_s = now_s
+        if now_s - self._swept_s < SWEEP_PERIOD_S / 4.0:
+            return
+        self._swept_s = now_s
+        standing = self._peers.standing(now_s)
+        is_complete = (
+            standing.is_serving
+            and not standing.is_alone
+            and standing.has_quorum
+        )
+        if not is_complete:
+            self._complete_since_s = math.inf
+        elif self._complete_since_s == math.inf:
+            self._complete_since_s = now_s
+        for peer_id in self._peers.drop_silent(now_s):
+            for share in self._shares.values():
+                share.drop_peer(peer_id, self._peers.contact_s, standing)
+        self._drop_idle(now_s)
+
+    def _drop_idle(self, now_s: float) -> None:
+        for name, share in list(self._shares.items()):
+            quota_shares.drop_outdated(share.peers, now_s)
+            if now_s - share.last_request_s > quota_shares.IDLE_S and not any(
+                peer.demand for peer in share.peers.values()
+            ):
+                del self._shares[name]
+                self._touched.pop(name, None)
+        for name, until_s in list(self._used_up_until_s.items()):
+            if until_s <= now_s:
+                del self._used_up_until_s[name]
+
+    def _due_shares(
+        self, standing: quota_peers.Standing, now_s: float
+    ) -> list[quota_shares.TenantShare]:
+        """Returns the tenants to report, the most urgent first."""
+        found = []
+        for name, share in list(self._touched.items()):
+            share = self._update(
+                self._tenants.get(name, share.tenant), standing, now_s
+            )
+            demand = share.demand(now_s)
+            unsent = share.count - share.sent_count
+            rate_per_s = share.tenant.rate_per_s
+            is_over = demand < 0.01 * rate_per_s
+            if is_over and not unsent and share.sent_demand <= 0.0:
+                del self._touched[name]
+                continue
+            urgency = unsent / share.allowed(standing)
+            age_s = now_s - share.sent_s
+            change = abs(demand - share.sent_demand)
+            is_notable = age_s >= DEMAND_PERIOD_S and change > max(
+                CHANGED_PART * share.sent_demand,
+                NOTABLE_DEMAND_PART * rate_per_s,
+            )
+            if (
+                urgency >= CHANGED_PART
+                or is_notable
+                or age_s >= (ENTRY_PERIOD_S if unsent else REPEAT_PERIOD_S)
+                or (unsent and share.mode is quota_rules.Mode.STRAY)
+            ):
+                found.append((urgency + age_s / 10.0, share))
+        found.sort(key=lambda item: -item[0])
+        return [share for _, share in found]
