Keep tenants' quotas in the gateway, with reports between daemons

The decisions had no part in requests yet. The gateway now asks them after the tenant is known and before a service is chosen, refuses with 429 and a time to return, and returns the token of a request that has not run. Reports go to the serving daemons as datagrams, each with the acknowledgement of its receiver; daemons that serve no callers are told of tenants that have used up their quota.

--- a/features/support/quota_fleet.py
+++ b/features/support/quota_fleet.py
@@ -6,7 +6,6 @@
 import itertools
 import random
 
-from dotterelpath.domain import quota_reports
 from dotterelpath.domain import quota_rules
 from dotterelpath.domain import quotas
 from dotterelpath.domain import tenants
@@ -55,7 +54,12 @@
         run = self.random.getrandbits(31)
         daemon = self.daemons[daemon_id] = quotas.Quotas(RULE, run)
         daemon.set_tenants(self.tenants)
-        daemon.set_serving(daemon_id, self.serving, daemon_id in self.serving)
+        daemon.set_serving(
+            daemon_id,
+            self.serving,
+            daemon_id in self.serving,
+            len(self.ids) - len(self.serving),
+        )
         self.stopped.pop(daemon_id, None)
 
     def kill(self, daemon_id):
@@ -135,12 +139,7 @@
         report = daemon.take_report(self.now_s)
         if report is not None:
             for receiver in self.serving:
-                header = quota_reports.Header(
-                    report.header.run,
-                    report.header.sequence,
-                    report.acknowledgements.get(receiver, 0),
-                    report.header.heard,
-                )
+                header = report.header_for(receiver)
                 self.post(daemon_id, receiver, header, report.entries)
                 self.sent_bytes[daemon_id] += self.measure(report, receiver)
         names = daemon.take_announcement(self.now_s)
--- a/features/support/world.py
+++ b/features/support/world.py
@@ -78,6 +78,9 @@
     def record_unknown_item(self, *args):
         pass
 
+    def record_quota_refusal(self, *args):
+        pass
+
 
 class Node:
     """The dispatcher of one daemon, with its mailboxes."""
--- a/src/dotterelpath/adapters/datagrams.py
+++ b/src/dotterelpath/adapters/datagrams.py
@@ -11,6 +11,7 @@
 
 from dotterelpath import errors
 from dotterelpath.domain import health_reports
+from dotterelpath.domain import quota_reports
 from dotterelpath.domain import steering
 from dotterelpath.ports import datagrams
 
@@ -106,6 +107,10 @@
             if datagram.revision is not None
             else None,
         }
+    if isinstance(datagram, datagrams.QuotaReportDatagram):
+        return _encode_quota_report(datagram)
+    if isinstance(datagram, datagrams.QuotaUsedUpDatagram):
+        return {"used_up": datagram.tenant_names, "from": datagram.sender_id}
     if isinstance(datagram, datagrams.LeavingReportDatagram):
         return {
             "leaving": datagram.report.instances,
@@ -151,6 +156,11 @@
         return datagrams.Ping(sender, _decode_integer(data["ping"]))
     if "pong" in data:
         return _decode_pong(sender, data)
+    if "quota" in data:
+        return _decode_quota_report(sender, data)
+    if "used_up" in data:
+        names = data["used_up"][: quota_reports.MAX_ENTRIES]
+        return datagrams.QuotaUsedUpDatagram(sender, [str(n) for n in names])
     if "leaving" in data:
         return datagrams.LeavingReportDatagram(
             sender,
@@ -202,6 +212,47 @@
     return pong
 
 
+def _encode_quota_report(
+    datagram: datagrams.QuotaReportDatagram,
+) -> dict[str, typing.Any]:
+    header = datagram.header
+    data = {
+        "quota": datagram.entries,
+        "from": datagram.sender_id,
+        "run": header.run,
+        "seq": header.sequence,
+        "ack": header.acknowledged,
+        "serving": datagram.serving_count,
+    }
+    if header.heard is not None:
+        data["heard"] = list(header.heard)
+    return data
+
+
+def _decode_quota_report(
+    sender: str, data: dict[str, typing.Any]
+) -> datagrams.QuotaReportDatagram:
+    heard = data.get("heard")
+    return datagrams.QuotaReportDatagram(
+        sender,
+        quota_reports.Header(
+            _decode_integer(data["run"]),
+            _decode_integer(data["seq"]),
+            _decode_integer(data["ack"]),
+            None
+            if heard is None
+            else [str(id) for id in heard[: quota_reports.MAX_HEARD]],
+        ),
+        [
+            (str(name), _decode_number(demand), _decode_integer(count))
+            for name, demand, count in data["quota"][
+                : quota_reports.MAX_ENTRIES
+            ]
+        ],
+        _decode_serving_count(data),
+    )
+
+
 def _decode_limits(
     sender: str, data: dict[str, typing.Any]
 ) -> datagrams.LimitReportDatagram:
--- a/src/dotterelpath/adapters/gateway_status.py
+++ b/src/dotterelpath/adapters/gateway_status.py
@@ -14,6 +14,9 @@
 from dotterelpath.tasks import peer_monitor as peer_monitor_task
 from dotterelpath.tasks import registrar as registrar_task
 
+# The tenants that are shown, the busiest first.
+MAX_TENANTS = 20
+
 
 class GatewayStatus:
     """Serves the calls /metrics and /status."""
@@ -71,6 +74,7 @@
                 "in_flight": self._gateway.in_flight,
                 "body_bytes": self._body_budget.held_bytes,
                 "store_watched": self._peer_monitor.store_revision is not None,
+                "quotas": self._gateway.quotas.status(MAX_TENANTS),
                 "daemons": sorted(self._peer_monitor.fleet_view.daemons),
                 "services": {
                     name: _service_status(state)
--- a/src/dotterelpath/adapters/metrics.py
+++ b/src/dotterelpath/adapters/metrics.py
@@ -12,6 +12,8 @@
 from dotterelpath.domain import exchange
 
 MAX_WORKSPACES = 100
+MAX_TENANTS = 100
+OTHER_TENANTS = "other"
 OTHER_WORKSPACES = "other"
 BUCKETS_S = (0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1.0, 5.0)
 
@@ -39,6 +41,8 @@
         "_ejected",
         "_outcomes",
         "_overhead",
+        "_quota_refusals",
+        "_refused_tenants",
         "_registry",
         "_requests",
         "_retries",
@@ -63,6 +67,10 @@
         self._unknown_items = self._counter(
             "unknown_items", "Parts of the store that cannot be used."
         )
+        self._quota_refusals = self._counter(
+            "quota_refusals", "Requests beyond their tenant's quota."
+        )
+        self._refused_tenants: set[str] = set()
         self._avoided = self._gauge("avoided", "Instances avoided here.")
         self._ejected = self._gauge("ejected", "Instances ejected.")
         self._duration = self._histogram(
@@ -113,6 +121,15 @@
         """Records an unusable part of the store; see metrics.Metrics."""
         self._unknown_items.inc({"kind": kind})
 
+    def record_quota_refusal(self, tenant: str) -> None:
+        """Records a refusal; see metrics.Metrics."""
+        if len(self._refused_tenants) < MAX_TENANTS:
+            self._refused_tenants.add(tenant)
+        is_known = tenant in self._refused_tenants
+        self._quota_refusals.inc(
+            {"tenant": tenant if is_known else OTHER_TENANTS}
+        )
+
     def record_store_call(self, call: str, ok: bool) -> None:
         """Records a call to the store; see metrics.Metrics."""
         self._store_calls.inc({"call": call, "ok": str(ok).lower()})
--- a/src/dotterelpath/cli/main.py
+++ b/src/dotterelpath/cli/main.py
@@ -255,6 +255,7 @@
         lines.append(
             f"newest configuration refused: {data['refused_configuration']}"
         )
+    lines += _quota_lines(data.get("quotas"))
     for name, service in sorted(data["services"].items()):
         lines.append(
             f"service {name}  waiting {service['waiting']}"
@@ -284,6 +285,24 @@
     context.print_result(data, lines)
 
 
+def _quota_lines(quotas: dict[str, typing.Any] | None) -> list[str]:
+    if not quotas or not quotas["tenants"]:
+        return []
+    lines = [
+        f"quotas  with {quotas['connected']} of {quotas['members']} daemons"
+        + ("" if quotas["is_serving"] else "  callers are not sent here")
+        + ("  most are not heard" if not quotas["has_quorum"] else "")
+    ]
+    lines += [
+        f"  {name}  quota {tenant['rate_per_s']:g}/s burst {tenant['burst']:g}"
+        f"  used {tenant['used_per_s']}/s  refused {tenant['refused_per_s']}/s"
+        f"  share {tenant['share']}  tokens {tenant['tokens']}"
+        f"  {tenant['mode']}  reports of {tenant['reports']}"
+        for name, tenant in quotas["tenants"].items()
+    ]
+    return lines
+
+
 def _limit_text(limit: dict[str, typing.Any] | None) -> str:
     if limit is None:
         return ""
--- a/src/dotterelpath/domain/bounds.py
+++ b/src/dotterelpath/domain/bounds.py
@@ -12,6 +12,9 @@
         "drain_s",
         "grace_s",
         "min_used_share",
+        "quota_overshoot",
+        "quota_slack",
+        "quota_window_s",
         "retry_ratio",
         "retry_slack",
         "retry_window_s",
@@ -27,6 +30,9 @@
         retry_window_s: float = 10.0,
         address_ttl_s: float = 5.0,
         min_used_share: float = 1.0,
+        quota_window_s: float = 5.0,
+        quota_overshoot: float = 0.1,
+        quota_slack: float = 20.0,
     ) -> None:
         """Creates limits.
 
@@ -46,7 +52,16 @@
                 in seconds.
             min_used_share: The share of a service's instances that must get
                 requests while many of its requests are not served.
+            quota_window_s: The length of the windows in which a tenant's
+                requests must stay within its quota, in seconds.
+            quota_overshoot: The part of the quota that all daemons together
+                may accept beyond it in a window.
+            quota_slack: The requests that all daemons together may accept
+                beyond it in a window.
         """
+        self.quota_window_s = quota_window_s
+        self.quota_overshoot = quota_overshoot
+        self.quota_slack = quota_slack
         self.min_used_share = min_used_share
         self.drain_s = drain_s
         self.grace_s = grace_s
--- a/src/dotterelpath/domain/quota_peers.py
+++ b/src/dotterelpath/domain/quota_peers.py
@@ -156,8 +156,7 @@
         self._is_serving = is_serving
         self._contact_s = max(
             MIN_CONTACT_S,
-            CONTACT_REPORTS
-            * quota_reports.longest_interval_s(self.receiver_count),
+            CONTACT_REPORTS * quota_reports.heartbeat_s(self.receiver_count),
         )
         self._valid_until_s = -math.inf
 
--- a/src/dotterelpath/domain/quota_reports.py
+++ b/src/dotterelpath/domain/quota_reports.py
@@ -6,22 +6,29 @@
 
 # The shortest time between two reports, in seconds.
 PERIOD_S = 0.1
+# The same where less than half of the bytes is left: fewer reports with more
+# entries take fewer bytes.
+SPARING_PERIOD_S = 0.3
 # The longest time between two reports of a serving daemon, in seconds, if the
 # bytes allow it.
-HEARTBEAT_S = 0.4
+MIN_HEARTBEAT_S = 0.4
 # The most tenants in one report.
 MAX_ENTRIES = 64
+# The most daemons that a report names as heard.
+MAX_HEARD = 256
 # The limit of the names and numbers in one report, in bytes. The datagram has
 # at most 1,200 bytes, which no network splits.
 MAX_ENTRY_BYTES = 800
 # Bytes of one entry beside the name, and of a report beside its entries.
 ENTRY_BYTES = 24
-HEADER_BYTES = 110
-# The bytes a second that the reports to all daemons take.
+HEADER_BYTES = 95
+# The bytes a second that the reports to all daemons take, and the most at once:
+# when callers move, all tenants have news.
 BYTES_PER_S = 4000.0
-# Entries take no more bytes than let the next report follow in this time, in
-# seconds, but may always take the bytes below.
-MAX_INTERVAL_S = 0.35
+MAX_BYTES = 8000.0
+# Heartbeats take this part of the bytes.
+HEARTBEAT_PART = 0.5
+# The entries of a report get at least these bytes.
 MIN_ENTRY_BYTES = 80
 
 Entry = tuple[str, float, int]
@@ -79,6 +86,20 @@
         self.entries = entries
         self.acknowledgements = acknowledgements
 
+    def header_for(self, receiver: str) -> Header:
+        """Returns the header with the receiver's acknowledgement.
+
+        Args:
+            receiver: The daemon that gets the report.
+        """
+        header = self.header
+        return Header(
+            header.run,
+            header.sequence,
+            self.acknowledgements.get(receiver, 0),
+            header.heard,
+        )
+
 
 def entry_bytes(name: str) -> int:
     """Returns the most bytes of an entry; JSON may escape characters.
@@ -91,21 +112,11 @@
     return 6 * len(name) + ENTRY_BYTES
 
 
-def entry_budget(receivers: int) -> float:
-    """Returns the bytes that the entries of one report may take.
-
-    Args:
-        receivers: How many daemons get the report.
-    """
-    share = BYTES_PER_S * MAX_INTERVAL_S / receivers - HEADER_BYTES
-    return min(MAX_ENTRY_BYTES, max(MIN_ENTRY_BYTES, share))
-
-
-def longest_interval_s(receivers: int) -> float:
+def heartbeat_s(receivers: int) -> float:
     """Returns the longest time between two reports, in seconds.
 
     Args:
         receivers: How many daemons get the reports.
     """
-    size = HEADER_BYTES + entry_budget(receivers)
-    return max(HEARTBEAT_S, size * receivers / BYTES_PER_S)
+    bytes_per_s = BYTES_PER_S * HEARTBEAT_PART
+    return max(MIN_HEARTBEAT_S, HEADER_BYTES * receivers / bytes_per_s)
--- a/src/dotterelpath/domain/quota_rules.py
+++ b/src/dotterelpath/domain/quota_rules.py
@@ -7,12 +7,15 @@
 from dotterelpath.domain import quota_peers
 from dotterelpath.domain import tenants
 
-# The part of the tolerance that the pool of all daemons holds beside the burst.
-# The rest covers what a daemon admitted but could not report before it failed.
-POOL_PART = 0.9
+# The parts of the fixed tolerance, and of that in proportion to the quota, that
+# the pool of all daemons holds beside the burst. The rest covers what daemons
+# admit before others know of it, or before they fail: 0.25 seconds of the rate
+# with the usual rule.
+SLACK_PART = 0.85
+OVERSHOOT_PART = 0.5
 # The part of the tolerance that the pool holds after a restart. What was
 # admitted before is not known, and may have used up the pool.
-START_PART = 0.1
+START_PART = 0.2
 # The part of the pool that members have whatever their demand. A small pool is
 # divided more evenly, so that each member can admit MIN_TOKENS requests before
 # the others know of them.
@@ -20,7 +23,7 @@
 # The part of the quota that is reserved for members without contact, which
 # they use.
 RESERVE_PART = 0.3
-MAX_FLOOR_PART = 0.85
+MAX_FLOOR_PART = 0.95
 MIN_TOKENS = 4.0
 
 
@@ -56,7 +59,12 @@
         Args:
             tenant: The tenant.
         """
-        return tenant.burst + POOL_PART * self.tolerance(tenant)
+        in_proportion = self.tolerance(tenant) - self.slack
+        return (
+            tenant.burst
+            + SLACK_PART * self.slack
+            + OVERSHOOT_PART * in_proportion
+        )
 
 
 class Mode(enum.Enum):
--- a/src/dotterelpath/domain/quota_shares.py
+++ b/src/dotterelpath/domain/quota_shares.py
@@ -18,15 +18,21 @@
 # What a daemon admitted before its first report is at most this much, unless
 # its earlier reports were received.
 MAX_FIRST_COUNT = 2
+# A demand is reported at once if it changed by this part of itself, and if the
+# fractions may change by the other.
+NOTABLE_CHANGE = 0.25
+NOTABLE_PART = 0.1
+# A demand below this part of the rate is over.
+OVER_PART = 0.02
 # A daemon forgets a tenant without requests for this time, in seconds. The
 # rule's windows are shorter.
 IDLE_S = 10.0
 # Demand that is not confirmed for this time is taken for none, in seconds. It
-# is confirmed every two seconds, so that its last report must have been lost.
-DEMAND_TIMEOUT_S = 8.0
+# is confirmed every four seconds, so that its last report must have been lost.
+DEMAND_TIMEOUT_S = 12.0
 # Counts are kept for this time without a report, in seconds: longer than the
 # daemon that counts keeps them, which then counts from 0 again.
-COUNT_TIMEOUT_S = 20.0
+COUNT_TIMEOUT_S = 30.0
 # Callers are told to return within this time, in seconds.
 MAX_RETRY_AFTER_S = 60.0
 
@@ -97,11 +103,13 @@
         "_filled_s",
         "_level",
         "_mode",
+        "_refilled",
         "_refunds",
         "_rule",
         "_sent",
         "_settled_count",
         "_settled_demand",
+        "_spent",
         "_tenant",
         "arrivals",
         "last_request_s",
@@ -137,7 +145,11 @@
         self._filled_s = now_s
         self._count = 0
         self._refunds = 0
-        self._settled_count = 0
+        # This daemon's part of the tokens since the pool was full, and what of
+        # it has settled requests.
+        self._refilled = 0.0
+        self._spent = 0.0
+        self._settled_count = 0.0
         self._settled_demand = 0.0
         # The number, the count and the demand of reports that are not settled.
         self._sent: collections.deque[tuple[int, int, float]] = (
@@ -172,6 +184,11 @@
         """The tokens in the pool, as this daemon knows it."""
         return self._level
 
+    @property
+    def unsettled(self) -> float:
+        """The admitted requests that other daemons may not know of."""
+        return max(0.0, self._count - self._settled_count)
+
     def demand(self, now_s: float) -> float:
         """Returns the arriving requests a second, at most the tenant's rate.
 
@@ -200,20 +217,22 @@
         self._tenant = tenant
         self._rule = rule
         while self._sent and self._sent[0][0] <= settled_sequence:
-            _, self._settled_count, self._settled_demand = self._sent.popleft()
+            _, count, self._settled_demand = self._sent.popleft()
+            self._settled_count = max(self._settled_count, count)
         mode = quota_rules.find_mode(standing)
         if mode is not self._mode:
             self._enter(mode, standing)
         elapsed_s = max(0.0, now_s - self._filled_s)
         self._filled_s = now_s
+        fill_per_s = self._fill_per_s(standing)
+        filled = self._level + elapsed_s * fill_per_s
+        capacity = self._capacity(standing)
         # A debt is bounded, also when the quota is lowered.
-        self._level = max(
-            -rule.pool(tenant),
-            min(
-                self._capacity(standing),
-                self._level + elapsed_s * self._fill_per_s(standing),
-            ),
-        )
+        self._level = max(-rule.pool(tenant), min(capacity, filled))
+        if self._mode is quota_rules.Mode.MEMBER:
+            self._settle_refilled(
+                elapsed_s * fill_per_s, filled >= capacity, standing
+            )
 
     def admit(self, standing: quota_peers.Standing, now_s: float) -> bool:
         """Decides on a request, after update.
@@ -227,7 +246,8 @@
         """
         if now_s - self.last_request_s > IDLE_S:
             # The others have forgotten the count.
-            self._count = self._settled_count = self.sent_count = 0
+            self._count = self.sent_count = 0
+            self._settled_count = 0.0
             self._sent.clear()
         self.last_request_s = now_s
         self.arrivals.record(now_s, self._tenant.rate_per_s)
@@ -284,6 +304,41 @@
         own = self._known_demand
         return self._fraction_of(own, own + self._peer_demand, standing)
 
+    def urgency(self, unsent: int, standing: quota_peers.Standing) -> float:
+        """Returns how soon the others should hear of admitted requests.
+
+        Args:
+            unsent: The requests that were not reported.
+            standing: The contact with the other daemons.
+
+        Returns:
+            The part of what may be unsettled that is, or the part of the pool
+            by which the others take it for too full.
+        """
+        pool = self._rule.pool(self._tenant)
+        error = min(unsent, pool - self._level) / pool
+        unknown = min(unsent, self.unsettled) / self.allowed(standing)
+        return max(error, unknown)
+
+    def is_demand_notable(
+        self, demand: float, standing: quota_peers.Standing
+    ) -> bool:
+        """Tells whether other daemons should hear of the own demand at once.
+
+        Args:
+            demand: The arriving requests a second.
+            standing: The contact with the other daemons.
+        """
+        change = abs(demand - self.sent_demand)
+        if change <= NOTABLE_CHANGE * self.sent_demand:
+            return False
+        # The floors do not depend on the demand.
+        floor = quota_rules.find_floor(
+            self._rule.pool(self._tenant), standing.members
+        )
+        divided = 1.0 - floor * standing.members
+        return divided * change > NOTABLE_PART * self._tenant.rate_per_s
+
     def record_sent(self, sequence: int, now_s: float) -> None:
         """Records that a report names this tenant.
 
@@ -294,6 +349,8 @@
         self.sent_s = now_s
         self.sent_count = self._count
         self.sent_demand = self.demand(now_s)
+        if self.sent_demand < OVER_PART * self._tenant.rate_per_s:
+            self.sent_demand = 0.0
         self._sent.append((sequence, self._count, self.sent_demand))
 
     def record_peer(
@@ -357,13 +414,13 @@
         Args:
             standing: The contact with the other daemons.
         """
-        unsettled = self._count - self._settled_count
+        unsettled = self.unsettled
         return max(1.0, self.fraction(standing) * (self._level + unsettled))
 
     def _needed_level(self, standing: quota_peers.Standing) -> float:
         """Returns the level at which the next request may be admitted."""
-        unsettled = self._count - self._settled_count
-        if self._mode is not quota_rules.Mode.MEMBER or unsettled < 1:
+        unsettled = self.unsettled
+        if self._mode is not quota_rules.Mode.MEMBER or unsettled <= 0.0:
             return 1.0
         return (unsettled + 1.0) / self.fraction(standing) - unsettled
 
@@ -398,11 +455,49 @@
         pool = self._rule.pool(self._tenant)
         return self._tenant.rate_per_s * quota_rules.pool_part(pool, standing)
 
+    def _settle_refilled(
+        self, filled: float, is_full: bool, standing: quota_peers.Standing
+    ) -> None:
+        """Settles requests whose tokens the pool has got back.
+
+        If this copy of the pool is full, the others are as well, and right
+        without what was used before. A daemon settles no more than its part, by
+        demand, of what has flowed in, so that all of them stay within the rate
+        without any report. Calm tenants then need few reports. A daemon that
+        has all the demand does so although the pool is not full, as the others
+        have their floors only.
+
+        Args:
+            filled: The tokens that have flowed in.
+            is_full: Whether the pool is full.
+            standing: The contact with the other daemons.
+        """
+        own = self._known_demand
+        others = self._peer_demand
+        if own > 0.0:
+            part = own / (own + others)
+        else:
+            pool = self._rule.pool(self._tenant)
+            part = quota_rules.find_floor(pool, standing.members)
+        self._refilled += filled * part
+        if is_full:
+            # What was never reported need not be any more.
+            unsent = self._count - self.sent_count
+            self._count -= min(unsent, int(self._refilled))
+            self._settled_count = min(self._settled_count, self._count)
+        if is_full or part == 1.0:
+            settled = min(self._refilled - self._spent, self.unsettled)
+            if settled > 0.0:
+                self._settled_count += settled
+                self._spent += settled
+        if is_full:
+            self._refilled = self._spent = 0.0
+
     def _enter(
         self, mode: quota_rules.Mode, standing: quota_peers.Standing
     ) -> None:
         """Changes where tokens come from, without a gain."""
-        unsettled = self._count - self._settled_count
+        unsettled = self.unsettled
         if self._mode is quota_rules.Mode.MEMBER and standing.members > 1:
             # What is left of the fraction; the others may take the rest.
             left = self.fraction(standing) * (self._level + unsettled)
@@ -413,6 +508,41 @@
         self._sent.clear()
 
 
+class TenantStatus:
+    """A tenant's requests at this daemon, for people."""
+
+    __slots__ = (
+        "fraction",
+        "level",
+        "mode",
+        "refused_per_s",
+        "reports",
+        "tenant",
+        "used_per_s",
+    )
+
+    def __init__(
+        self,
+        share: TenantShare,
+        standing: quota_peers.Standing,
+        now_s: float,
+    ) -> None:
+        """Creates the status.
+
+        Args:
+            share: This daemon's share of the quota.
+            standing: The contact with the other daemons.
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        self.tenant = share.tenant
+        self.used_per_s = share.used.per_s(now_s)
+        self.refused_per_s = share.refusals.per_s(now_s)
+        self.fraction = share.fraction(standing)
+        self.level = share.level
+        self.mode = share.mode
+        self.reports = len(share.peers)
+
+
 def drop_outdated(peers: dict[str, PeerUse], now_s: float) -> None:
     """Forgets what other daemons have not confirmed for long.
 
--- a/src/dotterelpath/domain/quotas.py
+++ b/src/dotterelpath/domain/quotas.py
@@ -11,15 +11,10 @@
 from dotterelpath.domain import quota_shares
 from dotterelpath.domain import tenants
 
-# An entry with new requests is sent after this time at the latest, and one
-# without after the other, in seconds.
-ENTRY_PERIOD_S = 1.0
-REPEAT_PERIOD_S = 2.0
-# An entry is sent at once if this part of what may be unsettled is new, or if
-# the demand has changed by this part.
-CHANGED_PART = 0.25
-# Changes of the demand below this part of the rate are not sent at once.
-NOTABLE_DEMAND_PART = 0.1
+# The period with which an entry is repeated, in seconds.
+REPEAT_PERIOD_S = 4.0
+# An entry is sent at once if it is as urgent as this.
+MIN_URGENCY = 0.25
 # The shortest time between two reports of a changed demand, in seconds.
 DEMAND_PERIOD_S = 0.3
 # A tenant whose pool is below this part is announced as used up to daemons that
@@ -28,6 +23,8 @@
 # An announcement holds for this time and is repeated in the other, in seconds.
 USED_UP_S = 3.0
 ANNOUNCE_PERIOD_S = 1.0
+# The bytes a second that announcements to all daemons take.
+ANNOUNCE_BYTES_PER_S = 2000.0
 # Nothing is reported after this time without a request of a tenant with a
 # limit, in seconds.
 ACTIVE_S = 60.0
@@ -39,41 +36,6 @@
 SWEEP_PERIOD_S = 1.0
 
 
-class TenantStatus:
-    """A tenant's requests at this daemon, for people."""
-
-    __slots__ = (
-        "fraction",
-        "level",
-        "mode",
-        "refused_per_s",
-        "reports",
-        "tenant",
-        "used_per_s",
-    )
-
-    def __init__(
-        self,
-        share: quota_shares.TenantShare,
-        standing: quota_peers.Standing,
-        now_s: float,
-    ) -> None:
-        """Creates the status.
-
-        Args:
-            share: This daemon's share of the quota.
-            standing: The contact with the other daemons.
-            now_s: The current time on the monotonic clock, in seconds.
-        """
-        self.tenant = share.tenant
-        self.used_per_s = share.used.per_s(now_s)
-        self.refused_per_s = share.refusals.per_s(now_s)
-        self.fraction = share.fraction(standing)
-        self.level = share.level
-        self.mode = share.mode
-        self.reports = len(share.peers)
-
-
 class Quotas:
     """Admits the requests of tenants with a limit, with the other daemons."""
 
@@ -81,10 +43,13 @@
         "_active_until_s",
         "_announced",
         "_announced_s",
+        "_bytes",
         "_complete_since_s",
         "_has_limits",
         "_has_news",
         "_next_report_s",
+        "_other_count",
+        "_paid_s",
         "_peers",
         "_reported_s",
         "_rule",
@@ -117,9 +82,13 @@
         self._swept_s = -math.inf
         self._reported_s = -math.inf
         self._next_report_s = -math.inf
+        # The bytes that reports may take now, and when they were counted.
+        self._bytes = quota_reports.MAX_BYTES
+        self._paid_s = 0.0
         self._has_news = False
         # Since when this daemon has heard all others.
         self._complete_since_s = math.inf
+        self._other_count = 0
         self._announced: frozenset[str] = frozenset()
         self._announced_s = -math.inf
         self._used_up_until_s: dict[str, float] = {}
@@ -149,7 +118,11 @@
         self._has_limits = any(t.rate_per_s > 0.0 for t in known.values())
 
     def set_serving(
-        self, own_id: str, serving: typing.Iterable[str], is_serving: bool
+        self,
+        own_id: str,
+        serving: typing.Iterable[str],
+        is_serving: bool,
+        other_count: int = 0,
     ) -> None:
         """Sets the daemons that share the quotas.
 
@@ -157,7 +130,9 @@
             own_id: The id of this daemon.
             serving: The ids of the serving daemons.
             is_serving: Whether this daemon is one of them.
+            other_count: How many daemons do not serve callers.
         """
+        self._other_count = other_count
         self._peers.set_serving(own_id, serving, is_serving)
 
     def is_active(self, now_s: float) -> bool:
@@ -232,36 +207,35 @@
         if not self.is_active(now_s) or now_s < self._next_report_s:
             return None
         standing = self._peers.standing(now_s)
-        due = self._due_shares(standing, now_s)
-        is_beat = (
-            standing.is_serving
-            and now_s - self._reported_s >= quota_reports.HEARTBEAT_S
+        receivers = self._peers.receiver_count
+        silent_s = now_s - self._reported_s
+        is_beat = standing.is_serving and (
+            silent_s >= quota_reports.heartbeat_s(receivers)
         )
+        self._bytes = min(
+            quota_reports.MAX_BYTES,
+            self._bytes + (now_s - self._paid_s) * quota_reports.BYTES_PER_S,
+        )
+        self._paid_s = now_s
+        room = self._bytes / receivers - quota_reports.HEADER_BYTES
+        if room < quota_reports.MIN_ENTRY_BYTES and not is_beat:
+            return None
+        due = self._due_shares(standing, now_s)
         if not due and not is_beat and not self._has_news:
             return None
-        heard = self._peers.connected(now_s) if is_beat else None
         sequence = self._peers.start_report(now_s)
-        receivers = self._peers.receiver_count
-        budget = quota_reports.entry_budget(receivers)
-        entries: list[quota_reports.Entry] = []
-        used = 0
-        for share in due[: quota_reports.MAX_ENTRIES]:
-            size = quota_reports.entry_bytes(share.tenant.name)
-            if size > quota_reports.MAX_ENTRY_BYTES:
-                continue
-            if entries and used + size > budget:
-                break
-            used += size
-            share.record_sent(sequence, now_s)
-            entries.append(
-                (share.tenant.name, round(share.sent_demand, 2), share.count)
-            )
+        entries, size = self._entries(due, room, sequence, now_s)
         if is_beat:
             self._reported_s = now_s
         self._has_news = False
-        size = quota_reports.HEADER_BYTES + used
-        cost_s = size * receivers / quota_reports.BYTES_PER_S
-        self._next_report_s = now_s + max(quota_reports.PERIOD_S, cost_s)
+        self._bytes -= (quota_reports.HEADER_BYTES + size) * receivers
+        is_sparing = self._bytes < 0.5 * quota_reports.MAX_BYTES
+        self._next_report_s = now_s + (
+            quota_reports.SPARING_PERIOD_S
+            if is_sparing
+            else quota_reports.PERIOD_S
+        )
+        heard = self._peers.connected(now_s) if is_beat else None
         header = quota_reports.Header(self._run, sequence, 0, heard)
         return quota_reports.Report(
             header, entries, self._peers.acknowledgements()
@@ -277,8 +251,11 @@
             now_s: The current time on the monotonic clock, in seconds.
         """
         since_s = now_s - self._announced_s
-        if not self._peers.standing(now_s).is_serving or (
-            since_s < quota_reports.PERIOD_S
+        standing = self._peers.standing(now_s)
+        if (
+            not standing.is_serving
+            or not self._other_count
+            or since_s < quota_reports.PERIOD_S
         ):
             return None
         used_up = [
@@ -291,11 +268,15 @@
             return None
         self._announced = frozenset(used_up)
         self._announced_s = now_s
-        found, size = [], 0
-        for name in used_up[: quota_reports.MAX_ENTRIES]:
+        receivers = max(1.0, self._other_count / standing.members)
+        budget = ANNOUNCE_BYTES_PER_S * ANNOUNCE_PERIOD_S / receivers
+        found: list[str] = []
+        size = 0
+        for name in sorted(used_up, key=lambda n: self._shares[n].level):
             size += quota_reports.entry_bytes(name)
-            if size <= quota_reports.MAX_ENTRY_BYTES:
-                found.append(name)
+            if size > min(quota_reports.MAX_ENTRY_BYTES, max(budget, 80.0)):
+                break
+            found.append(name)
         return found
 
     def record_announcement(
@@ -346,7 +327,9 @@
                 share = self._update(tenant, self._peers.standing(now_s), now_s)
                 share.record_peer(sender, demand, count, is_known, now_s)
 
-    def busiest(self, count: int, now_s: float) -> list[TenantStatus]:
+    def busiest(
+        self, count: int, now_s: float
+    ) -> list[quota_shares.TenantStatus]:
         """Returns the tenants with the most requests here.
 
         Args:
@@ -358,7 +341,22 @@
             key=lambda share: -share.arrivals.per_s(now_s),
         )
         standing = self._peers.standing(now_s)
-        return [TenantStatus(s, standing, now_s) for s in found[:count]]
+        return [
+            quota_shares.TenantStatus(s, standing, now_s) for s in found[:count]
+        ]
+
+    def status_of(
+        self, tenant: tenants.Tenant, now_s: float
+    ) -> quota_shares.TenantStatus:
+        """Returns a tenant's requests here.
+
+        Args:
+            tenant: The tenant.
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        standing = self._peers.standing(now_s)
+        share = self._update(tenant, standing, now_s)
+        return quota_shares.TenantStatus(share, standing, now_s)
 
     def standing(self, now_s: float) -> quota_peers.Standing:
         """Returns the contact with the other daemons.
@@ -451,6 +449,37 @@
             if until_s <= now_s:
                 del self._used_up_until_s[name]
 
+    def _entries(
+        self,
+        due: list[quota_shares.TenantShare],
+        room: float,
+        sequence: int,
+        now_s: float,
+    ) -> tuple[list[quota_reports.Entry], int]:
+        """Returns the entries that fit into a report, and their bytes.
+
+        A tenant whose name takes up a report is never reported, and is left
+        with the floors.
+        """
+        most = min(
+            quota_reports.MAX_ENTRY_BYTES,
+            max(quota_reports.MIN_ENTRY_BYTES, room),
+        )
+        entries: list[quota_reports.Entry] = []
+        used = 0
+        for share in due[: quota_reports.MAX_ENTRIES]:
+            size = quota_reports.entry_bytes(share.tenant.name)
+            if size > quota_reports.MAX_ENTRY_BYTES:
+                continue
+            if entries and used + size > most:
+                break
+            used += size
+            share.record_sent(sequence, now_s)
+            entries.append(
+                (share.tenant.name, round(share.sent_demand, 2), share.count)
+            )
+        return entries, used
+
     def _due_shares(
         self, standing: quota_peers.Standing, now_s: float
     ) -> list[quota_shares.TenantShare]:
@@ -462,24 +491,21 @@
             )
             demand = share.demand(now_s)
             unsent = share.count - share.sent_count
-            rate_per_s = share.tenant.rate_per_s
-            is_over = demand < 0.01 * rate_per_s
+            age_s = now_s - share.sent_s
+            is_notable = age_s >= DEMAND_PERIOD_S and share.is_demand_notable(
+                demand, standing
+            )
+            is_over = demand < quota_shares.OVER_PART * share.tenant.rate_per_s
             if is_over and not unsent and share.sent_demand <= 0.0:
                 del self._touched[name]
                 continue
-            urgency = unsent / share.allowed(standing)
-            age_s = now_s - share.sent_s
-            change = abs(demand - share.sent_demand)
-            is_notable = age_s >= DEMAND_PERIOD_S and change > max(
-                CHANGED_PART * share.sent_demand,
-                NOTABLE_DEMAND_PART * rate_per_s,
-            )
+            urgency = share.urgency(unsent, standing)
             if (
-                urgency >= CHANGED_PART
+                urgency >= MIN_URGENCY
                 or is_notable
-                or age_s >= (ENTRY_PERIOD_S if unsent else REPEAT_PERIOD_S)
+                or age_s >= REPEAT_PERIOD_S
                 or (unsent and share.mode is quota_rules.Mode.STRAY)
             ):
-                found.append((urgency + age_s / 10.0, share))
+                found.append((urgency + age_s / 50.0, share))
         found.sort(key=lambda item: -item[0])
         return [share for _, share in found]
--- a/src/dotterelpath/platform/settings.py
+++ b/src/dotterelpath/platform/settings.py
@@ -26,6 +26,9 @@
     "retry_window_s": "budget_window_s",
     "address_ttl_s": "ttl_max_s",
     "min_used_share": "floor_share",
+    "quota_window_s": "quota_window_s",
+    "quota_overshoot": "quota_overshoot",
+    "quota_slack": "quota_slack",
 }
 
 
--- a/src/dotterelpath/ports/datagrams.py
+++ b/src/dotterelpath/ports/datagrams.py
@@ -6,6 +6,7 @@
 import typing
 
 from dotterelpath.domain import health_reports
+from dotterelpath.domain import quota_reports
 from dotterelpath.domain import steering
 
 
@@ -149,6 +150,49 @@
         self.report = report
 
 
+class QuotaReportDatagram:
+    """Reports a daemon's use of tenants' quotas."""
+
+    __slots__ = ("entries", "header", "sender_id", "serving_count")
+
+    def __init__(
+        self,
+        sender_id: str,
+        header: quota_reports.Header,
+        entries: list[quota_reports.Entry],
+        serving_count: int | None = None,
+    ) -> None:
+        """Creates a datagram.
+
+        Args:
+            sender_id: The id of the daemon that reports.
+            header: Identifies the report; acknowledges one of the receiver.
+            entries: The name, the demand in requests a second and the count of
+                admitted requests of each tenant.
+            serving_count: See SuccessReportDatagram.
+        """
+        self.sender_id = sender_id
+        self.header = header
+        self.entries = entries
+        self.serving_count = serving_count
+
+
+class QuotaUsedUpDatagram:
+    """Names tenants that have used up their quota."""
+
+    __slots__ = ("sender_id", "tenant_names")
+
+    def __init__(self, sender_id: str, tenant_names: list[str]) -> None:
+        """Creates a datagram.
+
+        Args:
+            sender_id: The id of the daemon that reports.
+            tenant_names: The tenants.
+        """
+        self.sender_id = sender_id
+        self.tenant_names = tenant_names
+
+
 Datagram = (
     Ping
     | Pong
@@ -156,6 +200,8 @@
     | SuccessReportDatagram
     | LeavingReportDatagram
     | LimitReportDatagram
+    | QuotaReportDatagram
+    | QuotaUsedUpDatagram
 )
 
 
--- a/src/dotterelpath/ports/metrics.py
+++ b/src/dotterelpath/ports/metrics.py
@@ -63,6 +63,13 @@
                 invalid, or a request kind that is unknown.
         """
 
+    def record_quota_refusal(self, tenant: str) -> None:
+        """Records a request that is beyond its tenant's quota.
+
+        Args:
+            tenant: The tenant's name.
+        """
+
     def record_store_call(self, call: str, ok: bool) -> None:
         """Records a call to the store.
 
--- a/src/dotterelpath/tasks/_pending.py
+++ b/src/dotterelpath/tasks/_pending.py
@@ -104,6 +104,7 @@
         "failure_probabilities",
         "id",
         "is_ended",
+        "is_quota_used",
         "last_failure",
         "may_have_run",
         "open_attempts",
@@ -137,6 +138,8 @@
         self.route: configuration.Route | None = None
         self.service: ServiceState | None = None
         self.tenant: tenants.Tenant | None = None
+        # Whether the request has taken a token of its tenant's quota.
+        self.is_quota_used = False
         self.open_attempts: dict[int, OpenAttempt] = {}
         self.sent_to: list[str] = []
         # For each attempt: why its instance was selected, and the estimated
--- a/src/dotterelpath/tasks/fleet_events.py
+++ b/src/dotterelpath/tasks/fleet_events.py
@@ -8,6 +8,7 @@
 from dotterelpath.domain import bounds
 from dotterelpath.domain import configuration
 from dotterelpath.domain import health_reports
+from dotterelpath.domain import quota_reports
 from dotterelpath.domain import registry
 from dotterelpath.domain import request_limits
 from dotterelpath.domain import steering
@@ -137,6 +138,7 @@
     __slots__ = (
         "daemon_count",
         "is_serving",
+        "other_count",
         "own_id",
         "reporting",
         "serving",
@@ -149,6 +151,7 @@
         own_id: str = "",
         serving: typing.Sequence[request_limits.ServingDaemon] = (),
         reporting: frozenset[str] = frozenset(),
+        other_count: int = 0,
     ) -> None:
         """Creates the message.
 
@@ -159,7 +162,9 @@
             own_id: The id of this daemon.
             serving: The serving daemons, the best of each data centre first.
             reporting: The ids of those that reported lately that they are.
+            other_count: How many listed daemons do not serve callers.
         """
+        self.other_count = other_count
         self.reporting = reporting
         self.daemon_count = daemon_count
         self.is_serving = is_serving
@@ -263,6 +268,71 @@
         self.report = report
 
 
+class QuotaReportIssued:
+    """This daemon reports its use of tenants' quotas."""
+
+    __slots__ = ("report",)
+
+    def __init__(self, report: quota_reports.Report) -> None:
+        """Creates the message.
+
+        Args:
+            report: The report.
+        """
+        self.report = report
+
+
+class QuotaReportReceived:
+    """Another daemon reported its use of tenants' quotas."""
+
+    __slots__ = ("daemon_id", "entries", "header")
+
+    def __init__(
+        self,
+        daemon_id: str,
+        header: quota_reports.Header,
+        entries: list[quota_reports.Entry],
+    ) -> None:
+        """Creates the message.
+
+        Args:
+            daemon_id: The daemon that sent the report.
+            header: The report's header.
+            entries: The tenants of the report.
+        """
+        self.daemon_id = daemon_id
+        self.header = header
+        self.entries = entries
+
+
+class QuotaUsedUpIssued:
+    """This daemon names tenants that have used up their quota."""
+
+    __slots__ = ("tenant_names",)
+
+    def __init__(self, tenant_names: list[str]) -> None:
+        """Creates the message.
+
+        Args:
+            tenant_names: The tenants.
+        """
+        self.tenant_names = tenant_names
+
+
+class QuotaUsedUpReceived:
+    """A serving daemon named tenants that have used up their quota."""
+
+    __slots__ = ("tenant_names",)
+
+    def __init__(self, tenant_names: list[str]) -> None:
+        """Creates the message.
+
+        Args:
+            tenant_names: The tenants.
+        """
+        self.tenant_names = tenant_names
+
+
 class LeavingReportIssued:
     """This daemon has learnt that instances leave."""
 
--- a/src/dotterelpath/tasks/gateway.py
+++ b/src/dotterelpath/tasks/gateway.py
@@ -17,6 +17,7 @@
 from dotterelpath.ports import randomness
 from dotterelpath.ports import timers as timers_port
 from dotterelpath.tasks import _pending
+from dotterelpath.tasks import _quotas
 from dotterelpath.tasks import _request_sender
 from dotterelpath.tasks import _services
 from dotterelpath.tasks import events
@@ -48,6 +49,7 @@
         "_mailbox",
         "_metrics",
         "_pending_requests",
+        "_quotas",
         "_random",
         "_request_sender",
         "_services",
@@ -98,6 +100,9 @@
         self._services = _services.Services(
             data_centre, bounds, clock, random, peer_monitor
         )
+        self._quotas = _quotas.Quotas(
+            bounds, clock, random, timers, metrics, peer_monitor
+        )
         self._request_sender = _request_sender.RequestSender(
             self._services,
             read_metadata,
@@ -121,6 +126,11 @@
         """The services by name, for the status pages."""
         return self._services.states
 
+    @property
+    def quotas(self) -> _quotas.Quotas:
+        """The quotas of the tenants, for the status pages."""
+        return self._quotas
+
     @property
     def in_flight(self) -> int:
         """The number of requests without an outcome."""
@@ -153,6 +163,8 @@
             outcome = exchange.Outcome(error.code, error.detail)
             if outcome.is_not_run and error.code.http_status == 503:
                 outcome.retry_after_s = STARTUP_RETRY_AFTER_S
+            elif error.code is errors.ResultCode.QUOTA_EXCEEDED:
+                outcome.retry_after_s = self._quotas.retry_after_s(pending)
             self._finish(pending, outcome)
 
     def on_caller_disconnected(
@@ -196,6 +208,26 @@
         for state in self._services.states.values():
             self._request_sender.dispatch_queued(state)
 
+    def on_bounds_changed(self, message: fleet_events.BoundsChanged) -> None:
+        """Applies changed settings.
+
+        Args:
+            message: The new limits.
+        """
+        self._services.on_bounds_changed(message)
+        self._quotas.on_bounds_changed(message)
+
+    def on_serving_daemons_changed(
+        self, message: fleet_events.ServingDaemonsChanged
+    ) -> None:
+        """Updates this daemon's share of slots, retries and quotas.
+
+        Args:
+            message: The serving daemons.
+        """
+        self._services.on_serving_daemons_changed(message)
+        self._quotas.on_serving_daemons_changed(message)
+
     def on_tick(self, message: messages.Tick) -> None:
         """Handles passed deadlines, slow attempts and queues to check.
 
@@ -208,6 +240,8 @@
                 self._request_sender.on_attempt_slow(item, now_s)
             elif isinstance(item, _pending.ServiceState):
                 self._request_sender.on_dispatch_due(item)
+            elif item is self._quotas:
+                self._quotas.on_round_due()
             elif now_s >= item.deadline_s:
                 self._request_sender.time_out(item)
                 self._pending_requests.pop(item.reply_to, None)
@@ -238,9 +272,15 @@
             events.StopEnding: sender.on_stop_ending,
             fleet_events.ConfigurationChanged: self.on_configuration_changed,
             fleet_events.RegistryChanged: self.on_registry_changed,
-            fleet_events.BoundsChanged: services.on_bounds_changed,
+            fleet_events.BoundsChanged: self.on_bounds_changed,
             fleet_events.ServingDaemonsChanged: (
-                services.on_serving_daemons_changed
+                self.on_serving_daemons_changed
+            ),
+            fleet_events.QuotaReportReceived: (
+                self._quotas.on_quota_report_received
+            ),
+            fleet_events.QuotaUsedUpReceived: (
+                self._quotas.on_quota_used_up_received
             ),
             fleet_events.HealthReportReceived: (
                 services.on_health_report_received
@@ -268,6 +308,7 @@
             raise errors.DotterelpathError(errors.ResultCode.DEADLINE_TOO_SHORT)
         if len(self._pending_requests) > MAX_PENDING_REQUESTS:
             raise errors.DotterelpathError(errors.ResultCode.OVERLOADED)
+        self._quotas.admit(pending)
         service = self._splitter.choose(pending.route, self._random.random())
         self._timers.add(pending.deadline_s, pending)
         self._request_sender.start(pending, service)
@@ -279,6 +320,7 @@
         if pending.is_ended:
             return
         pending.is_ended = True
+        self._quotas.refund_unused(pending, outcome)
         if outcome.stream_id is None:
             self._pending_requests.pop(pending.reply_to, None)
         pending.reply_to.inbox.force(
--- a/src/dotterelpath/tasks/peer_monitor.py
+++ b/src/dotterelpath/tasks/peer_monitor.py
@@ -17,6 +17,7 @@
 from dotterelpath.ports import addressing
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import datagrams
+from dotterelpath.tasks import _quota_exchange
 from dotterelpath.tasks import events
 from dotterelpath.tasks import fleet_events
 from dotterelpath.tasks import mailbox
@@ -58,6 +59,7 @@
         "_ping_sequence",
         "_pinged_s",
         "_published_serving_daemons",
+        "_quota_exchange",
         "_read_cpu_time_s",
         "_read_sent_bytes",
         "_store_confirmed_s",
@@ -104,13 +106,16 @@
             local_deployment.daemon_id,
             (local_deployment.data_centre, local_deployment.region),
         )
+        self._quota_exchange = _quota_exchange.QuotaExchange(
+            local_deployment.daemon_id, self._fleet_view, gateway
+        )
         self._configuration: configuration.Configuration | None = None
         self._has_instance_list = False
         self._is_leaving = False
         self._ping_sequence = itertools.count(1)
         self._pinged_s: dict[int, float] = {}
         self._published_serving_daemons: (
-            tuple[int, list[request_limits.ServingDaemon], frozenset[str]]
+            tuple[int, list[request_limits.ServingDaemon], frozenset[str], int]
             | None
         ) = None
         self._last_cpu_time_s = read_cpu_time_s()
@@ -150,6 +155,7 @@
             sender: The sender.
         """
         self._datagrams = sender
+        self._quota_exchange.connect(sender)
 
     def resolve(
         self, host: str, data_centre: str, region: str
@@ -198,6 +204,10 @@
             self.on_success_report_issued(message)
         elif isinstance(message, fleet_events.LimitReportIssued):
             self.on_limit_report_issued(message)
+        elif isinstance(message, fleet_events.QuotaReportIssued):
+            self._quota_exchange.send_report(message, self._clock.now_s())
+        elif isinstance(message, fleet_events.QuotaUsedUpIssued):
+            self._quota_exchange.send_used_up(message, self._clock.now_s())
         elif isinstance(message, fleet_events.LeavingReportIssued):
             self.on_leaving_report_issued(message)
         elif isinstance(message, messages.Tick):
@@ -231,6 +241,12 @@
                 datagram.sender_id, datagram.state, datagram.usage, now_s
             )
             self._report_revision(datagram, now_s)
+        elif isinstance(datagram, datagrams.QuotaReportDatagram):
+            if datagram.sender_id in self._fleet_view.daemons:
+                self._record_serving(datagram, now_s)
+                self._quota_exchange.on_report(datagram)
+        elif isinstance(datagram, datagrams.QuotaUsedUpDatagram):
+            self._quota_exchange.on_used_up(datagram)
         elif isinstance(datagram, datagrams.LeavingReportDatagram):
             self._gateway.force(
                 fleet_events.LeavingReportReceived(
@@ -344,7 +360,8 @@
     def _record_serving(
         self,
         datagram: datagrams.SuccessReportDatagram
-        | datagrams.LimitReportDatagram,
+        | datagrams.LimitReportDatagram
+        | datagrams.QuotaReportDatagram,
         now_s: float,
     ) -> None:
         """Records what a daemon says of itself and of its data centre.
@@ -399,13 +416,19 @@
         count = self._fleet_view.serving_count(now_s)
         serving = self._fleet_view.serving_daemons(now_s)
         reporting = self._fleet_view.reporting_ids
-        published = (count, serving, reporting)
+        other_count = len(self._fleet_view.daemons) - len(serving)
+        published = (count, serving, reporting, other_count)
         if published != self._published_serving_daemons:
             self._published_serving_daemons = published
             is_serving = any(id == own_id for id, _ in serving)
             self._gateway.force(
                 fleet_events.ServingDaemonsChanged(
-                    count, is_serving, own_id, serving, reporting
+                    count,
+                    is_serving,
+                    own_id,
+                    serving,
+                    reporting,
+                    other_count,
                 )
             )
 
