--- a/src/dotterelpath/adapters/gateway_status.py
+++ b/src/dotterelpath/adapters/gateway_status.py
@@ -17,6 +17,8 @@
 
 # A configuration may list many thousands of tenants.
 MAX_SHOWN_FAULTS = 20
+# The tenants that are shown, the busiest first.
+MAX_TENANTS = 20
 
 
 class GatewayStatus:
@@ -79,6 +81,7 @@
                 "in_flight": self._gateway.in_flight,
                 "body_bytes": self._body_budget.held_bytes,
                 "store_watched": self._peer_monitor.store_revision is not None,
+                "quotas": self._gateway.quotas.status(MAX_TENANTS),
                 "daemons": sorted(self._peer_monitor.fleet_view.daemons),
                 "services": {
                     name: _service_status(state)
--- a/src/dotterelpath/domain/bounds.py
+++ b/src/dotterelpath/domain/bounds.py
@@ -14,6 +14,9 @@
         "is_revocation_strict",
         "max_stretch_s",
         "min_used_share",
+        "quota_overshoot",
+        "quota_slack",
+        "quota_window_s",
         "retry_ratio",
         "retry_slack",
         "retry_window_s",
@@ -33,6 +36,9 @@
         revoke_s: float = 5.0,
         max_stretch_s: float = 5.0,
         is_revocation_strict: bool = False,
+        quota_window_s: float = 5.0,
+        quota_overshoot: float = 0.1,
+        quota_slack: float = 20.0,
     ) -> None:
         """Creates limits.
 
@@ -59,10 +65,19 @@
                 may take beyond apply_s at a daemon that the store refuses.
             is_revocation_strict: Whether daemons refuse requests while nothing
                 confirms that their tenants are current.
+            quota_window_s: The length of the windows in which a tenant's
+                requests must stay within its quota, in seconds.
+            quota_overshoot: The part of the quota that all daemons together
+                may accept beyond it in a window.
+            quota_slack: The requests that all daemons together may accept
+                beyond it in a window.
         """
         self.revoke_s = revoke_s
         self.max_stretch_s = max_stretch_s
         self.is_revocation_strict = is_revocation_strict
+        self.quota_window_s = quota_window_s
+        self.quota_overshoot = quota_overshoot
+        self.quota_slack = quota_slack
         self.min_used_share = min_used_share
         self.drain_s = drain_s
         self.grace_s = grace_s
--- a/src/dotterelpath/platform/settings.py
+++ b/src/dotterelpath/platform/settings.py
@@ -28,6 +28,9 @@
     "min_used_share": "floor_share",
     "revoke_s": "revoke_s",
     "max_stretch_s": "max_stretch_s",
+    "quota_window_s": "quota_window_s",
+    "quota_overshoot": "quota_overshoot",
+    "quota_slack": "quota_slack",
 }
 # The same for bounds that are true or false.
 _FLAG_NAMES = {"is_revocation_strict": "strict_revoke"}
--- a/src/dotterelpath/tasks/gateway.py
+++ b/src/dotterelpath/tasks/gateway.py
@@ -18,6 +18,7 @@
 from dotterelpath.ports import timers as timers_port
 from dotterelpath.tasks import _authentication
 from dotterelpath.tasks import _pending
+from dotterelpath.tasks import _quotas
 from dotterelpath.tasks import _request_sender
 from dotterelpath.tasks import _services
 from dotterelpath.tasks import events
@@ -50,6 +51,7 @@
         "_mailbox",
         "_metrics",
         "_pending_requests",
+        "_quotas",
         "_random",
         "_request_sender",
         "_services",
@@ -101,6 +103,9 @@
         self._services = _services.Services(
             data_centre, bounds, clock, random, peer_monitor
         )
+        self._quotas = _quotas.Quotas(
+            bounds, clock, random, timers, metrics, peer_monitor
+        )
         self._request_sender = _request_sender.RequestSender(
             self._services,
             read_metadata,
@@ -124,6 +129,11 @@
         """The services by name, for the status pages."""
         return self._services.states
 
+    @property
+    def quotas(self) -> _quotas.Quotas:
+        """The quotas of the tenants, for the status pages."""
+        return self._quotas
+
     @property
     def in_flight(self) -> int:
         """The number of requests without an outcome."""
@@ -156,6 +166,8 @@
             outcome = exchange.Outcome(error.code, error.detail)
             if outcome.is_not_run and error.code.http_status == 503:
                 outcome.retry_after_s = STARTUP_RETRY_AFTER_S
+            elif error.code is errors.ResultCode.QUOTA_EXCEEDED:
+                outcome.retry_after_s = self._quotas.retry_after_s(pending)
             self._finish(pending, outcome)
 
     def on_caller_disconnected(
@@ -198,6 +210,7 @@
         """
         self._services.on_bounds_changed(message)
         self._authenticator.on_bounds_changed(message)
+        self._quotas.on_bounds_changed(message)
 
     def on_registry_changed(
         self, message: fleet_events.RegistryChanged
@@ -211,6 +224,17 @@
         for state in self._services.states.values():
             self._request_sender.dispatch_queued(state)
 
+    def on_serving_daemons_changed(
+        self, message: fleet_events.ServingDaemonsChanged
+    ) -> None:
+        """Updates this daemon's share of slots, retries and quotas.
+
+        Args:
+            message: The serving daemons.
+        """
+        self._services.on_serving_daemons_changed(message)
+        self._quotas.on_serving_daemons_changed(message)
+
     def on_tick(self, message: messages.Tick) -> None:
         """Handles passed deadlines, slow attempts and queues to check.
 
@@ -225,6 +249,8 @@
                 self._request_sender.on_dispatch_due(item)
             elif isinstance(item, _authentication.Authenticator):
                 item.on_heartbeat(now_s)
+            elif item is self._quotas:
+                self._quotas.on_round_due()
             elif now_s >= item.deadline_s:
                 self._request_sender.time_out(item)
                 self._pending_requests.pop(item.reply_to, None)
@@ -260,7 +286,13 @@
                 self._authenticator.on_freshness_changed
             ),
             fleet_events.ServingDaemonsChanged: (
-                services.on_serving_daemons_changed
+                self.on_serving_daemons_changed
+            ),
+            fleet_events.QuotaReportReceived: (
+                self._quotas.on_quota_report_received
+            ),
+            fleet_events.QuotaUsedUpReceived: (
+                self._quotas.on_quota_used_up_received
             ),
             fleet_events.HealthReportReceived: (
                 services.on_health_report_received
@@ -294,6 +326,7 @@
             raise errors.DotterelpathError(errors.ResultCode.DEADLINE_TOO_SHORT)
         if len(self._pending_requests) > MAX_PENDING_REQUESTS:
             raise errors.DotterelpathError(errors.ResultCode.OVERLOADED)
+        self._quotas.admit(pending)
         service = self._splitter.choose(pending.route, self._random.random())
         self._timers.add(pending.deadline_s, pending)
         self._request_sender.start(pending, service)
@@ -305,6 +338,7 @@
         if pending.is_ended:
             return
         pending.is_ended = True
+        self._quotas.refund_unused(pending, outcome)
         if outcome.stream_id is None:
             self._pending_requests.pop(pending.reply_to, None)
         pending.reply_to.inbox.force(
