Weigh the last attempt and keep rejections apart from health

A rejected request with one attempt left used it at once, even where all instances rejected requests. domain/dispatch_decision now weighs the attempt by the value to the client: at once, at the latest start that meets the target or the deadline, or not while the retry budget is scarce and worth more to others. Rejections below full are counted in a share for the service and a filter for each instance, apart from its failures, and reported to other daemons as a symptom of their own, which older builds drop.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -7,12 +7,54 @@
   Scenario: A rejected request waits for the retry budget
     Given the submissions of one of 3 daemons, 83 a second
     When all instances reject 55 % of the requests from second 12 to 20.5
-    Then at least 20 % fewer requests are refused than without waiting
-    And as many requests are served in time as without waiting
+    Then at least 20 % fewer requests are refused than by the rule before
+    And as many requests are served in time as by the rule before
     And the retries stay within the budget in any window
     And each refusal for the budget names a time at which it has room
     And no request is sent twice to an instance, or more than twice
 
+  # Load: the same, for twice as long, so that the budget is short of the
+  # requests for much longer than they can wait.
+  Scenario: Late requests leave the retry budget to those still in time
+    Given the submissions of one of 3 daemons, 83 a second
+    When all instances reject 55 % of the requests from second 12 to 32
+    Then as many requests are served in time as by the rule before
+    And at least 5 % fewer requests are refused than if each retry is sent at once
+
+  # Load: all instances reject all requests for a shorter time than requests can
+  # wait. Both attempts were used up within milliseconds.
+  Scenario: The last attempt is kept until it has a chance
+    Given the submissions of one of 3 daemons, 83 a second
+    When all instances reject 100 % of the requests from second 12 to 15
+    Then at least 30 % fewer requests are refused than by the rule before
+    And as many requests are served in time as by the rule before
+
+  # Load: a request was rejected and has one attempt left, for each share of
+  # rejections and each time left. The best start is found with knowledge of
+  # the chance, of how rejections end and of the distribution of the work.
+  Scenario: The last attempt is worth nearly as much as at the best start
+    Then no decision loses more than 0.03 against the best start of any
+
+  # Load: a third of the instances reject three of four requests.
+  Scenario: Instances that reject are no failures, but the others are preferred
+    Given the submissions of one of 3 daemons, 83 a second
+    When a third of the instances reject 75 % from second 2 to 12
+    Then none of them counts as failing
+    And they get less than a quarter of their share of the attempts
+    And other daemons are told of the rejections
+    And at least 99.8 % of the requests are served
+
+  Scenario: A daemon learns of rejections from another, and an older one does not
+    Given the submissions of one of 3 daemons, 83 a second
+    When another daemon reports that one instance rejects requests
+    Then that instance gets no request while others are free
+    And a build that does not know the symptom drops the report
+
+  # Load: the same as the first, on the largest service that is planned.
+  Scenario: A decision stays cheap with 500 waiting requests
+    Given 500 requests that wait for the budget or for a better chance
+    Then weighing another one takes at most 60 microseconds
+
   # Load: the same, and some requests matter more than others.
   Scenario: The retry budget goes to the requests that lose most
     Given requests that wait for the budget, listed as
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -4,16 +4,24 @@
 
 import collections
 import contextlib
+import itertools
+import math
 
 import behave
 
+from dotterelpath.adapters import datagrams
 from dotterelpath.domain import bounds
+from dotterelpath.domain import dispatch_decision
+from dotterelpath.domain import health_reports
 from dotterelpath.domain import request_queue
+from dotterelpath.domain import retry_queue
 from dotterelpath.domain import retry_window
+from dotterelpath.ports import datagrams as datagram_port
 from dotterelpath.tasks import _waiting_retries
 from dotterelpath.tasks import events
 from dotterelpath.tasks import fleet_events
 from dotterelpath.tasks import messages
+from features.steps import load_steps
 from features.support import gateway_world
 
 # A third of the load of the users' worst case, and of their fixed allowance.
@@ -26,6 +34,8 @@
 RATIO = 0.2
 SLACK = 69.0
 WINDOW_S = 10.0
+# The spread of the lognormal durations of the simulated instances.
+SPREAD = 0.5
 
 
 @contextlib.contextmanager
@@ -39,6 +49,20 @@
         setattr(module, name, before)
 
 
+@contextlib.contextmanager
+def rule_before():
+    """Sends each retry at once, or fails it if the budget is spent."""
+    with (
+        replaced(_waiting_retries, "MAX_WAITING", 0),
+        replaced(
+            dispatch_decision,
+            "best_start_s",
+            lambda prospect, chance, price, now_s: now_s,
+        ),
+    ):
+        yield
+
+
 def make_world(seed=1):
     """Builds a gateway that gets the submissions."""
     world = gateway_world.GatewayWorld(
@@ -93,12 +117,12 @@
 )
 def step_reject(context, percent, start, end):
     reject(context.world, percent / 100.0, start, end)
-    with replaced(_waiting_retries, "MAX_WAITING", 0):
+    with rule_before():
         context.before = reject(make_world(), percent / 100.0, start, end)
 
 
 @behave.then(
-    "at least {percent:d} % fewer requests are refused than without waiting"
+    "at least {percent:d} % fewer requests are refused than by the rule before"
 )
 def step_fewer_refused(context, percent):
     now, before = count(context.world), count(context.before)
@@ -106,7 +130,7 @@
     assert now["refused"] <= limit, (now, before)
 
 
-@behave.then("as many requests are served in time as without waiting")
+@behave.then("as many requests are served in time as by the rule before")
 def step_as_many_in_time(context):
     now, before = count(context.world), count(context.before)
     # The same draws meet other requests, so that a few more may be late.
@@ -148,7 +172,7 @@
     refused = [
         (outcome, at_s - 1000.0)
         for outcome, at_s in context.world.outcomes.values()
-        if outcome.is_not_run and "budget" in outcome.detail
+        if outcome.is_not_run and "no retry was" in outcome.detail
     ]
     assert refused
     for outcome, at_s in refused:
@@ -200,7 +224,7 @@
     world.load("/w/1", PER_S, 0.0, 2.0, TIMEOUT_S)
     world.run(2.1)
     (service,) = world.gateway.services.values()
-    waiting = [q.item for q in service.waiting_retries.ordered(1002.1)]
+    waiting = service.waiting_retries.items()
     assert len(waiting) > 20, len(waiting)
     return service, waiting
 
@@ -243,3 +267,188 @@
         outcome, _ = context.world.outcomes[pending.reply_to.token]
         assert outcome.is_not_run and outcome.retry_after_s > 0.0
     assert not len(context.service.waiting_retries)
+
+
+@behave.then(
+    "at least {percent:d} % fewer requests are refused than if each retry is"
+    " sent at once"
+)
+def step_fewer_than_at_once(context, percent):
+    with replaced(
+        dispatch_decision,
+        "best_start_s",
+        lambda prospect, chance, price, now_s: now_s,
+    ):
+        at_once = count(reject(make_world(), 0.55, 12.0, 32.0))
+    now = count(context.world)
+    limit = (1.0 - percent / 100.0) * at_once["refused"]
+    assert now["refused"] <= limit, (now, at_once)
+
+
+def expected_value(start_s, chance, target_s, deadline_s):
+    """Computes the worth of an attempt from the true distributions."""
+    ended = 1.0 - math.exp(-dispatch_decision.RECOVERY_PER_S * start_s)
+    chance += ended * max(0.0, dispatch_decision.CALM_CHANCE - chance)
+    # The median of a lognormal duration with the mean WORK_S.
+    median_s = WORK_S / math.exp(SPREAD * SPREAD / 2.0)
+    done = [
+        0.5 * math.erfc(-math.log(left_s / median_s) / SPREAD / math.sqrt(2.0))
+        if left_s > 0.0
+        else 0.0
+        for left_s in (target_s - start_s, deadline_s - start_s)
+    ]
+    late_value = dispatch_decision.LATE_VALUE
+    return chance * (done[0] + late_value * (done[1] - done[0]))
+
+
+@behave.then("no decision loses more than 0.03 against the best start of any")
+def step_near_optimum(context):
+    median_s = WORK_S / math.exp(SPREAD * SPREAD / 2.0)
+    high_s = median_s * math.exp(SPREAD * 1.2816)
+    for chance in (0.01, 0.05, 0.1, 0.25, 0.45, 0.7, 0.95):
+        for target_s in (-0.5, 0.2, 0.5, 1.2, 2.0):
+            for deadline_s in (0.6, 1.0, 2.0, 4.0, 8.0):
+                if deadline_s < target_s:
+                    continue
+                case = (chance, target_s, deadline_s)
+                start_s = dispatch_decision.best_start_s(
+                    dispatch_decision.Prospect(
+                        target_s, deadline_s, WORK_S, high_s
+                    ),
+                    chance,
+                    0.0,
+                    0.0,
+                )
+                starts = [n * 0.02 for n in range(int(deadline_s / 0.02))]
+                best = max(expected_value(s, *case) for s in starts)
+                got = expected_value(start_s, *case)
+                assert got >= best - 0.03, (case, start_s, got, best)
+
+
+def avoided(world):
+    """Tells for each instance that is avoided whether it is unhealthy."""
+    now_s = world.clock.time_s
+    (service,) = world.gateway.services.values()
+    return {
+        state.id: state.is_unhealthy(now_s)
+        for state in service.balancer.instances.values()
+        if state.is_avoided(now_s)
+    }
+
+
+@behave.when("a third of the instances reject 75 % from second 2 to 12")
+def step_third_rejects(context):
+    world = context.world
+    context.rejecting = list(world.instances.values())[::3]
+
+    def set_rate(rate):
+        for instance in context.rejecting:
+            instance.rejection_rate = rate
+
+    world.schedule(2.0, set_rate, 0.75)
+    world.schedule(12.0, set_rate, 0.0)
+    world.load("/w/1", PER_S, 0.0, 12.0, TIMEOUT_S)
+    world.run(12.0)
+    context.avoided = avoided(world)
+    world.run(20.0)
+
+
+@behave.then("none of them counts as failing")
+def step_not_failing(context):
+    assert not any(context.avoided.values()), context.avoided
+    assert set(context.avoided) == {i.id for i in context.rejecting}
+
+
+@behave.then("they get less than a quarter of their share of the attempts")
+def step_avoided(context):
+    made = {
+        instance.id: sum(4.0 <= at_s <= 12.0 for at_s, _ in instance.arrivals)
+        for instance in context.world.instances.values()
+    }
+    theirs = sum(made[instance.id] for instance in context.rejecting)
+    share = len(context.rejecting) / len(made)
+    assert theirs < 0.25 * share * sum(made.values()), made
+
+
+@behave.then("other daemons are told of the rejections")
+def step_told(context):
+    told = set()
+    while len(context.world.neighbours):
+        message = context.world.neighbours.poll()
+        if isinstance(message, fleet_events.HealthReportIssued):
+            told.add((message.report.instance_id, message.report.symptom))
+    for instance in context.rejecting:
+        assert (instance.id, health_reports.Symptom.REJECTED) in told, told
+    assert not any(s is health_reports.Symptom.FAILED for _, s in told)
+
+
+@behave.when("another daemon reports that one instance rejects requests")
+def step_report(context):
+    world = context.world
+    context.report = health_reports.HealthReport(
+        gateway_world.SERVICE,
+        "i0",
+        world.started_ms,
+        health_reports.Symptom.REJECTED,
+    )
+    received = fleet_events.HealthReportReceived("g2", context.report)
+    world.schedule(1.0, world.gateway.handle, received)
+    world.load("/w/1", PER_S, 1.0, 2.0, TIMEOUT_S)
+    world.run(2.0)
+
+
+@behave.then("that instance gets no request while others are free")
+def step_no_request(context):
+    arrivals = context.world.instances["i0"].arrivals
+    assert not [at_s for at_s, _ in arrivals if at_s >= 1.0], arrivals
+
+
+@behave.then("a build that does not know the symptom drops the report")
+def step_dropped(context):
+    data = datagrams.encode(
+        datagram_port.HealthReportDatagram("g2", context.report)
+    )
+    assert datagrams.decode(data).report.symptom is context.report.symptom
+    data["seen"] = "a symptom of a later build"
+    try:
+        datagrams.decode(data)
+    except ValueError:
+        return
+    raise AssertionError("an unknown symptom was accepted")
+
+
+def add_waiting(queue, number, chance, now_s):
+    """Adds a request with one attempt left to a queue of retries."""
+    target_s = now_s + 1.2 + number % 7 / 10.0
+    queued = request_queue.QueuedRequest(
+        number, number % 3, now_s, target_s, target_s + 2.8, WORK_S
+    )
+    prospect = dispatch_decision.Prospect(
+        target_s, target_s + 2.8, WORK_S, 1.7 * WORK_S
+    )
+    queue.add(queued, prospect, chance, 0.0, now_s)
+
+
+@behave.given("500 requests that wait for the budget or for a better chance")
+def step_many_waiting(context):
+    context.queues = {}
+    for chance in (0.45, 0.01):
+        context.queues[chance] = queue = retry_queue.RetryQueue()
+        for number in range(500):
+            add_waiting(queue, number, chance, 0.0)
+
+
+@behave.then("weighing another one takes at most {limit:d} microseconds")
+def step_cost(context, limit):
+    numbers = itertools.count(500)
+    for chance, queue in context.queues.items():
+
+        def weigh(chance=chance, queue=queue):
+            number = next(numbers)
+            add_waiting(queue, number, chance, 0.01)
+            queue.next_item(chance, 0.0, 0.01)
+            queue.remove(number)
+
+        took_s = load_steps.fastest_s(weigh)
+        assert took_s <= limit * 1e-6, (chance, took_s)
+        assert len(queue) == 500
--- a/src/dotterelpath/adapters/metrics.py
+++ b/src/dotterelpath/adapters/metrics.py
@@ -40,6 +40,7 @@
         "_outcomes",
         "_overhead",
         "_registry",
+        "_rejections",
         "_requests",
         "_retries",
         "_series",
@@ -60,6 +61,9 @@
         )
         self._requests = self._counter("requests", "Requests by result.")
         self._retries = self._counter("retries", "Further tries.")
+        self._rejections = self._counter(
+            "rejections", "Attempts that instances rejected as not run."
+        )
         self._waits = self._counter("waits", "Requests that waited.")
         self._store_calls = self._counter("store_calls", "Calls to the store.")
         self._unknown_items = self._counter(
@@ -107,6 +111,11 @@
         """Records that a request waits; see metrics.Metrics."""
         self._waits.inc({"service": service, "reason": reason})
 
+    def record_rejection(self, service: str, is_full: bool) -> None:
+        """Records a rejected attempt; see metrics.Metrics."""
+        reason = "full" if is_full else "below full"
+        self._rejections.inc({"service": service, "reason": reason})
+
     def set_avoided_count(self, service: str, count: int) -> None:
         """Sets the number of avoided instances; see metrics.Metrics."""
         self._avoided.set({"service": service}, count)
--- a/src/dotterelpath/domain/health_reports.py
+++ b/src/dotterelpath/domain/health_reports.py
@@ -19,6 +19,8 @@
     UNREACHABLE = "gone"
     # The instance was considered unhealthy, and served a request.
     RECOVERED = "well"
+    # The request was rejected as not run, by an instance that is not full.
+    REJECTED = "rejected"
     # Many requests of the service are not served. The report has no instance.
     SERVICE_DEGRADED = "troubled"
 
--- a/src/dotterelpath/domain/instance_state.py
+++ b/src/dotterelpath/domain/instance_state.py
@@ -18,6 +18,9 @@
 # avoided while the service has healthy instances, even if the request has to
 # wait for one of them.
 UNHEALTHY_THRESHOLD = 0.3
+# The evidence of rejections is dropped when the probability that it stands for
+# is within this margin of that of an instance without observations.
+REJECTION_MARGIN = 0.02
 
 
 class InstanceState:
@@ -32,6 +35,7 @@
         "last_sent_s",
         "peer_load",
         "peer_load_at_s",
+        "rejection_filter",
         "request_limit",
         "slow_filter",
         "served_s",
@@ -52,6 +56,9 @@
         self.entry = entry
         self.failure_filter = health_filter.HealthFilter(now_s)
         self.slow_filter = health_filter.HealthFilter(now_s)
+        # The rejections of requests below full, apart from health; None while
+        # the instance is not known to reject any.
+        self.rejection_filter: health_filter.HealthFilter | None = None
         self.in_flight = 0
         self.is_entry_missing = False
         self.peer_load = 0.0
@@ -144,6 +151,56 @@
         """
         return self.failure_filter.symptom_probability(now_s)
 
+    def rejecting(self, now_s: float) -> float:
+        """Returns the probability that the instance rejects the next request.
+
+        A rejected request was not run. After a rejection the probability is
+        estimated as that of failures, until it is as low as for an instance
+        without observations.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        known = self.rejection_filter
+        if known is None:
+            return 0.0
+        probability = known.unhealthy_probability(now_s)
+        if probability <= health_filter.PRIOR_UNHEALTHY + REJECTION_MARGIN:
+            self.rejection_filter = None
+            return 0.0
+        return known.symptom_probability(now_s)
+
+    def record_rejection(self, now_s: float) -> None:
+        """Records that the instance rejected a request below full.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        if self.rejection_filter is None:
+            # Starting from what the failure filter has learnt, rejecting
+            # instances got 2.5 times as many attempts.
+            self.rejection_filter = health_filter.HealthFilter(now_s)
+        self.rejection_filter.observe(
+            health_filter.Observation.FAILED_IMMEDIATELY, now_s
+        )
+
+    def record_acceptance(self, now_s: float) -> None:
+        """Records that the instance took a request.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        if self.rejection_filter is not None:
+            self.rejection_filter.observe(health_filter.Observation.GOOD, now_s)
+
+    def unserved(self, now_s: float) -> float:
+        """Returns the probability that the next request is not served.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        return 1.0 - (1.0 - self.failing(now_s)) * (1.0 - self.rejecting(now_s))
+
     def is_unhealthy(self, now_s: float) -> bool:
         """Tells whether the instance is avoided if there are healthy ones.
 
@@ -151,3 +208,11 @@
             now_s: The current time on the monotonic clock, in seconds.
         """
         return self.failing(now_s) > UNHEALTHY_THRESHOLD
+
+    def is_avoided(self, now_s: float) -> bool:
+        """Tells whether the instance is unhealthy or rejects requests.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        return self.unserved(now_s) > UNHEALTHY_THRESHOLD
--- a/src/dotterelpath/domain/load_balancer.py
+++ b/src/dotterelpath/domain/load_balancer.py
@@ -51,6 +51,8 @@
     PROBE = "due"
     # The instance is unhealthy, but no healthy one is usable.
     UNHEALTHY = "sick"
+    # The instance rejects many requests as not run, and no other is usable.
+    REJECTING = "rejecting"
 
 
 class Selection:
@@ -242,6 +244,8 @@
         reason = Reason.BEST
         if instance.is_unhealthy(now_s):
             reason = Reason.UNHEALTHY
+        elif instance.is_avoided(now_s):
+            reason = Reason.REJECTING
         return Selection(instance, False, reason)
 
     def choose_unhealthy(
@@ -386,8 +390,9 @@
         instance = self._instances.get(instance_id)
         if instance is None:
             return False
-        was_unhealthy = instance.is_unhealthy(now_s)
+        was_unhealthy = instance.is_avoided(now_s)
         instance.served_s = now_s
+        instance.record_acceptance(now_s)
         instance.failure_filter.observe(health_filter.Observation.GOOD, now_s)
         if not is_slow:
             instance.slow_filter.observe(health_filter.Observation.GOOD, now_s)
@@ -404,6 +409,7 @@
         """
         instance = self._instances.get(instance_id)
         if instance is not None:
+            instance.record_acceptance(now_s)
             instance.failure_filter.observe(
                 health_filter.Observation.GOOD, now_s
             )
@@ -459,6 +465,25 @@
         self._ranking.update_one(instance, now_s)
         return instance.failure_filter.unhealthy_probability(now_s)
 
+    def record_rejection(self, instance_id: str, now_s: float) -> float | None:
+        """Records that an instance rejected a request as not run, below full.
+
+        Args:
+            instance_id: The instance.
+            now_s: The time of the rejection on the monotonic clock, in seconds.
+
+        Returns:
+            The probability that the instance rejects the next request, or None
+            if the instance is not known.
+        """
+        instance = self._instances.get(instance_id)
+        if instance is None:
+            return None
+        instance.symptom_s = now_s
+        instance.record_rejection(now_s)
+        self._ranking.update_one(instance, now_s)
+        return instance.rejecting(now_s)
+
     def record_slow(self, instance_id: str, now_s: float) -> float | None:
         """Records that a request takes longer than is typical.
 
@@ -545,7 +570,7 @@
                 instance.joined_s,
                 can_retry,
                 is_degraded,
-                can_retry and instance.is_unhealthy(now_s),
+                can_retry and instance.is_avoided(now_s),
                 now_s,
             )
             and instance.has_free_slot(now_s)
--- a/src/dotterelpath/domain/ranking.py
+++ b/src/dotterelpath/domain/ranking.py
@@ -248,7 +248,7 @@
             other_cost += WARM_UP_COST
         if instance.request_limit is not None:
             other_cost -= LIMITED_DISCOUNT
-        return _RankedInstance(instance, instance.failing(now_s), other_cost)
+        return _RankedInstance(instance, instance.unserved(now_s), other_cost)
 
 
 def accepted_failing(best_failing: float) -> float:
--- a/src/dotterelpath/domain/request_queue.py
+++ b/src/dotterelpath/domain/request_queue.py
@@ -86,13 +86,18 @@
         self.deadline_s = deadline_s
         self.work_s = work_s
 
+    @property
+    def latest_start_s(self) -> float:
+        """The latest start that most likely meets the deadline, in seconds."""
+        return self.deadline_s - self.work_s * MIN_WORK_SHARE
+
     def is_infeasible(self, start_s: float) -> bool:
         """Tells whether the request will most likely miss its deadline.
 
         Args:
             start_s: The time at which an instance could start the request.
         """
-        return start_s + self.work_s * MIN_WORK_SHARE > self.deadline_s
+        return start_s > self.latest_start_s
 
     def rank(self, now_s: float) -> tuple[float, bool, float]:
         """Returns the sort key of the request; the lowest is sent first.
@@ -267,11 +272,18 @@
         Args:
             now_s: The current time on the monotonic clock, in seconds.
         """
-        if now_s - self._ordered_s >= ORDER_PERIOD_S:
-            self._ordered_s = now_s
-            self._queued.sort(key=lambda queued: queued.rank(now_s))
+        self._update_order(now_s)
         return list(self._queued)
 
+    def first(self, now_s: float) -> QueuedRequest[T] | None:
+        """Returns the request that is to be sent first, if there is one.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        self._update_order(now_s)
+        return self._queued[0] if self._queued else None
+
     def remove(self, item: T) -> None:
         """Removes a request if it is queued.
 
@@ -286,3 +298,8 @@
         if not self._queued:
             # Rounding errors must not add up.
             self._work_s.clear()
+
+    def _update_order(self, now_s: float) -> None:
+        if now_s - self._ordered_s >= ORDER_PERIOD_S:
+            self._ordered_s = now_s
+            self._queued.sort(key=lambda queued: queued.rank(now_s))
--- a/src/dotterelpath/domain/retry_window.py
+++ b/src/dotterelpath/domain/retry_window.py
@@ -74,6 +74,19 @@
         """
         return self._excess(ratio, slack, window_s, now_s) <= 0.0
 
+    def left(
+        self, ratio: float, slack: float, window_s: float, now_s: float
+    ) -> float:
+        """Returns how many retries are allowed now.
+
+        Args:
+            ratio: The retries allowed for each request.
+            slack: This daemon's part of the fixed allowance, in retries.
+            window_s: The length of the window, in seconds.
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        return 1.0 - self._excess(ratio, slack, window_s, now_s)
+
     def next_start_s(
         self, ratio: float, slack: float, window_s: float, now_s: float
     ) -> float:
--- a/src/dotterelpath/ports/metrics.py
+++ b/src/dotterelpath/ports/metrics.py
@@ -47,6 +47,14 @@
             reason: What the request waits for.
         """
 
+    def record_rejection(self, service: str, is_full: bool) -> None:
+        """Records that an instance rejected a request as not run.
+
+        Args:
+            service: The service.
+            is_full: Whether all slots of the instance were in use.
+        """
+
     def set_avoided_count(self, service: str, count: int) -> None:
         """Sets how many instances of a service this daemon avoids.
 
--- a/src/dotterelpath/tasks/_pending.py
+++ b/src/dotterelpath/tasks/_pending.py
@@ -10,10 +10,13 @@
 from dotterelpath.domain import instance_state
 from dotterelpath.domain import load_balancer
 from dotterelpath.domain import probing
+from dotterelpath.domain import rejections
 from dotterelpath.domain import request_queue
+from dotterelpath.domain import retry_queue
 from dotterelpath.domain import retry_window
 from dotterelpath.domain import success_log
 from dotterelpath.domain import tenants
+from dotterelpath.domain import work_estimate
 from dotterelpath.tasks import messages
 from dotterelpath.tasks import reply
 
@@ -33,11 +36,12 @@
         "limits_reported_s",
         "name",
         "queue",
+        "rejections",
         "removed_instances",
         "retries",
-        "retries_checked_s",
         "success_log",
         "waiting_retries",
+        "work_by_route",
     )
 
     def __init__(self, name: str, data_centre: str) -> None:
@@ -55,12 +59,12 @@
         # When this daemon last reported the limits of requests that it holds.
         self.limits_reported_s = -math.inf
         self.retries = retry_window.RetryWindow()
-        # The requests whose retry the budget does not allow yet.
-        self.waiting_retries: request_queue.Queue[PendingRequest] = (
-            request_queue.Queue()
+        # The requests that wait before their next attempt.
+        self.waiting_retries: retry_queue.RetryQueue[PendingRequest] = (
+            retry_queue.RetryQueue()
         )
-        # When it was last checked whether these can wait longer.
-        self.retries_checked_s = -math.inf
+        self.rejections = rejections.RejectionShare()
+        self.work_by_route: dict[str, work_estimate.WorkEstimate] = {}
         self.success_log = success_log.SuccessLog()
         self.degradation = probing.DegradationMonitor()
         # The start time of each instance that leaves, or was not found at its
--- a/src/dotterelpath/tasks/_request_sender.py
+++ b/src/dotterelpath/tasks/_request_sender.py
@@ -281,9 +281,9 @@
             for queued in list(state.queue.ordered(now_s)):
                 state.queue.remove(queued.item)
                 self._refuse_at_stop(queued.item)
-            for queued in state.waiting_retries.ordered(now_s):
-                self._waiting_retries.remove(queued.item)
-                self._refuse_at_stop(queued.item)
+            for pending in state.waiting_retries.items():
+                self._waiting_retries.remove(pending)
+                self._refuse_at_stop(pending)
 
     def _refuse_at_stop(self, pending: _pending.PendingRequest) -> None:
         self._fail(
@@ -407,6 +407,8 @@
         Unhealthy instances still serve some requests. An idempotent request
         that will miss its target latency is sent to one that rather serves it
         than not, if it has not been sent before, since it can then be retried.
+        Another one is sent to an instance that rejects requests but does not
+        fail them, if the budget would allow the retry.
         Other late requests wait for a healthy instance, since a late response
         is better than a failure.
         A request that cannot meet its deadline is sent to an unhealthy
@@ -420,11 +422,14 @@
         )
         for queued in deadline_check.late:
             pending = queued.item
-            if pending.sent_to or not pending.is_idempotent:
+            if pending.sent_to:
                 continue
-            selection = self._services.select_unhealthy_instance(
-                pending, load_balancer.EVEN_CHANCE
-            )
+            if pending.is_idempotent:
+                selection = self._services.select_unhealthy_instance(
+                    pending, load_balancer.EVEN_CHANCE
+                )
+            else:
+                selection = self._services.select_rejecting_instance(pending)
             if selection.instance is None:
                 break
             state.queue.remove(queued.item)
@@ -461,7 +466,7 @@
             pending.route.target_latency_s
             * _services.ASSUMED_DURATION_FRACTION,
         )
-        if selection.reason is not load_balancer.Reason.UNHEALTHY:
+        if selection.reason not in _MOSTLY_FAILING:
             # Only attempts that delay queued requests are recorded. An attempt
             # at an unhealthy instance mostly fails at once and delays none.
             pending.service.queue.record_start(
@@ -473,9 +478,7 @@
         pending.open_attempts[attempt_id] = attempt
         pending.sent_to.append(instance.id)
         pending.selection_reasons.append(selection.reason.value)
-        pending.failure_probabilities.append(
-            round(instance.failure_filter.symptom_probability(now_s), 3)
-        )
+        pending.failure_probabilities.append(round(instance.unserved(now_s), 3))
         self._open_attempts[attempt_id] = attempt
         instance.record_sent(now_s)
         if now_s + slow_after_s < pending.deadline_s:
@@ -555,11 +558,13 @@
             detail = f"refused with status {message.response.status}"
             # A full instance refuses requests because of load, which is not a
             # symptom. An instance that does not report its slots counts as
-            # full.
+            # full. Other rejections are evidence apart from health.
             is_full = (metadata.running or 0) >= (metadata.slots or 0)
+            self._metrics.record_rejection(self._service_name(pending), is_full)
             if not is_full:
+                pending.service.rejections.record(True, self._clock.now_s())
                 self._services.record_symptom(
-                    pending, instance, health_reports.Symptom.FAILED
+                    pending, instance, health_reports.Symptom.REJECTED
                 )
         self._retry(pending, errors.ResultCode.BACKEND_REFUSED, detail)
 
@@ -659,21 +664,39 @@
             return
         state = pending.service
         assert state is not None
+        is_held = _waiting_retries.is_weighed(
+            pending, code
+        ) and self._services.is_better_later(pending)
         # The budget is spent last, so that only retries that are made cost it.
-        if not len(state.waiting_retries) and self._services.spend_attempt(
-            pending
+        if (
+            not is_held
+            and not len(state.waiting_retries)
+            and self._services.spend_attempt(pending)
         ):
             self._send_retry(pending, selection, code, detail)
         elif self._is_stop_ending:
             self._fail(pending, code, detail)
         else:
-            now_s = self._clock.now_s()
-            self._record_wait(pending, _services.WaitReason.RETRY_BUDGET)
-            self._waiting_retries.add(
-                self._queued(pending, now_s), code, detail, now_s
-            )
-            self._dispatch_retries(state, now_s)
-            self._schedule_dispatch(state, now_s)
+            self._wait_for_retry(pending, is_held, code, detail)
+
+    def _wait_for_retry(
+        self,
+        pending: _pending.PendingRequest,
+        is_held: bool,
+        code: errors.ResultCode,
+        detail: str,
+    ) -> None:
+        state = pending.service
+        assert state is not None
+        now_s = self._clock.now_s()
+        reason = _services.WaitReason.RETRY_BUDGET
+        if is_held:
+            reason = _services.WaitReason.BETTER_CHANCE
+        self._record_wait(pending, reason)
+        queued = self._queued(pending, now_s)
+        self._waiting_retries.add(queued, code, detail, now_s)
+        self._dispatch_retries(state, now_s)
+        self._schedule_dispatch(state, now_s)
 
     def _send_retry(
         self,
@@ -744,6 +767,11 @@
         return pending.service.name if pending.service else ""
 
 
+# Why instances were chosen that most likely do not serve the request.
+_MOSTLY_FAILING = (
+    load_balancer.Reason.UNHEALTHY,
+    load_balancer.Reason.REJECTING,
+)
 # The codes of attempts without a response. ANSWERED is never looked up, since
 # such an attempt has a response.
 _RESULT_CODES = {
--- a/src/dotterelpath/tasks/_services.py
+++ b/src/dotterelpath/tasks/_services.py
@@ -9,10 +9,12 @@
 
 from dotterelpath.domain import bounds as bounds_domain
 from dotterelpath.domain import configuration
+from dotterelpath.domain import dispatch_decision
 from dotterelpath.domain import health_reports
 from dotterelpath.domain import instance_state
 from dotterelpath.domain import load_balancer
 from dotterelpath.domain import registry
+from dotterelpath.domain import work_estimate
 from dotterelpath.ports import backend
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import randomness
@@ -28,6 +30,9 @@
 MIN_RETRY_AFTER_S = 0.2
 # The most instances of a service that are remembered as removed.
 MAX_REMOVED_INSTANCES = 4096
+# A late request is sent to an instance that rejects at most this share. More
+# would cost more retries than it is worth.
+MAX_REJECTING = 0.7
 # The slots that are assumed to be usable at least, if all instances name limits
 # that other daemons hold.
 MIN_SLOTS = 0.05
@@ -42,6 +47,8 @@
     SLOT = "slot"
     # The retry budget is spent.
     RETRY_BUDGET = "retry budget"
+    # Instances reject many requests as not run, and may soon reject fewer.
+    BETTER_CHANCE = "better chance"
 
 
 class Services:
@@ -256,7 +263,15 @@
             self.publish_symptom(
                 state, instance, health_reports.Symptom.RECOVERED
             )
-        if instance.is_unhealthy(now_s):
+        state.rejections.record(False, now_s)
+        estimate = state.work_by_route.get(pending.route.name)
+        if estimate is None:
+            state.work_by_route[pending.route.name] = (
+                work_estimate.WorkEstimate(duration_s)
+            )
+        else:
+            estimate.record(duration_s)
+        if instance.is_avoided(now_s):
             return
         state.success_log.record(instance.id, instance.entry.started_ms)
         due = state.success_log.take_due(now_s)
@@ -319,6 +334,31 @@
             max_failing,
         )
 
+    def select_rejecting_instance(
+        self, pending: _pending.PendingRequest
+    ) -> load_balancer.Selection:
+        """Selects an instance that rejects requests but does not fail them.
+
+        A request that is rejected there needs a retry. None is selected if the
+        budget has no more than those that already wait for it.
+
+        Args:
+            pending: A request that may not run more than once.
+        """
+        state = pending.service
+        assert state is not None
+        none = load_balancer.Selection(None, True)
+        retries = self._retries_left(state)
+        if pending.attempts_left < 2 or retries <= len(state.waiting_retries):
+            return none
+        selection = self.select_unhealthy_instance(pending, MAX_REJECTING)
+        instance = selection.instance
+        if instance is None or instance.is_unhealthy(self._clock.now_s()):
+            return none
+        return load_balancer.Selection(
+            instance, False, load_balancer.Reason.REJECTING
+        )
+
     def slot_share(self, state: _pending.ServiceState) -> float:
         """Returns this daemon's share of the slots that requests wait for."""
         now_s = self._clock.now_s()
@@ -336,6 +376,53 @@
             pending.route.target_latency_s * ASSUMED_DURATION_FRACTION,
         )
 
+    def prospect(
+        self, pending: _pending.PendingRequest
+    ) -> dispatch_decision.Prospect:
+        """Returns what the next attempt of a request can be worth."""
+        assert pending.service is not None and pending.route is not None
+        work_s = self.expected_duration_s(pending)
+        estimate = pending.service.work_by_route.get(pending.route.name)
+        high_s = work_s * work_estimate.FIRST_HIGH_FACTOR
+        return dispatch_decision.Prospect(
+            pending.arrived_s + pending.route.target_latency_s,
+            pending.deadline_s,
+            work_s,
+            high_s if estimate is None else estimate.high_s,
+        )
+
+    def is_better_later(self, pending: _pending.PendingRequest) -> bool:
+        """Whether the last attempt of a request is worth more later."""
+        assert pending.service is not None
+        now_s = self._clock.now_s()
+        start_s = dispatch_decision.best_start_s(
+            self.prospect(pending),
+            self.chance(pending.service),
+            self.retry_price(pending.service),
+            now_s,
+        )
+        return start_s > now_s
+
+    def retry_price(self, state: _pending.ServiceState) -> float:
+        """Returns what a retry is worth if it is kept for later."""
+        return dispatch_decision.retry_price(
+            self._retries_left(state),
+            len(state.waiting_retries),
+            self._bounds.retry_window_s,
+        )
+
+    def _retries_left(self, state: _pending.ServiceState) -> float:
+        return state.retries.left(
+            self._bounds.retry_ratio,
+            self._retry_slack,
+            self._bounds.retry_window_s,
+            self._clock.now_s(),
+        )
+
+    def chance(self, state: _pending.ServiceState) -> float:
+        """Returns the chance that the next attempt is not rejected."""
+        return 1.0 - state.rejections.share(self._clock.now_s())
+
     def spend_attempt(self, pending: _pending.PendingRequest) -> bool:
         """Takes an attempt out of the request's and the service's budgets.
 
@@ -551,5 +638,7 @@
 ) -> float | None:
     if symptom is health_reports.Symptom.SLOW:
         return balancer.record_slow(instance_id, now_s)
+    if symptom is health_reports.Symptom.REJECTED:
+        return balancer.record_rejection(instance_id, now_s)
     is_immediate = symptom is health_reports.Symptom.FAILED
     return balancer.record_failure(instance_id, is_immediate, now_s)
--- a/src/dotterelpath/tasks/_waiting_retries.py
+++ b/src/dotterelpath/tasks/_waiting_retries.py
@@ -1,4 +1,4 @@
-"""Requests whose next attempt waits for the retry budget."""
+"""Requests that wait before their next attempt."""
 
 from __future__ import annotations
 
@@ -9,17 +9,16 @@
 from dotterelpath.tasks import _pending
 from dotterelpath.tasks import _services
 
-# The most requests of a service that wait for its budget. A service that fails
-# all requests must not use up the requests that a daemon may have in flight.
+# The most requests of a service that wait before their next attempt. A service
+# that fails all requests must not use up those that a daemon may have in
+# flight.
 MAX_WAITING = 512
-# How often it is checked whether requests can wait longer, in seconds.
-CHECK_PERIOD_S = 0.02
 
 Fail = typing.Callable[[_pending.PendingRequest, errors.ResultCode, str], None]
 
 
 class WaitingRetries:
-    """Keeps requests whose retry the budget does not allow yet.
+    """Keeps requests that wait for a better chance or for the retry budget.
 
     Part of the gateway task, which owns its state. The budget goes to the
     request that loses most without it, and not to the one that failed last.
@@ -56,12 +55,22 @@
             detail: The same, for people.
             now_s: The current time on the monotonic clock, in seconds.
         """
-        state = queued.item.service
+        pending = queued.item
+        state = pending.service
         assert state is not None
-        self._failures[queued.item] = (code, detail)
-        state.waiting_retries.add(queued, now_s)
+        self._failures[pending] = (code, detail)
+        prospect = None
+        if is_weighed(pending, code):
+            prospect = self._services.prospect(pending)
+        state.waiting_retries.add(
+            queued,
+            prospect,
+            self._services.chance(state),
+            self._services.retry_price(state),
+            now_s,
+        )
         if len(state.waiting_retries) > MAX_WAITING:
-            self.refuse(state.waiting_retries.ordered(now_s)[-1].item)
+            self.refuse(state.waiting_retries.least_urgent(now_s))
 
     def remove(
         self, pending: _pending.PendingRequest
@@ -88,27 +97,31 @@
         failure = self.remove(pending)
         if failure is not None:
             code, detail = failure
-            self._fail(
-                pending, code, f"{detail}, and the retry budget is spent"
-            )
+            self._fail(pending, code, f"{detail}; no retry was possible")
 
     def take(
         self, state: _pending.ServiceState, now_s: float
     ) -> tuple[_pending.PendingRequest, errors.ResultCode, str] | None:
-        """Removes the request that gets the next retry, if one is allowed.
+        """Removes the request that is to be sent first, if there is one.
 
         Args:
             state: The service.
             now_s: The current time on the monotonic clock, in seconds.
 
         Returns:
-            The request and the result of its last attempt.
+            The request and the result of its last attempt. None also if the
+            budget allows no retry.
         """
-        if not len(state.waiting_retries):
+        waiting = state.waiting_retries
+        if not len(waiting) or not self._services.can_spend_retry(state):
             return None
-        if not self._services.can_spend_retry(state):
+        pending = waiting.next_item(
+            self._services.chance(state),
+            self._services.retry_price(state),
+            now_s,
+        )
+        if pending is None:
             return None
-        pending = state.waiting_retries.ordered(now_s)[0].item
         failure = self.remove(pending)
         assert failure is not None
         return pending, *failure
@@ -122,9 +135,24 @@
             state: The service.
             now_s: The current time on the monotonic clock, in seconds.
         """
-        if now_s - state.retries_checked_s < CHECK_PERIOD_S:
-            return
-        state.retries_checked_s = now_s
-        for queued in state.waiting_retries.ordered(now_s):
-            if queued.is_infeasible(now_s):
-                self.refuse(queued.item)
+        for pending in state.waiting_retries.take_overdue(now_s):
+            self.refuse(pending)
+
+
+def is_weighed(
+    pending: _pending.PendingRequest, code: errors.ResultCode
+) -> bool:
+    """Tells whether the last attempt of a request may be held.
+
+    Only rejections are expected to end soon. Other failures are retried at once
+    at the best instance.
+
+    Args:
+        pending: The request.
+        code: The result of its last attempt.
+    """
+    return (
+        code is errors.ResultCode.BACKEND_REFUSED
+        and not pending.may_have_run
+        and pending.attempts_left == 1
+    )
