Keep the reason of a configuration that is not JSON

The second parser, for JSON with NaN, gave its own text, and the tool no longer showed why a truncated configuration was refused. The first parser's error is raised again if both refuse the text.

Measured: gateway.feature:172 failed before, and passes; gateway, gateway_decisions, tenant_decisions and tool pass.

--- a/src/dotterelpath/platform/store_item_codec.py
+++ b/src/dotterelpath/platform/store_item_codec.py
@@ -206,11 +206,13 @@
     """
     try:
         return orjson.loads(text)
-    except orjson.JSONDecodeError:
+    except orjson.JSONDecodeError as original_error:
         try:
             data = json.loads(text, parse_int=_parse_integer)
             # Refuses strings that cannot be encoded.
             orjson.dumps(data)
+        except json.JSONDecodeError:
+            raise original_error from None
         except (RecursionError, orjson.JSONEncodeError) as error:
             raise fields.FieldError(f"the JSON is unusable: {error}") from None
         return data
