Take requests that are open for long as evidence of a hang

An instance that hangs keeps requests to their deadline.

Routes learn the distribution of their durations. Open requests are judged at five ages: the likelihood of being open so long goes into the failure filter, is reported to peers once the instance counts as unhealthy, and is taken back if the request is served. Idempotent requests are hedged when the expected gain is worth a retry of the window. Idle instances with late requests get no non-idempotent request for coverage.

--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -42,6 +42,13 @@
         # The status of its responses to requests that it has run.
         self.status = 200
         self.is_silent = False
+        # The share of requests that it keeps to their deadline, to respond 504
+        # then.
+        self.hang_rate = 0.0
+        # The spread of the logarithm of durations, and the share of requests
+        # that take five times as long.
+        self.spread = 0.5
+        self.tail_rate = 0.0
         self.running = {}
         self.waiting = collections.deque()
         self.arrivals = []
@@ -209,8 +216,15 @@
         instance.running[message.attempt_id] = message
         if instance.is_silent:
             return
-        work_s = self.random.lognormvariate(0.0, 0.5) * instance.work_s
         now_s = self.clock.time_s - 1000.0
+        if instance.hang_rate and self.random.random() < instance.hang_rate:
+            end_s = message.deadline_s - 1000.0
+            self.schedule(max(now_s, end_s - 0.01), self.finish, message, 504)
+            return
+        work_s = self.random.lognormvariate(0.0, instance.spread)
+        work_s *= instance.work_s
+        if instance.tail_rate and self.random.random() < instance.tail_rate:
+            work_s *= 5.0
         self.schedule(now_s + work_s, self.finish, message, instance.status)
 
     def finish(self, message, status):
--- a/src/dotterelpath/domain/health_filter.py
+++ b/src/dotterelpath/domain/health_filter.py
@@ -54,6 +54,19 @@
     Observation.SLOW: (0.03, IMPAIRED_SYMPTOM_RATE, FAILED_SYMPTOM_RATE),
 }
 
+# The likelihood of an observation in the healthy, impaired and failed state.
+Likelihoods = tuple[float, float, float]
+
+
+# The probability that an open request is not responded to, in each state. That
+# of the healthy state covers the requests there that take far longer than the
+# usual spread; with half of it, healthy instances were avoided twice as often.
+_HANG_RATES = (
+    0.02,
+    IMPAIRED_SYMPTOM_RATE,
+    FAILED_SYMPTOM_RATE,
+)
+
 
 class HealthFilter:
     """A Bayesian filter for the state of an instance.
@@ -112,8 +125,18 @@
             now_s: The time of the observation on the monotonic clock, in
                 seconds.
         """
+        self.weigh(_LIKELIHOODS[observation], now_s)
+
+    def weigh(self, likelihoods: Likelihoods, now_s: float) -> None:
+        """Updates the probabilities with an observation of any kind.
+
+        Args:
+            likelihoods: The likelihood of the observation.
+            now_s: The time of the observation on the monotonic clock, in
+                seconds.
+        """
         impaired, unhealthy = self._predict(now_s)
-        if_healthy, if_impaired, if_failed = _LIKELIHOODS[observation]
+        if_healthy, if_impaired, if_failed = likelihoods
         joint_impaired = impaired * if_impaired
         joint_unhealthy = joint_impaired + (unhealthy - impaired) * if_failed
         evidence = joint_unhealthy + (1.0 - unhealthy) * if_healthy
@@ -121,6 +144,21 @@
         self._unhealthy = joint_unhealthy / evidence
         self._at_s = max(self._at_s, now_s)
 
+    def hang_probability(self, survival: float, now_s: float) -> float:
+        """Returns the probability that an open request shows the symptom.
+
+        Args:
+            survival: The share of requests without the symptom that are open
+                for longer.
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        impaired, unhealthy = self._predict(now_s)
+        states = (1.0 - unhealthy, impaired, unhealthy - impaired)
+        return sum(
+            state * rate / (rate + (1.0 - rate) * survival)
+            for state, rate in zip(states, _HANG_RATES, strict=True)
+        )
+
     def _predict(self, now_s: float) -> tuple[float, float]:
         """Predicts the probabilities at a time after the last observation.
 
@@ -139,3 +177,29 @@
             -RECOVERY_PER_S * elapsed_s
         )
         return impaired, unhealthy
+
+
+def open_likelihoods(before: float, survival: float) -> Likelihoods:
+    """Returns the likelihoods of a request being open for longer.
+
+    A request that shows the symptom is not responded to at all.
+
+    Args:
+        before: The share of requests without the symptom that are open for
+            longer than this one was before.
+        survival: The share of those that are open for longer than it is now.
+    """
+    healthy, impaired, failed = (
+        (rate + (1.0 - rate) * survival) / (rate + (1.0 - rate) * before)
+        for rate in _HANG_RATES
+    )
+    return healthy, impaired, failed
+
+
+def kept_share(elapsed_s: float) -> float:
+    """Returns the share of earlier evidence that a filter has not forgotten.
+
+    Args:
+        elapsed_s: The time since the evidence, in seconds.
+    """
+    return math.exp(-(ONSET_PER_S + RECOVERY_PER_S) * max(0.0, elapsed_s))
--- a/src/dotterelpath/domain/instance_state.py
+++ b/src/dotterelpath/domain/instance_state.py
@@ -18,6 +18,11 @@
 # avoided while the service has healthy instances, even if the request has to
 # wait for one of them.
 UNHEALTHY_THRESHOLD = 0.3
+# An instance at which a request was open for long at most this many seconds ago
+# may hang, if it fails the next request with a higher probability than this.
+# Unhealthy periods last 8 to 13 s.
+LATE_S = 10.0
+MAX_HANG_FAILING = 0.04
 # How often it is checked whether this daemon holds a request limit by now, in
 # seconds.
 LIMIT_CHECK_S = 0.05
@@ -33,6 +38,7 @@
         "freed_to",
         "is_entry_missing",
         "joined_s",
+        "late_s",
         "last_sent_s",
         "peer_load",
         "peer_load_at_s",
@@ -71,6 +77,8 @@
         # When the instance last served a request, here or at a peer, and when
         # it last showed a symptom.
         self.served_s = -math.inf
+        # When a request was last open there for long.
+        self.late_s = -math.inf
         self.symptom_s = -math.inf
 
     @property
@@ -187,6 +195,17 @@
         """
         return self.slow_filter.symptom_probability(now_s) > UNHEALTHY_THRESHOLD
 
+    def may_hang(self, now_s: float) -> bool:
+        """Tells whether a request was open for long that may be a hang.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        return (
+            now_s - self.late_s < LATE_S
+            and self.failing(now_s) > MAX_HANG_FAILING
+        )
+
     def failing(self, now_s: float) -> float:
         """Returns the probability that the instance fails the next request.
 
--- a/src/dotterelpath/domain/load_balancer.py
+++ b/src/dotterelpath/domain/load_balancer.py
@@ -8,6 +8,7 @@
 
 from dotterelpath.domain import health_filter
 from dotterelpath.domain import instance_state
+from dotterelpath.domain import late_evidence
 from dotterelpath.domain import probe_search
 from dotterelpath.domain import probing
 from dotterelpath.domain import ranking
@@ -74,6 +75,7 @@
 
     __slots__ = (
         "_data_centre",
+        "_durations_by_route",
         "_discovery_ends_s",
         "_idle_searched_s",
         "_ids_of_missing_entries",
@@ -104,6 +106,7 @@
         self._probe_search = probe_search.ProbeSearch()
         self._idle_searched_s = -math.inf
         self._typical_by_route_s: dict[str, float] = {}
+        self._durations_by_route: dict[str, late_evidence.Durations] = {}
         self._discovery_ends_s: float | None = None
 
     @property
@@ -219,7 +222,7 @@
             )
             if probe is not None:
                 return Selection(probe, False, Reason.PROBE)
-            idle = self._needed_idle_instance(min_used_share, now_s)
+            idle = self._needed_idle_instance(can_retry, min_used_share, now_s)
             if idle is not None:
                 return Selection(idle, False)
         self._update_ranking(now_s)
@@ -345,6 +348,105 @@
         typical_s = self.typical_s(route, default_s)
         return typical_s * SLOW_FACTOR + SLOW_SLACK_S
 
+    def durations(
+        self, route: str, default_s: float
+    ) -> late_evidence.Durations:
+        """Returns the distribution of the durations of a route's requests.
+
+        Args:
+            route: The route's name.
+            default_s: The typical duration to assume before the first
+                response, in seconds.
+        """
+        found = self._durations_by_route.get(route)
+        if found is None:
+            found = late_evidence.Durations(default_s)
+            self._durations_by_route[route] = found
+        return found
+
+    def record_cancelled(
+        self, route: str, default_s: float, age_s: float
+    ) -> None:
+        """Records a request that took at least some time when it was cancelled.
+
+        Otherwise, hedges would make the typical duration shorter.
+
+        Args:
+            route: The route's name.
+            default_s: The typical duration to assume before the first
+                response, in seconds.
+            age_s: The time, in seconds.
+        """
+        self.durations(route, default_s).record_cancelled(age_s)
+        typical_s = self.typical_s(route, default_s)
+        if typical_s < age_s <= self.slow_after_s(route, default_s):
+            self._typical_by_route_s[route] = typical_s + DURATION_WEIGHT * (
+                age_s - typical_s
+            )
+
+    def record_open(
+        self,
+        instance: instance_state.InstanceState,
+        open_request: late_evidence.OpenRequest,
+        now_s: float,
+    ) -> bool:
+        """Takes the time for which a request is open as evidence, if it is due.
+
+        Args:
+            instance: The instance of the request.
+            open_request: The request.
+            now_s: The current time on the monotonic clock, in seconds.
+
+        Returns:
+            Whether it was due.
+        """
+        likelihoods = open_request.advance(now_s)
+        if likelihoods is None:
+            return False
+        if open_request.is_late:
+            if open_request.late_before_s is None:
+                open_request.late_before_s = instance.late_s
+            instance.late_s = now_s
+        self._weigh(instance, likelihoods, now_s)
+        return True
+
+    def take_back_open(
+        self,
+        instance: instance_state.InstanceState,
+        open_request: late_evidence.OpenRequest,
+        now_s: float,
+    ) -> bool:
+        """Takes back the evidence of a request that was served after all.
+
+        Args:
+            instance: The instance of the request.
+            open_request: The request.
+            now_s: The current time on the monotonic clock, in seconds.
+
+        Returns:
+            Whether there was any.
+        """
+        likelihoods = open_request.take_back(now_s)
+        if likelihoods is None:
+            return False
+        late_before_s = open_request.late_before_s
+        if late_before_s is not None and (
+            instance.late_s == open_request.evidence_s
+        ):
+            # No other request has been found late since.
+            instance.late_s = late_before_s
+        self._weigh(instance, likelihoods, now_s)
+        return True
+
+    def _weigh(
+        self,
+        instance: instance_state.InstanceState,
+        likelihoods: health_filter.Likelihoods,
+        now_s: float,
+    ) -> None:
+        instance.failure_filter.weigh(likelihoods, now_s)
+        self._ranking.update_one(instance, now_s)
+
     def is_immediate(self, route: str, default_s: float, took_s: float) -> bool:
         """Tells whether a response came too fast for any work to be done.
 
@@ -373,6 +475,7 @@
         Returns:
             Whether the instance was considered unhealthy until now.
         """
+        self.durations(route, took_s).record(took_s)
         is_slow = took_s > self.slow_after_s(route, took_s)
         typical_s = self._typical_by_route_s.get(route, took_s)
         if not is_slow:
@@ -515,7 +618,7 @@
         return self._withheld
 
     def _needed_idle_instance(
-        self, min_used_share: float, now_s: float
+        self, can_retry: bool, min_used_share: float, now_s: float
     ) -> instance_state.InstanceState | None:
         """Returns the best idle instance if too many are idle.
 
@@ -531,7 +634,9 @@
         if not probing.are_too_many_idle(idle_times_s, min_used_share):
             return None
         self._update_ranking(now_s)
-        return self._ranking.cheapest_idle(probing.COVERAGE_PERIOD_S, now_s)
+        return self._ranking.cheapest_idle(
+            probing.COVERAGE_PERIOD_S, can_retry, now_s
+        )
 
     def _usable_nearby(
         self, now_s: float
--- a/src/dotterelpath/domain/ranking.py
+++ b/src/dotterelpath/domain/ranking.py
@@ -294,21 +294,24 @@
         return best
 
     def cheapest_idle(
-        self, idle_s: float, now_s: float
+        self, idle_s: float, can_retry: bool, now_s: float
     ) -> instance_state.InstanceState | None:
         """Finds the best instance of this data centre that got no request.
 
-        Unhealthy and slow instances are left out.
+        Unhealthy and slow instances are left out. So are those that may hang,
+        if the request cannot be retried.
 
         Args:
             idle_s: The time without a request, in seconds.
+            can_retry: Whether a failed request can be retried.
             now_s: The current time on the monotonic clock, in seconds.
         """
         self._return_freed(now_s)
         for ranked in self._bands[0].once if self._bands else ():
             instance = ranked.instance
             if (
-                instance.entry.data_centre == self._data_centre
+                (can_retry or not instance.may_hang(now_s))
+                and instance.entry.data_centre == self._data_centre
                 and not instance.is_entry_missing
                 and instance.idle_s(now_s) >= idle_s
                 and instance.has_free_slot(now_s)
--- a/src/dotterelpath/domain/retry_window.py
+++ b/src/dotterelpath/domain/retry_window.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 
 # The share of the allowed retries per request that a daemon makes at most. The
 # rest is a margin for requests and retries that fall into different windows.
@@ -65,6 +66,19 @@
     ) -> bool:
         """Tells whether a retry is allowed.
 
+        Args:
+            ratio: The retries allowed for each request.
+            slack: This daemon's part of the fixed allowance, in retries.
+            window_s: The length of the window, in seconds.
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        return self.used_share(ratio, slack, window_s, now_s) <= 1.0
+
+    def used_share(
+        self, ratio: float, slack: float, window_s: float, now_s: float
+    ) -> float:
+        """Returns the share of the allowance that is used after one more retry.
+
         Args:
             ratio: The retries allowed for each request.
             slack: This daemon's part of the fixed allowance, in retries.
@@ -77,7 +91,7 @@
             USED_RATIO_SHARE * ratio * len(self._requests)
             + USED_SLACK_SHARE * slack
         )
-        return len(self._retries) + 1 <= allowed
+        return (len(self._retries) + 1) / allowed if allowed else math.inf
 
 
 def _drop_before(counted: collections.deque[float], before_s: float) -> None:
--- a/src/dotterelpath/tasks/_pending.py
+++ b/src/dotterelpath/tasks/_pending.py
@@ -8,6 +8,7 @@
 from dotterelpath.domain import configuration
 from dotterelpath.domain import exchange
 from dotterelpath.domain import instance_state
+from dotterelpath.domain import late_evidence
 from dotterelpath.domain import load_balancer
 from dotterelpath.domain import probing
 from dotterelpath.domain import request_queue
@@ -65,7 +66,9 @@
 
     __slots__ = (
         "instance",
+        "is_reported",
         "is_slow",
+        "open_request",
         "pending",
         "sent_s",
         "slow_at_s",
@@ -77,6 +80,7 @@
         instance: instance_state.InstanceState,
         sent_s: float,
         slow_at_s: float,
+        open_request: late_evidence.OpenRequest,
     ) -> None:
         """Creates an open attempt.
 
@@ -86,12 +90,16 @@
             sent_s: When the attempt was sent, on the monotonic clock, in
                 seconds.
             slow_at_s: When the attempt counts as slow, on the same clock.
+            open_request: The evidence that it gives while it is open.
         """
         self.pending = pending
         self.instance = instance
         self.sent_s = sent_s
         self.slow_at_s = slow_at_s
         self.is_slow = False
+        self.open_request = open_request
+        # Whether peers were told that the attempt is open for long.
+        self.is_reported = False
 
 
 class PendingRequest:
--- a/src/dotterelpath/tasks/_request_sender.py
+++ b/src/dotterelpath/tasks/_request_sender.py
@@ -39,6 +39,8 @@
 # How often it is checked whether all queued requests meet their deadline, in
 # seconds.
 DEADLINE_CHECK_PERIOD_S = 0.02
+# How often a hedge is tried again if it was not possible, in seconds.
+HEDGE_RETRY_S = 0.25
 # A retry is made only if at least this much time is left, in seconds.
 MIN_ATTEMPT_S = 0.02
 MIN_ERROR_STATUS = 500
@@ -186,45 +188,70 @@
         if self._streams.cut_off(attempt_id):
             self._backend_pool.force(messages.CancelAttempt(attempt_id, False))
 
-    def on_attempt_slow(
+    def on_attempt_due(
         self, attempt: _pending.OpenAttempt, now_s: float
     ) -> None:
-        """Records that an instance is slow, and hedges the request.
-
-        A hedge is sent if the request is idempotent, has no other open
-        attempt, and the retry budget allows it.
+        """Judges an attempt that is still open, and hedges its request.
 
         Args:
-            attempt: The slow attempt.
+            attempt: The attempt.
             now_s: The monotonic clock, in seconds.
         """
         pending = attempt.pending
         if pending.is_ended or attempt not in pending.open_attempts.values():
             return
-        if now_s < attempt.slow_at_s:
-            return
-        attempt.is_slow = True
-        self._services.record_symptom(
-            pending, attempt.instance, health_reports.Symptom.SLOW
-        )
+        self._services.record_open(attempt, now_s)
+        if now_s >= attempt.slow_at_s and not attempt.is_slow:
+            attempt.is_slow = True
+            self._services.record_symptom(
+                pending, attempt.instance, health_reports.Symptom.SLOW
+            )
+        self._hedge(attempt, now_s)
+        self._judge_later(attempt, now_s)
+
+    def _judge_later(self, attempt: _pending.OpenAttempt, now_s: float) -> None:
+        """Schedules the next time at which an open attempt is judged."""
+        due_s = attempt.open_request.next_step_s
+        if not attempt.is_slow:
+            due_s = min(due_s, attempt.slow_at_s)
+        elif due_s == math.inf and attempt.pending.is_idempotent:
+            due_s = now_s + HEDGE_RETRY_S
+        if due_s < attempt.pending.deadline_s:
+            self._timers.add(due_s, attempt)
+
+    def _hedge(self, attempt: _pending.OpenAttempt, now_s: float) -> None:
+        """Sends a request to a second instance if that is worth a retry.
+
+        The request must be idempotent and have no other open attempt, and the
+        retry budget must allow it. A slow attempt is always worth it.
+        """
+        pending = attempt.pending
         if (
-            pending.is_idempotent
-            and len(pending.open_attempts) == 1
-            and pending.attempts_left
+            not pending.is_idempotent
+            or len(pending.open_attempts) > 1
+            or not pending.attempts_left
         ):
-            selection = self._services.select_instance(pending)
-            if selection.instance is not None and self._services.spend_attempt(
-                pending
-            ):
-                _log.info(
-                    "request hedged",
-                    request_id=pending.request.request_id,
-                    late_at=attempt.instance.id,
-                    waited_ms=round((now_s - attempt.sent_s) * 1000.0, 1),
-                    to=selection.instance.id,
-                )
-                self._metrics.record_retry(self._service_name(pending), True)
-                self._send(pending, selection)
+            return
+        is_worthwhile = self._services.is_hedge_worthwhile
+        if not (attempt.is_slow or is_worthwhile(attempt, 0.0, now_s)):
+            return
+        selection = self._services.select_instance(pending)
+        instance = selection.instance
+        if instance is None or not (
+            attempt.is_slow
+            or is_worthwhile(attempt, instance.failing(now_s), now_s)
+        ):
+            return
+        if self._services.spend_attempt(pending):
+            _log.info(
+                "request hedged",
+                request_id=pending.request.request_id,
+                late_at=attempt.instance.id,
+                waited_ms=round((now_s - attempt.sent_s) * 1000.0, 1),
+                to=instance.id,
+            )
+            self._metrics.record_retry(self._service_name(pending), True)
+            self._send(pending, selection)
 
     def on_attempt_ended(self, message: messages.AttemptEnded) -> None:
         """Handles the end of an attempt.
@@ -430,7 +457,11 @@
                 pending.priority, duration_s, now_s
             )
         attempt = _pending.OpenAttempt(
-            pending, instance, now_s, now_s + slow_after_s
+            pending,
+            instance,
+            now_s,
+            now_s + slow_after_s,
+            self._services.open_request(pending, now_s),
         )
         pending.open_attempts[attempt_id] = attempt
         pending.sent_to.append(instance.id)
@@ -440,8 +471,7 @@
         )
         self._open_attempts[attempt_id] = attempt
         instance.record_sent(now_s)
-        if now_s + slow_after_s < pending.deadline_s:
-            self._timers.add(now_s + slow_after_s, attempt)
+        self._judge_later(attempt, now_s)
         self._backend_pool.force(
             messages.SendAttempt(
                 attempt_id,
@@ -496,6 +526,7 @@
         ):
             self._on_failed_response(pending, attempt, metadata, message)
             return
+        self._services.take_back_open(attempt, now_s)
         self._services.record_success(pending, instance, now_s - attempt.sent_s)
         if not message.is_complete and not pending.is_ended:
             pending.stream_id = message.attempt_id
@@ -685,7 +716,9 @@
             self._backend_pool.force(
                 messages.CancelAttempt(attempt_id, timed_out)
             )
-            if timed_out and not attempt.is_slow:
+            if not timed_out:
+                self._services.record_cancelled(attempt, self._clock.now_s())
+            elif not attempt.is_slow:
                 self._services.record_symptom(
                     pending, instance, health_reports.Symptom.SLOW
                 )
--- a/src/dotterelpath/tasks/gateway.py
+++ b/src/dotterelpath/tasks/gateway.py
@@ -205,7 +205,7 @@
         now_s = self._clock.now_s()
         for item in self._timers.pop_due(now_s):
             if isinstance(item, _pending.OpenAttempt):
-                self._request_sender.on_attempt_slow(item, now_s)
+                self._request_sender.on_attempt_due(item, now_s)
             elif isinstance(item, _pending.ServiceState):
                 self._request_sender.on_dispatch_due(item)
             elif now_s >= item.deadline_s:
