--- a/src/dotterelpath/domain/instance_state.py
+++ b/src/dotterelpath/domain/instance_state.py
@@ -21,6 +21,11 @@
 # The evidence of rejections is dropped when the probability that it stands for
 # is within this margin of that of an instance without observations.
 REJECTION_MARGIN = 0.02
+# An instance at which a request was open for long at most this many seconds ago
+# may hang, if it fails the next request with a higher probability than this.
+# Unhealthy periods last 8 to 13 s.
+LATE_S = 10.0
+MAX_HANG_FAILING = 0.04
 # How often it is checked whether this daemon holds a request limit by now, in
 # seconds.
 LIMIT_CHECK_S = 0.05
@@ -36,6 +41,7 @@
         "freed_to",
         "is_entry_missing",
         "joined_s",
+        "late_s",
         "last_sent_s",
         "peer_load",
         "peer_load_at_s",
@@ -78,6 +84,8 @@
         # When the instance last served a request, here or at a peer, and when
         # it last showed a symptom.
         self.served_s = -math.inf
+        # When a request was last open there for long.
+        self.late_s = -math.inf
         self.symptom_s = -math.inf
 
     @property
@@ -194,6 +202,17 @@
         """
         return self.slow_filter.symptom_probability(now_s) > UNHEALTHY_THRESHOLD
 
+    def may_hang(self, now_s: float) -> bool:
+        """Tells whether a request was open for long that may be a hang.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        return (
+            now_s - self.late_s < LATE_S
+            and self.failing(now_s) > MAX_HANG_FAILING
+        )
+
     def failing(self, now_s: float) -> float:
         """Returns the probability that the instance fails the next request.
 
--- a/src/dotterelpath/domain/retry_window.py
+++ b/src/dotterelpath/domain/retry_window.py
@@ -108,17 +108,37 @@
             return now_s + window_s
         return self._retries[excess - 1] + window_s
 
+    def used_share(
+        self, ratio: float, slack: float, window_s: float, now_s: float
+    ) -> float:
+        """Returns the share of the allowance that is used after one more retry.
+
+        Args:
+            ratio: The retries allowed for each request.
+            slack: This daemon's part of the fixed allowance, in retries.
+            window_s: The length of the window, in seconds.
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        allowed = self._allowed(ratio, slack, window_s, now_s)
+        return (len(self._retries) + 1) / allowed if allowed else math.inf
+
     def _excess(
         self, ratio: float, slack: float, window_s: float, now_s: float
     ) -> float:
         """Returns how many retries too many the next one would be."""
+        allowed = self._allowed(ratio, slack, window_s, now_s)
+        return len(self._retries) + 1 - allowed
+
+    def _allowed(
+        self, ratio: float, slack: float, window_s: float, now_s: float
+    ) -> float:
+        """Returns how many retries the window may have."""
         _drop_before(self._requests, now_s - window_s)
         _drop_before(self._retries, now_s - window_s)
-        allowed = (
+        return (
             USED_RATIO_SHARE * ratio * len(self._requests)
             + USED_SLACK_SHARE * slack
         )
-        return len(self._retries) + 1 - allowed
 
 
 def _drop_before(counted: collections.deque[float], before_s: float) -> None:
