Settle refilled requests of calm tenants only

A hot tenant's copies of the pool looked full between two reports, and daemons then never reported what they took: with simulated daemons, 1.12 of a quota of 100 a second without a burst was used, 64 requests beyond the rule. Reported requests now use up a daemon's part of what flowed in, and nothing counts as refilled while the known demand is above 0.8 of the rate.

--- a/src/dotterelpath/domain/quota_reports.py
+++ b/src/dotterelpath/domain/quota_reports.py
@@ -8,7 +8,7 @@
 PERIOD_S = 0.1
 # The same where less than half of the bytes is left: fewer reports with more
 # entries take fewer bytes.
-SPARING_PERIOD_S = 0.3
+SPARING_PERIOD_S = 0.2
 # The longest time between two reports of a serving daemon, in seconds, if the
 # bytes allow it.
 MIN_HEARTBEAT_S = 0.4
--- a/src/dotterelpath/domain/quota_rules.py
+++ b/src/dotterelpath/domain/quota_rules.py
@@ -7,12 +7,9 @@
 from dotterelpath.domain import quota_peers
 from dotterelpath.domain import tenants
 
-# The parts of the fixed tolerance, and of that in proportion to the quota, that
-# the pool of all daemons holds beside the burst. The rest covers what daemons
-# admit before others know of it, or before they fail: 0.25 seconds of the rate
-# with the usual rule.
-SLACK_PART = 0.85
-OVERSHOOT_PART = 0.5
+# The part of the tolerance that the pool of all daemons holds beside the burst.
+# The rest covers what a daemon admitted but could not report before it failed.
+POOL_PART = 0.9
 # The part of the tolerance that the pool holds after a restart. What was
 # admitted before is not known, and may have used up the pool.
 START_PART = 0.2
@@ -59,12 +56,7 @@
         Args:
             tenant: The tenant.
         """
-        in_proportion = self.tolerance(tenant) - self.slack
-        return (
-            tenant.burst
-            + SLACK_PART * self.slack
-            + OVERSHOOT_PART * in_proportion
-        )
+        return tenant.burst + POOL_PART * self.tolerance(tenant)
 
 
 class Mode(enum.Enum):
--- a/src/dotterelpath/domain/quota_shares.py
+++ b/src/dotterelpath/domain/quota_shares.py
@@ -22,6 +22,11 @@
 # fractions may change by the other.
 NOTABLE_CHANGE = 0.25
 NOTABLE_PART = 0.1
+# A tenant is calm while its demand is below this part of its rate, or if its
+# pool holds what flows in during the time below, in seconds: far more than what
+# daemons take before the others know it.
+CALM_PART = 0.8
+CALM_POOL_S = 4.0
 # A demand below this part of the rate is over.
 OVER_PART = 0.02
 # A daemon forgets a tenant without requests for this time, in seconds. The
@@ -347,6 +352,10 @@
             now_s: The current time on the monotonic clock, in seconds.
         """
         self.sent_s = now_s
+        # What is reported uses up this daemon's part of what flowed in.
+        reported = self._count - self.sent_count
+        self._refilled = max(0.0, self._refilled - reported)
+        self._spent = max(0.0, self._spent - reported)
         self.sent_count = self._count
         self.sent_demand = self.demand(now_s)
         if self.sent_demand < OVER_PART * self._tenant.rate_per_s:
@@ -474,6 +483,13 @@
         """
         own = self._known_demand
         others = self._peer_demand
+        rate_per_s = self._tenant.rate_per_s
+        if own + others > CALM_PART * rate_per_s and (
+            self._rule.pool(self._tenant) < CALM_POOL_S * rate_per_s
+        ):
+            # The others may be taking much that was not reported yet.
+            self._refilled = self._spent = 0.0
+            return
         if own > 0.0:
             part = own / (own + others)
         else:
