Compute once what depends on a quota and on the other daemons

A decision computed the pool, the floor and the fill rate several times. They now change only with the tenant, the rule or the contact with other daemons, and a round examines at most 200 tenants.

--- a/src/dotterelpath/domain/quota_shares.py
+++ b/src/dotterelpath/domain/quota_shares.py
@@ -104,10 +104,14 @@
     """
 
     __slots__ = (
+        "_capacity",
         "_count",
+        "_fill_per_s",
         "_filled_s",
+        "_floor",
         "_level",
         "_mode",
+        "_pool",
         "_refilled",
         "_refunds",
         "_rule",
@@ -115,6 +119,7 @@
         "_settled_count",
         "_settled_demand",
         "_spent",
+        "_standing",
         "_tenant",
         "arrivals",
         "last_request_s",
@@ -130,7 +135,7 @@
         self,
         tenant: tenants.Tenant,
         rule: quota_rules.Rule,
-        mode: quota_rules.Mode,
+        standing: quota_peers.Standing,
         level: float,
         now_s: float,
     ) -> None:
@@ -139,13 +144,12 @@
         Args:
             tenant: The tenant.
             rule: How many of its requests may run.
-            mode: Where this daemon takes tokens from.
+            standing: The contact with the other daemons.
             level: The tokens in the pool.
             now_s: The current time on the monotonic clock, in seconds.
         """
-        self._tenant = tenant
-        self._rule = rule
-        self._mode = mode
+        self._mode = quota_rules.find_mode(standing)
+        self._find_limits(tenant, rule, standing)
         self._level = level
         self._filled_s = now_s
         self._count = 0
@@ -219,31 +223,28 @@
             settled_sequence: The latest own report that all of them have.
             now_s: The current time on the monotonic clock, in seconds.
         """
-        self._tenant = tenant
-        self._rule = rule
+        if (
+            tenant is not self._tenant
+            or rule is not self._rule
+            or standing is not self._standing
+        ):
+            self._find_limits(tenant, rule, standing)
         while self._sent and self._sent[0][0] <= settled_sequence:
             _, count, self._settled_demand = self._sent.popleft()
             self._settled_count = max(self._settled_count, count)
-        mode = quota_rules.find_mode(standing)
-        if mode is not self._mode:
-            self._enter(mode, standing)
         elapsed_s = max(0.0, now_s - self._filled_s)
         self._filled_s = now_s
-        fill_per_s = self._fill_per_s(standing)
-        filled = self._level + elapsed_s * fill_per_s
-        capacity = self._capacity(standing)
+        flow = elapsed_s * self._fill_per_s
+        filled = self._level + flow
         # A debt is bounded, also when the quota is lowered.
-        self._level = max(-rule.pool(tenant), min(capacity, filled))
+        self._level = max(-self._pool, min(self._capacity, filled))
         if self._mode is quota_rules.Mode.MEMBER:
-            self._settle_refilled(
-                elapsed_s * fill_per_s, filled >= capacity, standing
-            )
+            self._settle_refilled(flow, filled >= self._capacity)
 
-    def admit(self, standing: quota_peers.Standing, now_s: float) -> bool:
+    def admit(self, now_s: float) -> bool:
         """Decides on a request, after update.
 
         Args:
-            standing: The contact with the other daemons.
             now_s: The current time on the monotonic clock, in seconds.
 
         Returns:
@@ -256,7 +257,7 @@
             self._sent.clear()
         self.last_request_s = now_s
         self.arrivals.record(now_s, self._tenant.rate_per_s)
-        if self._level < max(1.0, self._needed_level(standing)):
+        if self._level < max(1.0, self._needed_level()):
             self.refusals.record(now_s)
             return False
         self._level -= 1.0
@@ -276,72 +277,60 @@
         self._level += 1.0
         self._refunds += 1
 
-    def retry_after_s(
-        self, standing: quota_peers.Standing, now_s: float, draw: float
-    ) -> float:
+    def retry_after_s(self, now_s: float, draw: float) -> float:
         """Returns when a refused caller should return, in seconds.
 
         This is when there is a token, and then as long as the callers that
         were refused lately would need, one after another.
 
         Args:
-            standing: The contact with the other daemons.
             now_s: The current time on the monotonic clock, in seconds.
             draw: A random number in [0, 1) that spreads the callers.
         """
-        needed = max(1.0, self._needed_level(standing))
-        fill_per_s = self._fill_per_s(standing)
-        own_per_s = fill_per_s * self.fraction(standing)
+        needed = max(1.0, self._needed_level())
+        fill_per_s = self._fill_per_s
+        own_per_s = fill_per_s * self.fraction()
         waiting = self.refusals.per_s(now_s) * AVERAGE_S
         if own_per_s <= 0.0:
             return MAX_RETRY_AFTER_S
         wait_s = max(0.0, needed - self._level) / fill_per_s
         return min(MAX_RETRY_AFTER_S, wait_s + draw * waiting / own_per_s)
 
-    def fraction(self, standing: quota_peers.Standing) -> float:
-        """Returns the part of the pool that this daemon may take.
-
-        Args:
-            standing: The contact with the other daemons.
-        """
-        if self._mode is not quota_rules.Mode.MEMBER or standing.members == 1:
+    def fraction(self) -> float:
+        """Returns the part of the pool that this daemon may take."""
+        if (
+            self._mode is not quota_rules.Mode.MEMBER
+            or self._standing.members == 1
+        ):
             return 1.0
         own = self._known_demand
-        return self._fraction_of(own, own + self._peer_demand, standing)
+        return self._fraction_of(own, own + self._peer_demand)
 
-    def urgency(self, unsent: int, standing: quota_peers.Standing) -> float:
+    def urgency(self, unsent: int) -> float:
         """Returns how soon the others should hear of admitted requests.
 
         Args:
             unsent: The requests that were not reported.
-            standing: The contact with the other daemons.
 
         Returns:
             The part of what may be unsettled that is, or the part of the pool
             by which the others take it for too full.
         """
-        pool = self._rule.pool(self._tenant)
-        error = min(unsent, pool - self._level) / pool
-        unknown = min(unsent, self.unsettled) / self.allowed(standing)
+        error = min(unsent, self._pool - self._level) / self._pool
+        unknown = min(unsent, self.unsettled) / self.allowed()
         return max(error, unknown)
 
-    def is_demand_notable(
-        self, demand: float, standing: quota_peers.Standing
-    ) -> bool:
+    def is_demand_notable(self, demand: float) -> bool:
         """Tells whether other daemons should hear of the own demand at once.
 
         Args:
             demand: The arriving requests a second.
-            standing: The contact with the other daemons.
         """
         change = abs(demand - self.sent_demand)
         if change <= NOTABLE_CHANGE * self.sent_demand:
             return False
         # The floors do not depend on the demand.
-        floor = quota_rules.find_floor(
-            self._rule.pool(self._tenant), standing.members
-        )
-        divided = 1.0 - floor * standing.members
+        divided = 1.0 - self._floor * self._standing.members
         return divided * change > NOTABLE_PART * self._tenant.rate_per_s
 
     def record_sent(self, sequence: int, now_s: float) -> None:
@@ -390,15 +379,9 @@
         Args:
             tokens: How many.
         """
-        pool = self._rule.pool(self._tenant)
-        self._level = max(min(self._level, -pool), self._level - tokens)
+        self._level = max(min(self._level, -self._pool), self._level - tokens)
 
-    def drop_peer(
-        self,
-        peer_id: str,
-        silent_s: float,
-        standing: quota_peers.Standing,
-    ) -> None:
+    def drop_peer(self, peer_id: str, silent_s: float) -> None:
         """Forgets a daemon that has been silent for the time of its reserve.
 
         It may have admitted, without a report, its fraction of the pool until
@@ -407,33 +390,27 @@
         Args:
             peer_id: The daemon.
             silent_s: The time for which it may have used its share, in seconds.
-            standing: The contact with the other daemons.
         """
         peer = self.peers.pop(peer_id, None)
         if peer is None or peer.demand == 0.0:
             return
         total = self._known_demand + self._peer_demand + peer.demand
-        fraction = self._fraction_of(peer.demand, total, standing)
+        fraction = self._fraction_of(peer.demand, total)
         rate_per_s = self._tenant.rate_per_s
-        pool = self._rule.pool(self._tenant)
         used = fraction * (max(0.0, self._level) + rate_per_s * silent_s)
-        self.take(used * quota_rules.pool_part(pool, standing))
-
-    def allowed(self, standing: quota_peers.Standing) -> float:
-        """Returns how many requests may be unsettled.
+        self.take(used * quota_rules.pool_part(self._pool, self._standing))
 
-        Args:
-            standing: The contact with the other daemons.
-        """
+    def allowed(self) -> float:
+        """Returns how many requests may be unsettled."""
         unsettled = self.unsettled
-        return max(1.0, self.fraction(standing) * (self._level + unsettled))
+        return max(1.0, self.fraction() * (self._level + unsettled))
 
-    def _needed_level(self, standing: quota_peers.Standing) -> float:
+    def _needed_level(self) -> float:
         """Returns the level at which the next request may be admitted."""
         unsettled = self.unsettled
         if self._mode is not quota_rules.Mode.MEMBER or unsettled <= 0.0:
             return 1.0
-        return (unsettled + 1.0) / self.fraction(standing) - unsettled
+        return (unsettled + 1.0) / self.fraction() - unsettled
 
     @property
     def _known_demand(self) -> float:
@@ -445,30 +422,34 @@
     def _peer_demand(self) -> float:
         return sum(peer.demand for peer in self.peers.values())
 
-    def _fraction_of(
-        self, demand: float, total: float, standing: quota_peers.Standing
-    ) -> float:
-        floor = quota_rules.find_floor(
-            self._rule.pool(self._tenant), standing.members
-        )
+    def _fraction_of(self, demand: float, total: float) -> float:
         part = demand / total if total > 0.0 else 0.0
-        return floor + (1.0 - floor * standing.members) * part
-
-    def _capacity(self, standing: quota_peers.Standing) -> float:
-        if self._mode is quota_rules.Mode.STRAY:
-            return MAX_STRAY_TOKENS
-        pool = self._rule.pool(self._tenant)
-        return max(1.0, pool * quota_rules.pool_part(pool, standing))
-
-    def _fill_per_s(self, standing: quota_peers.Standing) -> float:
-        if self._mode is quota_rules.Mode.STRAY:
-            return self._tenant.rate_per_s * STRAY_RATE_PART
-        pool = self._rule.pool(self._tenant)
-        return self._tenant.rate_per_s * quota_rules.pool_part(pool, standing)
-
-    def _settle_refilled(
-        self, filled: float, is_full: bool, standing: quota_peers.Standing
+        return self._floor + (1.0 - self._floor * self._standing.members) * part
+
+    def _find_limits(
+        self,
+        tenant: tenants.Tenant,
+        rule: quota_rules.Rule,
+        standing: quota_peers.Standing,
     ) -> None:
+        """Computes what depends on the quota and on the other daemons."""
+        self._tenant = tenant
+        self._rule = rule
+        self._pool = pool = rule.pool(tenant)
+        self._floor = quota_rules.find_floor(pool, standing.members)
+        mode = quota_rules.find_mode(standing)
+        if mode is not self._mode:
+            self._enter(mode)
+        self._standing = standing
+        if mode is quota_rules.Mode.STRAY:
+            self._capacity = MAX_STRAY_TOKENS
+            self._fill_per_s = tenant.rate_per_s * STRAY_RATE_PART
+        else:
+            part = quota_rules.pool_part(pool, standing)
+            self._capacity = max(1.0, pool * part)
+            self._fill_per_s = tenant.rate_per_s * part
+
+    def _settle_refilled(self, filled: float, is_full: bool) -> None:
         """Settles requests whose tokens the pool has got back.
 
         If this copy of the pool is full, the others are as well, and right
@@ -481,22 +462,17 @@
         Args:
             filled: The tokens that have flowed in.
             is_full: Whether the pool is full.
-            standing: The contact with the other daemons.
         """
         own = self._known_demand
         others = self._peer_demand
         rate_per_s = self._tenant.rate_per_s
         if own + others > CALM_PART * rate_per_s and (
-            self._rule.pool(self._tenant) < CALM_POOL_S * rate_per_s
+            self._pool < CALM_POOL_S * rate_per_s
         ):
             # The others may be taking much that was not reported yet.
             self._refilled = self._spent = 0.0
             return
-        if own > 0.0:
-            part = own / (own + others)
-        else:
-            pool = self._rule.pool(self._tenant)
-            part = quota_rules.find_floor(pool, standing.members)
+        part = own / (own + others) if own > 0.0 else self._floor
         self._refilled += filled * part
         if is_full:
             # What was never reported need not be any more.
@@ -511,14 +487,12 @@
         if is_full:
             self._refilled = self._spent = 0.0
 
-    def _enter(
-        self, mode: quota_rules.Mode, standing: quota_peers.Standing
-    ) -> None:
+    def _enter(self, mode: quota_rules.Mode) -> None:
         """Changes where tokens come from, without a gain."""
         unsettled = self.unsettled
-        if self._mode is quota_rules.Mode.MEMBER and standing.members > 1:
+        if self._mode is quota_rules.Mode.MEMBER and self._standing.members > 1:
             # What is left of the fraction; the others may take the rest.
-            left = self.fraction(standing) * (self._level + unsettled)
+            left = self.fraction() * (self._level + unsettled)
             self._level = min(self._level, max(0.0, left - unsettled))
         self._mode = mode
         # Others reserve what a daemon alone or a stray may take.
@@ -542,20 +516,18 @@
     def __init__(
         self,
         share: TenantShare,
-        standing: quota_peers.Standing,
         now_s: float,
     ) -> None:
         """Creates the status.
 
         Args:
             share: This daemon's share of the quota.
-            standing: The contact with the other daemons.
             now_s: The current time on the monotonic clock, in seconds.
         """
         self.tenant = share.tenant
         self.used_per_s = share.used.per_s(now_s)
         self.refused_per_s = share.refusals.per_s(now_s)
-        self.fraction = share.fraction(standing)
+        self.fraction = share.fraction()
         self.level = share.level
         self.mode = share.mode
         self.reports = len(share.peers)
--- a/src/dotterelpath/domain/quotas.py
+++ b/src/dotterelpath/domain/quotas.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 import typing
 
@@ -34,6 +35,8 @@
 # The limit of tenants of which it is kept that they have used up their quota.
 MAX_USED_UP = 4096
 SWEEP_PERIOD_S = 1.0
+# The most tenants that one round examines.
+MAX_EXAMINED = 200
 
 
 class Quotas:
@@ -166,7 +169,7 @@
         ):
             share.refusals.record(now_s)
             return False
-        return share.admit(standing, now_s)
+        return share.admit(now_s)
 
     def refund(self, tenant: tenants.Tenant, now_s: float) -> None:
         """Returns the token of an admitted request that did not run.
@@ -191,7 +194,7 @@
         """
         standing = self._peers.standing(now_s)
         share = self._update(tenant, standing, now_s)
-        wait_s = share.retry_after_s(standing, now_s, draw)
+        wait_s = share.retry_after_s(now_s, draw)
         if share.mode is quota_rules.Mode.STRAY:
             until_s = self._used_up_until_s.get(tenant.name, now_s)
             wait_s = max(wait_s, until_s - now_s)
@@ -340,10 +343,7 @@
             self._shares.values(),
             key=lambda share: -share.arrivals.per_s(now_s),
         )
-        standing = self._peers.standing(now_s)
-        return [
-            quota_shares.TenantStatus(s, standing, now_s) for s in found[:count]
-        ]
+        return [quota_shares.TenantStatus(s, now_s) for s in found[:count]]
 
     def status_of(
         self, tenant: tenants.Tenant, now_s: float
@@ -356,7 +356,7 @@
         """
         standing = self._peers.standing(now_s)
         share = self._update(tenant, standing, now_s)
-        return quota_shares.TenantStatus(share, standing, now_s)
+        return quota_shares.TenantStatus(share, now_s)
 
     def standing(self, now_s: float) -> quota_peers.Standing:
         """Returns the contact with the other daemons.
@@ -411,7 +411,9 @@
             # known.
             tolerance = self._rule.tolerance(tenant)
             level = min(level, quota_rules.START_PART * tolerance)
-        return quota_shares.TenantShare(tenant, self._rule, mode, level, now_s)
+        return quota_shares.TenantShare(
+            tenant, self._rule, standing, level, now_s
+        )
 
     def _observe(self, now_s: float) -> None:
         """Notices pauses of this process, and forgets what is outdated."""
@@ -434,7 +436,7 @@
             self._complete_since_s = now_s
         for peer_id in self._peers.drop_silent(now_s):
             for share in self._shares.values():
-                share.drop_peer(peer_id, self._peers.contact_s, standing)
+                share.drop_peer(peer_id, self._peers.contact_s)
         self._drop_idle(now_s)
 
     def _drop_idle(self, now_s: float) -> None:
@@ -485,7 +487,8 @@
     ) -> list[quota_shares.TenantShare]:
         """Returns the tenants to report, the most urgent first."""
         found = []
-        for name, share in list(self._touched.items()):
+        for name in list(itertools.islice(self._touched, MAX_EXAMINED)):
+            share = self._touched.pop(name)
             share = self._update(
                 self._tenants.get(name, share.tenant), standing, now_s
             )
@@ -493,13 +496,14 @@
             unsent = share.count - share.sent_count
             age_s = now_s - share.sent_s
             is_notable = age_s >= DEMAND_PERIOD_S and share.is_demand_notable(
-                demand, standing
+                demand
             )
             is_over = demand < quota_shares.OVER_PART * share.tenant.rate_per_s
             if is_over and not unsent and share.sent_demand <= 0.0:
-                del self._touched[name]
                 continue
-            urgency = share.urgency(unsent, standing)
+            # The next round begins with those that were not examined.
+            self._touched[name] = share
+            urgency = share.urgency(unsent)
             if (
                 urgency >= MIN_URGENCY
                 or is_notable
