Split the modules of quotas, and keep counts as long as windows

Averages and the use of other daemons, and the announcements, have modules of their own now. A tenant is no longer forgotten within a window, if the settings make that longer than 10 s.

--- a/src/dotterelpath/domain/quota_rules.py
+++ b/src/dotterelpath/domain/quota_rules.py
@@ -23,6 +23,9 @@
 RESERVE_PART = 0.3
 MAX_FLOOR_PART = 0.95
 MIN_TOKENS = 4.0
+# A daemon forgets a tenant without requests after this time at the earliest, in
+# seconds.
+MIN_IDLE_S = 10.0
 
 
 class Rule:
@@ -42,6 +45,14 @@
         self.overshoot = overshoot
         self.slack = slack
 
+    @property
+    def idle_s(self) -> float:
+        """The time after which a tenant without requests is forgotten.
+
+        It is no shorter than the window, in seconds.
+        """
+        return max(MIN_IDLE_S, self.window_s)
+
     def tolerance(self, tenant: tenants.Tenant) -> float:
         """Returns how many requests may run beyond the quota in a window.
 
--- a/src/dotterelpath/domain/quota_shares.py
+++ b/src/dotterelpath/domain/quota_shares.py
@@ -7,17 +7,13 @@
 
 from dotterelpath.domain import quota_peers
 from dotterelpath.domain import quota_rules
+from dotterelpath.domain import quota_uses
 from dotterelpath.domain import tenants
 
 # A daemon that does not serve callers gets single requests. It admits the first
 # of a tenant and then this part of the rate, at most MAX_STRAY_TOKENS at once.
 STRAY_RATE_PART = 0.05
 MAX_STRAY_TOKENS = 2.0
-# Demand and refusals are averaged with this time constant, in seconds.
-AVERAGE_S = 0.8
-# What a daemon admitted before its first report is at most this much, unless
-# its earlier reports were received.
-MAX_FIRST_COUNT = 2
 # A demand is reported at once if it changed by this part of itself, and if the
 # fractions may change by the other.
 NOTABLE_CHANGE = 0.25
@@ -29,69 +25,10 @@
 CALM_POOL_S = 4.0
 # A demand below this part of the rate is over.
 OVER_PART = 0.02
-# A daemon forgets a tenant without requests for this time, in seconds. The
-# rule's windows are shorter.
-IDLE_S = 10.0
-# Demand that is not confirmed for this time is taken for none, in seconds. It
-# is confirmed every four seconds, so that its last report must have been lost.
-DEMAND_TIMEOUT_S = 12.0
-# Counts are kept for this time without a report, in seconds: longer than the
-# daemon that counts keeps them, which then counts from 0 again.
-COUNT_TIMEOUT_S = 30.0
 # Callers are told to return within this time, in seconds.
 MAX_RETRY_AFTER_S = 60.0
 
 
-class PeerUse:
-    """What another daemon reported of a tenant."""
-
-    __slots__ = ("at_s", "count", "demand")
-
-    def __init__(self, demand: float, count: int, at_s: float) -> None:
-        """Creates a report.
-
-        Args:
-            demand: The requests that arrive at the daemon, a second.
-            count: The requests that it has admitted so far.
-            at_s: When this arrived, on the monotonic clock, in seconds.
-        """
-        self.demand = demand
-        self.count = count
-        self.at_s = at_s
-
-
-class Average:
-    """The decaying average of events a second."""
-
-    __slots__ = ("_at_s", "_per_s")
-
-    def __init__(self) -> None:
-        """Creates an average without events."""
-        self._per_s = 0.0
-        self._at_s = 0.0
-
-    def record(self, now_s: float, most_per_s: float = math.inf) -> None:
-        """Counts an event.
-
-        Args:
-            now_s: The current time on the monotonic clock, in seconds.
-            most_per_s: The highest average, so that it falls from there at once
-                when there are fewer events.
-        """
-        self._per_s = min(most_per_s, self.per_s(now_s) + 1.0 / AVERAGE_S)
-        self._at_s = now_s
-
-    def per_s(self, now_s: float) -> float:
-        """Returns the events a second.
-
-        Args:
-            now_s: The current time on the monotonic clock, in seconds.
-        """
-        if self._per_s == 0.0:
-            return 0.0
-        return self._per_s * math.exp((self._at_s - now_s) / AVERAGE_S)
-
-
 class TenantShare:
     """Admits a tenant's requests from the pool that daemons share.
 
@@ -168,10 +105,10 @@
         self.sent_demand = 0.0
         self.sent_s = -math.inf
         self.last_request_s = now_s
-        self.arrivals = Average()
-        self.used = Average()
-        self.refusals = Average()
-        self.peers: dict[str, PeerUse] = {}
+        self.arrivals = quota_uses.Average()
+        self.used = quota_uses.Average()
+        self.refusals = quota_uses.Average()
+        self.peers: dict[str, quota_uses.PeerUse] = {}
 
     @property
     def tenant(self) -> tenants.Tenant:
@@ -250,7 +187,7 @@
         Returns:
             Whether the request may run.
         """
-        if now_s - self.last_request_s > IDLE_S:
+        if now_s - self.last_request_s > self._rule.idle_s:
             # The others have forgotten the count.
             self._count = self.sent_count = 0
             self._settled_count = 0.0
@@ -290,7 +227,7 @@
         needed = max(1.0, self._needed_level())
         fill_per_s = self._fill_per_s
         own_per_s = fill_per_s * self.fraction()
-        waiting = self.refusals.per_s(now_s) * AVERAGE_S
+        waiting = self.refusals.per_s(now_s) * quota_uses.AVERAGE_S
         if own_per_s <= 0.0:
             return MAX_RETRY_AFTER_S
         wait_s = max(0.0, needed - self._level) / fill_per_s
@@ -369,8 +306,8 @@
             now_s: The current time on the monotonic clock, in seconds.
         """
         demand = min(demand, self._tenant.rate_per_s)
-        admitted = added_count(self.peers, peer_id, count, is_known)
-        self.peers[peer_id] = PeerUse(demand, count, now_s)
+        admitted = quota_uses.added_count(self.peers, peer_id, count, is_known)
+        self.peers[peer_id] = quota_uses.PeerUse(demand, count, now_s)
         self.take(admitted)
 
     def take(self, tokens: float) -> None:
@@ -531,36 +468,3 @@
         self.level = share.level
         self.mode = share.mode
         self.reports = len(share.peers)
-
-
-def drop_outdated(peers: dict[str, PeerUse], now_s: float) -> None:
-    """Forgets what other daemons have not confirmed for long.
-
-    Args:
-        peers: The last reports by daemon.
-        now_s: The current time on the monotonic clock, in seconds.
-    """
-    for id, peer in list(peers.items()):
-        if now_s - peer.at_s > COUNT_TIMEOUT_S:
-            del peers[id]
-        elif now_s - peer.at_s > DEMAND_TIMEOUT_S:
-            peer.demand = 0.0
-
-
-def added_count(
-    peers: dict[str, PeerUse], peer_id: str, count: int, is_known: bool
-) -> int:
-    """Returns how many requests a daemon admitted since its last report.
-
-    A daemon that forgot a tenant without requests counts from 0 again.
-
-    Args:
-        peers: The last reports by daemon.
-        peer_id: The daemon.
-        count: The requests that it has admitted so far.
-        is_known: Whether earlier reports of it were received.
-    """
-    last = peers.get(peer_id)
-    if last is None:
-        return count if is_known else min(count, MAX_FIRST_COUNT)
-    return count - last.count if count >= last.count else count
--- a/src/dotterelpath/domain/quotas.py
+++ b/src/dotterelpath/domain/quotas.py
@@ -6,10 +6,12 @@
 import math
 import typing
 
+from dotterelpath.domain import quota_announcements
 from dotterelpath.domain import quota_peers
 from dotterelpath.domain import quota_reports
 from dotterelpath.domain import quota_rules
 from dotterelpath.domain import quota_shares
+from dotterelpath.domain import quota_uses
 from dotterelpath.domain import tenants
 
 # The period with which an entry is repeated, in seconds.
@@ -21,19 +23,12 @@
 # A tenant whose pool is below this part is announced as used up to daemons that
 # do not serve callers.
 USED_UP_PART = 0.5
-# An announcement holds for this time and is repeated in the other, in seconds.
-USED_UP_S = 3.0
-ANNOUNCE_PERIOD_S = 1.0
-# The bytes a second that announcements to all daemons take.
-ANNOUNCE_BYTES_PER_S = 2000.0
 # Nothing is reported after this time without a request of a tenant with a
 # limit, in seconds.
 ACTIVE_S = 60.0
 # A daemon that did nothing for this time was paused, in seconds. It ticks four
 # times in it while quotas are kept.
 PAUSE_S = 1.0
-# The limit of tenants of which it is kept that they have used up their quota.
-MAX_USED_UP = 4096
 SWEEP_PERIOD_S = 1.0
 # The most tenants that one round examines.
 MAX_EXAMINED = 200
@@ -44,14 +39,12 @@
 
     __slots__ = (
         "_active_until_s",
-        "_announced",
-        "_announced_s",
+        "_announcements",
         "_bytes",
         "_complete_since_s",
         "_has_limits",
         "_has_news",
         "_next_report_s",
-        "_other_count",
         "_paid_s",
         "_peers",
         "_reported_s",
@@ -62,7 +55,6 @@
         "_swept_s",
         "_tenants",
         "_touched",
-        "_used_up_until_s",
     )
 
     def __init__(self, rule: quota_rules.Rule, run: int) -> None:
@@ -91,10 +83,7 @@
         self._has_news = False
         # Since when this daemon has heard all others.
         self._complete_since_s = math.inf
-        self._other_count = 0
-        self._announced: frozenset[str] = frozenset()
-        self._announced_s = -math.inf
-        self._used_up_until_s: dict[str, float] = {}
+        self._announcements = quota_announcements.Announcements()
 
     @property
     def rule(self) -> quota_rules.Rule:
@@ -135,7 +124,7 @@
             is_serving: Whether this daemon is one of them.
             other_count: How many daemons do not serve callers.
         """
-        self._other_count = other_count
+        self._announcements.set_receivers(other_count)
         self._peers.set_serving(own_id, serving, is_serving)
 
     def is_active(self, now_s: float) -> bool:
@@ -165,7 +154,7 @@
         self._touched[tenant.name] = share
         if (
             share.mode is quota_rules.Mode.STRAY
-            and self._used_up_until_s.get(tenant.name, -math.inf) > now_s
+            and self._announcements.used_up_s(tenant.name, now_s) > 0.0
         ):
             share.refusals.record(now_s)
             return False
@@ -196,8 +185,8 @@
         share = self._update(tenant, standing, now_s)
         wait_s = share.retry_after_s(now_s, draw)
         if share.mode is quota_rules.Mode.STRAY:
-            until_s = self._used_up_until_s.get(tenant.name, now_s)
-            wait_s = max(wait_s, until_s - now_s)
+            used_up_s = self._announcements.used_up_s(tenant.name, now_s)
+            wait_s = max(wait_s, used_up_s)
         return wait_s
 
     def take_report(self, now_s: float) -> quota_reports.Report | None:
@@ -253,34 +242,16 @@
         Args:
             now_s: The current time on the monotonic clock, in seconds.
         """
-        since_s = now_s - self._announced_s
         standing = self._peers.standing(now_s)
-        if (
-            not standing.is_serving
-            or not self._other_count
-            or since_s < quota_reports.PERIOD_S
-        ):
+        if not standing.is_serving or not self._announcements.is_due(now_s):
             return None
         used_up = [
             name
             for name, share in self._shares.items()
             if self._is_used_up(share, now_s)
         ]
-        is_new = any(name not in self._announced for name in used_up)
-        if not used_up or not (is_new or since_s >= ANNOUNCE_PERIOD_S):
-            return None
-        self._announced = frozenset(used_up)
-        self._announced_s = now_s
-        receivers = max(1.0, self._other_count / standing.members)
-        budget = ANNOUNCE_BYTES_PER_S * ANNOUNCE_PERIOD_S / receivers
-        found: list[str] = []
-        size = 0
-        for name in sorted(used_up, key=lambda n: self._shares[n].level):
-            size += quota_reports.entry_bytes(name)
-            if size > min(quota_reports.MAX_ENTRY_BYTES, max(budget, 80.0)):
-                break
-            found.append(name)
-        return found
+        used_up.sort(key=lambda name: self._shares[name].level)
+        return self._announcements.take(used_up, standing.members, now_s)
 
     def record_announcement(
         self, names: typing.Sequence[str], now_s: float
@@ -291,12 +262,8 @@
             names: The tenants.
             now_s: The current time on the monotonic clock, in seconds.
         """
-        if self._peers.standing(now_s).is_serving:
-            return
-        for name in names[: quota_reports.MAX_ENTRIES]:
-            known = name in self._used_up_until_s
-            if known or len(self._used_up_until_s) < MAX_USED_UP:
-                self._used_up_until_s[name] = now_s + USED_UP_S
+        if not self._peers.standing(now_s).is_serving:
+            self._announcements.record(names, now_s)
 
     def record_report(
         self,
@@ -441,15 +408,13 @@
 
     def _drop_idle(self, now_s: float) -> None:
         for name, share in list(self._shares.items()):
-            quota_shares.drop_outdated(share.peers, now_s)
-            if now_s - share.last_request_s > quota_shares.IDLE_S and not any(
+            quota_uses.drop_outdated(share.peers, self._rule.idle_s, now_s)
+            if now_s - share.last_request_s > self._rule.idle_s and not any(
                 peer.demand for peer in share.peers.values()
             ):
                 del self._shares[name]
                 self._touched.pop(name, None)
-        for name, until_s in list(self._used_up_until_s.items()):
-            if until_s <= now_s:
-                del self._used_up_until_s[name]
+        self._announcements.drop_outdated(now_s)
 
     def _entries(
         self,
