--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -113,3 +113,12 @@
     Given a gateway whose peers are known
     When the caller of a request that was sent to an instance disconnects
     Then its token is not returned
+
+  Scenario: The parts of all sides of any partition add up to the quota
+    Then for 2 to 12 daemons and any sizes of three sides they are at most 1
+
+  Scenario: Reports go to serving daemons, and those of strangers are ignored
+    Given a peer monitor that knows 4 serving daemons and 2 others
+    When it gets a report to send, and reports of a peer and of a stranger
+    Then each other serving daemon gets its own acknowledgement
+    And the gateway gets the report of the peer alone
--- a/features/steps/quota_gateway_steps.py
+++ b/features/steps/quota_gateway_steps.py
@@ -2,17 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest.mock
 
 import behave
 
 from dotterelpath import errors
+from dotterelpath.domain import configuration
 from dotterelpath.domain import exchange
+from dotterelpath.domain import quota_reports
+from dotterelpath.domain import steering
 from dotterelpath.domain import tenants
+from dotterelpath.ports import datagrams
 from dotterelpath.tasks import _quotas
 from dotterelpath.tasks import fleet_events
+from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import messages
+from dotterelpath.tasks import peer_monitor
+from features.support import deployments
 from features.support import gateway_world
+from features.support import world
 
 TENANTS = {
     name: tenants.Tenant(name, None, 2.0, 1.0) for name in ("busy", "calm")
@@ -131,3 +140,103 @@
     status = context.world.gateway.quotas.status(5)
     assert status["tenants"]["busy"]["tokens"] <= context.before, status
     assert exchange.Outcome(errors.ResultCode.CALLER_GONE).is_not_run
+
+
+class Sent:
+    """Keeps the datagrams that a monitor sends, by the receiver's port."""
+
+    def __init__(self):
+        self.by_port = {}
+
+    def send(self, host, port, datagram):
+        self.by_port.setdefault(port, []).append(datagram)
+
+
+@behave.given("a peer monitor that knows 4 serving daemons and 2 others")
+def step_monitor(context):
+    whole = steering.Resources(1.0, 100.0)
+    context.daemons = {
+        f"d{n}": steering.Daemon(
+            f"d{n}", "ab"[n % 2], deployments.REGION, "h", n, "h", n, whole
+        )
+        for n in range(6)
+    }
+    context.gateway_inbox = mailbox.Mailbox("gateway", 1000)
+    monitor = context.monitor = peer_monitor.PeerMonitor(
+        deployments.make("d0", "a", 0, whole),
+        world.FakeClock(),
+        lambda: 0.0,
+        lambda: 0,
+        mailbox.Mailbox("monitor"),
+        context.gateway_inbox,
+        mailbox.Mailbox("store", 1000),
+    )
+    context.sent = Sent()
+    monitor.connect(context.sent)
+
+
+@behave.when(
+    "it gets a report to send, and reports of a peer and of a stranger"
+)
+def step_exchange(context):
+    async def run():
+        monitor = context.monitor
+        monitor.handle(
+            fleet_events.ConfigurationChanged(
+                configuration.Configuration(1, {}, [], gateway_world.LIMITS)
+            )
+        )
+        monitor.handle(fleet_events.DaemonsChanged(context.daemons))
+        context.serving = monitor.fleet_view.serving_ids(1000.0)
+        header = quota_reports.Header(1, 5, 0, ["d1"])
+        report = quota_reports.Report(
+            header, [("t", 1.0, 2)], {f"d{n}": 10 + n for n in range(6)}
+        )
+        monitor.handle(fleet_events.QuotaReportIssued(report))
+        monitor.handle(fleet_events.QuotaUsedUpIssued(["t"]))
+        for sender in ("d1", "stranger"):
+            for datagram in (
+                datagrams.QuotaReportDatagram(sender, header, [("t", 1.0, 2)]),
+                datagrams.QuotaUsedUpDatagram(sender, [sender]),
+            ):
+                monitor.on_datagram("h", 1, datagram)
+
+    asyncio.run(run())
+
+
+@behave.then("each other serving daemon gets its own acknowledgement")
+def step_acknowledged(context):
+    assert len(context.serving) == 4, context.serving
+    acknowledged = {
+        f"d{port}": datagram.header.acknowledged
+        for port, sent in context.sent.by_port.items()
+        for datagram in sent
+        if isinstance(datagram, datagrams.QuotaReportDatagram)
+    }
+    assert acknowledged == {
+        id: 10 + int(id[1:]) for id in context.serving - {"d0"}
+    }, acknowledged
+    told = {
+        f"d{port}"
+        for port, sent in context.sent.by_port.items()
+        for datagram in sent
+        if isinstance(datagram, datagrams.QuotaUsedUpDatagram)
+    }
+    assert told <= context.daemons.keys() - context.serving, told
+
+
+@behave.then("the gateway gets the report of the peer alone")
+def step_from_peer(context):
+    inbox = context.gateway_inbox
+    received = [inbox.poll() for _ in range(len(inbox))]
+    reports = [
+        message.daemon_id
+        for message in received
+        if isinstance(message, fleet_events.QuotaReportReceived)
+    ]
+    names = [
+        message.tenant_names
+        for message in received
+        if isinstance(message, fleet_events.QuotaUsedUpReceived)
+    ]
+    assert (reports, names) == (["d1"], [["d1"]]), (reports, names)
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -8,7 +8,9 @@
 import orjson
 
 from dotterelpath.adapters import datagrams as codec
+from dotterelpath.domain import quota_peers
 from dotterelpath.domain import quota_reports
+from dotterelpath.domain import quota_rules
 from dotterelpath.domain import tenants
 from dotterelpath.ports import datagrams
 from features.support import quota_fleet
@@ -411,3 +413,27 @@
             assert not isinstance(error, OverflowError), change
         else:
             raise AssertionError(change)
+
+
+@behave.then(
+    "for 2 to 12 daemons and any sizes of three sides they are at most 1"
+)
+def step_parts(context):
+    # Guards against a side that uses what it should leave to the others.
+    for members in range(2, 13):
+        for first in range(1, members):
+            for second in range(members - first + 1):
+                sides = [first, second, members - first - second]
+                for pool in (15.0, 100.0, 1000.0):
+                    total = sum(
+                        quota_rules.pool_part(pool, standing(members, size))
+                        for size in sides
+                        if size
+                    )
+                    assert total <= 1.0 + 1e-9, (members, sides, total)
+
+
+def standing(members, size):
+    return quota_peers.Standing(
+        members, size, 2 * size > members, size == 1, True
+    )
