--- a/src/dotterelpath/domain/quota_rules.py
+++ b/src/dotterelpath/domain/quota_rules.py
@@ -7,12 +7,10 @@
 from dotterelpath.domain import quota_peers
 from dotterelpath.domain import tenants
 
-# The parts of the fixed tolerance, and of that in proportion to the quota, that
-# the pool of all daemons holds beside the burst. The rest covers what daemons
-# admit before others know of it, or before they fail: 0.25 seconds of the rate
-# with the usual rule.
-SLACK_PART = 0.85
-OVERSHOOT_PART = 0.5
+# The part of the tolerance that the pool of all daemons holds beside the burst.
+# The rest covers what a daemon admitted but could not report before it failed,
+# and requests that reach instances a moment after they were admitted.
+POOL_PART = 0.8
 # The part of the tolerance that the pool holds after a restart. What was
 # admitted before is not known, and may have used up the pool.
 START_PART = 0.2
@@ -25,6 +23,9 @@
 RESERVE_PART = 0.3
 MAX_FLOOR_PART = 0.95
 MIN_TOKENS = 4.0
+# A daemon forgets a tenant without requests after this time at the earliest, in
+# seconds.
+MIN_IDLE_S = 10.0
 
 
 class Rule:
@@ -44,6 +45,14 @@
         self.overshoot = overshoot
         self.slack = slack
 
+    @property
+    def idle_s(self) -> float:
+        """The time after which a tenant without requests is forgotten.
+
+        It is no shorter than the window, in seconds.
+        """
+        return max(MIN_IDLE_S, self.window_s)
+
     def tolerance(self, tenant: tenants.Tenant) -> float:
         """Returns how many requests may run beyond the quota in a window.
 
@@ -59,12 +68,7 @@
         Args:
             tenant: The tenant.
         """
-        in_proportion = self.tolerance(tenant) - self.slack
-        return (
-            tenant.burst
-            + SLACK_PART * self.slack
-            + OVERSHOOT_PART * in_proportion
-        )
+        return tenant.burst + POOL_PART * self.tolerance(tenant)
 
 
 class Mode(enum.Enum):
--- a/src/dotterelpath/domain/quota_shares.py
+++ b/src/dotterelpath/domain/quota_shares.py
@@ -7,86 +7,28 @@
 
 from dotterelpath.domain import quota_peers
 from dotterelpath.domain import quota_rules
+from dotterelpath.domain import quota_uses
 from dotterelpath.domain import tenants
 
 # A daemon that does not serve callers gets single requests. It admits the first
 # of a tenant and then this part of the rate, at most MAX_STRAY_TOKENS at once.
 STRAY_RATE_PART = 0.05
 MAX_STRAY_TOKENS = 2.0
-# Demand and refusals are averaged with this time constant, in seconds.
-AVERAGE_S = 0.8
-# What a daemon admitted before its first report is at most this much, unless
-# its earlier reports were received.
-MAX_FIRST_COUNT = 2
 # A demand is reported at once if it changed by this part of itself, and if the
 # fractions may change by the other.
 NOTABLE_CHANGE = 0.25
 NOTABLE_PART = 0.1
+# A tenant is calm while its demand is below this part of its rate, or if its
+# pool holds what flows in during the time below, in seconds: far more than what
+# daemons take before the others know it.
+CALM_PART = 0.8
+CALM_POOL_S = 4.0
 # A demand below this part of the rate is over.
 OVER_PART = 0.02
-# A daemon forgets a tenant without requests for this time, in seconds. The
-# rule's windows are shorter.
-IDLE_S = 10.0
-# Demand that is not confirmed for this time is taken for none, in seconds. It
-# is confirmed every four seconds, so that its last report must have been lost.
-DEMAND_TIMEOUT_S = 12.0
-# Counts are kept for this time without a report, in seconds: longer than the
-# daemon that counts keeps them, which then counts from 0 again.
-COUNT_TIMEOUT_S = 30.0
 # Callers are told to return within this time, in seconds.
 MAX_RETRY_AFTER_S = 60.0
 
 
-class PeerUse:
-    """What another daemon reported of a tenant."""
-
-    __slots__ = ("at_s", "count", "demand")
-
-    def __init__(self, demand: float, count: int, at_s: float) -> None:
-        """Creates a report.
-
-        Args:
-            demand: The requests that arrive at the daemon, a second.
-            count: The requests that it has admitted so far.
-            at_s: When this arrived, on the monotonic clock, in seconds.
-        """
-        self.demand = demand
-        self.count = count
-        self.at_s = at_s
-
-
-class Average:
-    """The decaying average of events a second."""
-
-    __slots__ = ("_at_s", "_per_s")
-
-    def __init__(self) -> None:
-        """Creates an average without events."""
-        self._per_s = 0.0
-        self._at_s = 0.0
-
-    def record(self, now_s: float, most_per_s: float = math.inf) -> None:
-        """Counts an event.
-
-        Args:
-            now_s: The current time on the monotonic clock, in seconds.
-            most_per_s: The highest average, so that it falls from there at once
-                when there are fewer events.
-        """
-        self._per_s = min(most_per_s, self.per_s(now_s) + 1.0 / AVERAGE_S)
-        self._at_s = now_s
-
-    def per_s(self, now_s: float) -> float:
-        """Returns the events a second.
-
-        Args:
-            now_s: The current time on the monotonic clock, in seconds.
-        """
-        if self._per_s == 0.0:
-            return 0.0
-        return self._per_s * math.exp((self._at_s - now_s) / AVERAGE_S)
-
-
 class TenantShare:
     """Admits a tenant's requests from the pool that daemons share.
 
@@ -99,10 +41,14 @@
     """
 
     __slots__ = (
+        "_capacity",
         "_count",
+        "_fill_per_s",
         "_filled_s",
+        "_floor",
         "_level",
         "_mode",
+        "_pool",
         "_refilled",
         "_refunds",
         "_rule",
@@ -110,6 +56,7 @@
         "_settled_count",
         "_settled_demand",
         "_spent",
+        "_standing",
         "_tenant",
         "arrivals",
         "last_request_s",
@@ -125,7 +72,7 @@
         self,
         tenant: tenants.Tenant,
         rule: quota_rules.Rule,
-        mode: quota_rules.Mode,
+        standing: quota_peers.Standing,
         level: float,
         now_s: float,
     ) -> None:
@@ -134,13 +81,12 @@
         Args:
             tenant: The tenant.
             rule: How many of its requests may run.
-            mode: Where this daemon takes tokens from.
+            standing: The contact with the other daemons.
             level: The tokens in the pool.
             now_s: The current time on the monotonic clock, in seconds.
         """
-        self._tenant = tenant
-        self._rule = rule
-        self._mode = mode
+        self._mode = quota_rules.find_mode(standing)
+        self._find_limits(tenant, rule, standing)
         self._level = level
         self._filled_s = now_s
         self._count = 0
@@ -159,10 +105,10 @@
         self.sent_demand = 0.0
         self.sent_s = -math.inf
         self.last_request_s = now_s
-        self.arrivals = Average()
-        self.used = Average()
-        self.refusals = Average()
-        self.peers: dict[str, PeerUse] = {}
+        self.arrivals = quota_uses.Average()
+        self.used = quota_uses.Average()
+        self.refusals = quota_uses.Average()
+        self.peers: dict[str, quota_uses.PeerUse] = {}
 
     @property
     def tenant(self) -> tenants.Tenant:
@@ -214,44 +160,41 @@
             settled_sequence: The latest own report that all of them have.
             now_s: The current time on the monotonic clock, in seconds.
         """
-        self._tenant = tenant
-        self._rule = rule
+        if (
+            tenant is not self._tenant
+            or rule is not self._rule
+            or standing is not self._standing
+        ):
+            self._find_limits(tenant, rule, standing)
         while self._sent and self._sent[0][0] <= settled_sequence:
             _, count, self._settled_demand = self._sent.popleft()
             self._settled_count = max(self._settled_count, count)
-        mode = quota_rules.find_mode(standing)
-        if mode is not self._mode:
-            self._enter(mode, standing)
         elapsed_s = max(0.0, now_s - self._filled_s)
         self._filled_s = now_s
-        fill_per_s = self._fill_per_s(standing)
-        filled = self._level + elapsed_s * fill_per_s
-        capacity = self._capacity(standing)
+        flow = elapsed_s * self._fill_per_s
+        filled = self._level + flow
         # A debt is bounded, also when the quota is lowered.
-        self._level = max(-rule.pool(tenant), min(capacity, filled))
+        self._level = max(-self._pool, min(self._capacity, filled))
         if self._mode is quota_rules.Mode.MEMBER:
-            self._settle_refilled(
-                elapsed_s * fill_per_s, filled >= capacity, standing
-            )
+            self._settle_refilled(flow, filled >= self._capacity)
 
-    def admit(self, standing: quota_peers.Standing, now_s: float) -> bool:
+    def admit(self, now_s: float) -> bool:
         """Decides on a request, after update.
 
         Args:
-            standing: The contact with the other daemons.
             now_s: The current time on the monotonic clock, in seconds.
 
         Returns:
             Whether the request may run.
         """
-        if now_s - self.last_request_s > IDLE_S:
+        if now_s - self.last_request_s > self._rule.idle_s:
             # The others have forgotten the count.
             self._count = self.sent_count = 0
             self._settled_count = 0.0
             self._sent.clear()
         self.last_request_s = now_s
         self.arrivals.record(now_s, self._tenant.rate_per_s)
-        if self._level < max(1.0, self._needed_level(standing)):
+        if self._level < max(1.0, self._needed_level()):
             self.refusals.record(now_s)
             return False
         self._level -= 1.0
@@ -271,72 +214,60 @@
         self._level += 1.0
         self._refunds += 1
 
-    def retry_after_s(
-        self, standing: quota_peers.Standing, now_s: float, draw: float
-    ) -> float:
+    def retry_after_s(self, now_s: float, draw: float) -> float:
         """Returns when a refused caller should return, in seconds.
 
         This is when there is a token, and then as long as the callers that
         were refused lately would need, one after another.
 
         Args:
-            standing: The contact with the other daemons.
             now_s: The current time on the monotonic clock, in seconds.
             draw: A random number in [0, 1) that spreads the callers.
         """
-        needed = max(1.0, self._needed_level(standing))
-        fill_per_s = self._fill_per_s(standing)
-        own_per_s = fill_per_s * self.fraction(standing)
-        waiting = self.refusals.per_s(now_s) * AVERAGE_S
+        needed = max(1.0, self._needed_level())
+        fill_per_s = self._fill_per_s
+        own_per_s = fill_per_s * self.fraction()
+        waiting = self.refusals.per_s(now_s) * quota_uses.AVERAGE_S
         if own_per_s <= 0.0:
             return MAX_RETRY_AFTER_S
         wait_s = max(0.0, needed - self._level) / fill_per_s
         return min(MAX_RETRY_AFTER_S, wait_s + draw * waiting / own_per_s)
 
-    def fraction(self, standing: quota_peers.Standing) -> float:
-        """Returns the part of the pool that this daemon may take.
-
-        Args:
-            standing: The contact with the other daemons.
-        """
-        if self._mode is not quota_rules.Mode.MEMBER or standing.members == 1:
+    def fraction(self) -> float:
+        """Returns the part of the pool that this daemon may take."""
+        if (
+            self._mode is not quota_rules.Mode.MEMBER
+            or self._standing.members == 1
+        ):
             return 1.0
         own = self._known_demand
-        return self._fraction_of(own, own + self._peer_demand, standing)
+        return self._fraction_of(own, own + self._peer_demand)
 
-    def urgency(self, unsent: int, standing: quota_peers.Standing) -> float:
+    def urgency(self, unsent: int) -> float:
         """Returns how soon the others should hear of admitted requests.
 
         Args:
             unsent: The requests that were not reported.
-            standing: The contact with the other daemons.
 
         Returns:
             The part of what may be unsettled that is, or the part of the pool
             by which the others take it for too full.
         """
-        pool = self._rule.pool(self._tenant)
-        error = min(unsent, pool - self._level) / pool
-        unknown = min(unsent, self.unsettled) / self.allowed(standing)
+        error = min(unsent, self._pool - self._level) / self._pool
+        unknown = min(unsent, self.unsettled) / self.allowed()
         return max(error, unknown)
 
-    def is_demand_notable(
-        self, demand: float, standing: quota_peers.Standing
-    ) -> bool:
+    def is_demand_notable(self, demand: float) -> bool:
         """Tells whether other daemons should hear of the own demand at once.
 
         Args:
             demand: The arriving requests a second.
-            standing: The contact with the other daemons.
         """
         change = abs(demand - self.sent_demand)
         if change <= NOTABLE_CHANGE * self.sent_demand:
             return False
         # The floors do not depend on the demand.
-        floor = quota_rules.find_floor(
-            self._rule.pool(self._tenant), standing.members
-        )
-        divided = 1.0 - floor * standing.members
+        divided = 1.0 - self._floor * self._standing.members
         return divided * change > NOTABLE_PART * self._tenant.rate_per_s
 
     def record_sent(self, sequence: int, now_s: float) -> None:
@@ -347,6 +278,10 @@
             now_s: The current time on the monotonic clock, in seconds.
         """
         self.sent_s = now_s
+        # What is reported uses up this daemon's part of what flowed in.
+        reported = self._count - self.sent_count
+        self._refilled = max(0.0, self._refilled - reported)
+        self._spent = max(0.0, self._spent - reported)
         self.sent_count = self._count
         self.sent_demand = self.demand(now_s)
         if self.sent_demand < OVER_PART * self._tenant.rate_per_s:
@@ -371,8 +306,8 @@
             now_s: The current time on the monotonic clock, in seconds.
         """
         demand = min(demand, self._tenant.rate_per_s)
-        admitted = added_count(self.peers, peer_id, count, is_known)
-        self.peers[peer_id] = PeerUse(demand, count, now_s)
+        admitted = quota_uses.added_count(self.peers, peer_id, count, is_known)
+        self.peers[peer_id] = quota_uses.PeerUse(demand, count, now_s)
         self.take(admitted)
 
     def take(self, tokens: float) -> None:
@@ -381,15 +316,9 @@
         Args:
             tokens: How many.
         """
-        pool = self._rule.pool(self._tenant)
-        self._level = max(min(self._level, -pool), self._level - tokens)
+        self._level = max(min(self._level, -self._pool), self._level - tokens)
 
-    def drop_peer(
-        self,
-        peer_id: str,
-        silent_s: float,
-        standing: quota_peers.Standing,
-    ) -> None:
+    def drop_peer(self, peer_id: str, silent_s: float) -> None:
         """Forgets a daemon that has been silent for the time of its reserve.
 
         It may have admitted, without a report, its fraction of the pool until
@@ -398,31 +327,27 @@
         Args:
             peer_id: The daemon.
             silent_s: The time for which it may have used its share, in seconds.
-            standing: The contact with the other daemons.
         """
         peer = self.peers.pop(peer_id, None)
         if peer is None or peer.demand == 0.0:
             return
         total = self._known_demand + self._peer_demand + peer.demand
-        fraction = self._fraction_of(peer.demand, total, standing)
+        fraction = self._fraction_of(peer.demand, total)
         rate_per_s = self._tenant.rate_per_s
-        self.take(fraction * (max(0.0, self._level) + rate_per_s * silent_s))
-
-    def allowed(self, standing: quota_peers.Standing) -> float:
-        """Returns how many requests may be unsettled.
+        used = fraction * (max(0.0, self._level) + rate_per_s * silent_s)
+        self.take(used * quota_rules.pool_part(self._pool, self._standing))
 
-        Args:
-            standing: The contact with the other daemons.
-        """
+    def allowed(self) -> float:
+        """Returns how many requests may be unsettled."""
         unsettled = self.unsettled
-        return max(1.0, self.fraction(standing) * (self._level + unsettled))
+        return max(1.0, self.fraction() * (self._level + unsettled))
 
-    def _needed_level(self, standing: quota_peers.Standing) -> float:
+    def _needed_level(self) -> float:
         """Returns the level at which the next request may be admitted."""
         unsettled = self.unsettled
         if self._mode is not quota_rules.Mode.MEMBER or unsettled <= 0.0:
             return 1.0
-        return (unsettled + 1.0) / self.fraction(standing) - unsettled
+        return (unsettled + 1.0) / self.fraction() - unsettled
 
     @property
     def _known_demand(self) -> float:
@@ -434,30 +359,34 @@
     def _peer_demand(self) -> float:
         return sum(peer.demand for peer in self.peers.values())
 
-    def _fraction_of(
-        self, demand: float, total: float, standing: quota_peers.Standing
-    ) -> float:
-        floor = quota_rules.find_floor(
-            self._rule.pool(self._tenant), standing.members
-        )
+    def _fraction_of(self, demand: float, total: float) -> float:
         part = demand / total if total > 0.0 else 0.0
-        return floor + (1.0 - floor * standing.members) * part
-
-    def _capacity(self, standing: quota_peers.Standing) -> float:
-        if self._mode is quota_rules.Mode.STRAY:
-            return MAX_STRAY_TOKENS
-        pool = self._rule.pool(self._tenant)
-        return max(1.0, pool * quota_rules.pool_part(pool, standing))
-
-    def _fill_per_s(self, standing: quota_peers.Standing) -> float:
-        if self._mode is quota_rules.Mode.STRAY:
-            return self._tenant.rate_per_s * STRAY_RATE_PART
-        pool = self._rule.pool(self._tenant)
-        return self._tenant.rate_per_s * quota_rules.pool_part(pool, standing)
-
-    def _settle_refilled(
-        self, filled: float, is_full: bool, standing: quota_peers.Standing
+        return self._floor + (1.0 - self._floor * self._standing.members) * part
+
+    def _find_limits(
+        self,
+        tenant: tenants.Tenant,
+        rule: quota_rules.Rule,
+        standing: quota_peers.Standing,
     ) -> None:
+        """Computes what depends on the quota and on the other daemons."""
+        self._tenant = tenant
+        self._rule = rule
+        self._pool = pool = rule.pool(tenant)
+        self._floor = quota_rules.find_floor(pool, standing.members)
+        mode = quota_rules.find_mode(standing)
+        if mode is not self._mode:
+            self._enter(mode)
+        self._standing = standing
+        if mode is quota_rules.Mode.STRAY:
+            self._capacity = MAX_STRAY_TOKENS
+            self._fill_per_s = tenant.rate_per_s * STRAY_RATE_PART
+        else:
+            part = quota_rules.pool_part(pool, standing)
+            self._capacity = max(1.0, pool * part)
+            self._fill_per_s = tenant.rate_per_s * part
+
+    def _settle_refilled(self, filled: float, is_full: bool) -> None:
         """Settles requests whose tokens the pool has got back.
 
         If this copy of the pool is full, the others are as well, and right
@@ -470,15 +399,17 @@
         Args:
             filled: The tokens that have flowed in.
             is_full: Whether the pool is full.
-            standing: The contact with the other daemons.
         """
         own = self._known_demand
         others = self._peer_demand
-        if own > 0.0:
-            part = own / (own + others)
-        else:
-            pool = self._rule.pool(self._tenant)
-            part = quota_rules.find_floor(pool, standing.members)
+        rate_per_s = self._tenant.rate_per_s
+        if own + others > CALM_PART * rate_per_s and (
+            self._pool < CALM_POOL_S * rate_per_s
+        ):
+            # The others may be taking much that was not reported yet.
+            self._refilled = self._spent = 0.0
+            return
+        part = own / (own + others) if own > 0.0 else self._floor
         self._refilled += filled * part
         if is_full:
             # What was never reported need not be any more.
@@ -493,14 +424,12 @@
         if is_full:
             self._refilled = self._spent = 0.0
 
-    def _enter(
-        self, mode: quota_rules.Mode, standing: quota_peers.Standing
-    ) -> None:
+    def _enter(self, mode: quota_rules.Mode) -> None:
         """Changes where tokens come from, without a gain."""
         unsettled = self.unsettled
-        if self._mode is quota_rules.Mode.MEMBER and standing.members > 1:
+        if self._mode is quota_rules.Mode.MEMBER and self._standing.members > 1:
             # What is left of the fraction; the others may take the rest.
-            left = self.fraction(standing) * (self._level + unsettled)
+            left = self.fraction() * (self._level + unsettled)
             self._level = min(self._level, max(0.0, left - unsettled))
         self._mode = mode
         # Others reserve what a daemon alone or a stray may take.
@@ -524,53 +453,18 @@
     def __init__(
         self,
         share: TenantShare,
-        standing: quota_peers.Standing,
         now_s: float,
     ) -> None:
         """Creates the status.
 
         Args:
             share: This daemon's share of the quota.
-            standing: The contact with the other daemons.
             now_s: The current time on the monotonic clock, in seconds.
         """
         self.tenant = share.tenant
         self.used_per_s = share.used.per_s(now_s)
         self.refused_per_s = share.refusals.per_s(now_s)
-        self.fraction = share.fraction(standing)
+        self.fraction = share.fraction()
         self.level = share.level
         self.mode = share.mode
         self.reports = len(share.peers)
-
-
-def drop_outdated(peers: dict[str, PeerUse], now_s: float) -> None:
-    """Forgets what other daemons have not confirmed for long.
-
-    Args:
-        peers: The last reports by daemon.
-        now_s: The current time on the monotonic clock, in seconds.
-    """
-    for id, peer in list(peers.items()):
-        if now_s - peer.at_s > COUNT_TIMEOUT_S:
-            del peers[id]
-        elif now_s - peer.at_s > DEMAND_TIMEOUT_S:
-            peer.demand = 0.0
-
-
-def added_count(
-    peers: dict[str, PeerUse], peer_id: str, count: int, is_known: bool
-) -> int:
-    """Returns how many requests a daemon admitted since its last report.
-
-    A daemon that forgot a tenant without requests counts from 0 again.
-
-    Args:
-        peers: The last reports by daemon.
-        peer_id: The daemon.
-        count: The requests that it has admitted so far.
-        is_known: Whether earlier reports of it were received.
-    """
-    last = peers.get(peer_id)
-    if last is None:
-        return count if is_known else min(count, MAX_FIRST_COUNT)
-    return count - last.count if count >= last.count else count
