Hold that only a calm tenant's requests need no report

The condition had no scenario that fails without it; simulated fleets no longer reach that state. The new scenario fails with the condition taken out and passes with it.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -122,3 +122,8 @@
     When it gets a report to send, and reports of a peer and of a stranger
     Then each other serving daemon gets its own acknowledgement
     And the gateway gets the report of the peer alone
+
+  Scenario: Only a calm tenant's requests need no report
+    Given a full pool of two daemons, which one of them takes 5 requests from
+    Then it still counts them a second later if the other demands the rate
+    And it counts none of them if the other demands nothing
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -11,6 +11,7 @@
 from dotterelpath.domain import quota_peers
 from dotterelpath.domain import quota_reports
 from dotterelpath.domain import quota_rules
+from dotterelpath.domain import quota_shares
 from dotterelpath.domain import tenants
 from dotterelpath.ports import datagrams
 from features.support import quota_fleet
@@ -437,3 +438,36 @@
     return quota_peers.Standing(
         members, size, 2 * size > members, size == 1, True
     )
+
+
+@behave.given(
+    "a full pool of two daemons, which one of them takes 5 requests from"
+)
+def step_full_pool(context):
+    tenant = tenants.Tenant("t", None, 100.0, 0.0)
+    both = quota_peers.Standing(2, 2, True, False, True)
+
+    def count_later(peer_demand):
+        share = quota_shares.TenantShare(
+            tenant, quota_fleet.RULE, both, 1000.0, 0.0
+        )
+        share.record_peer("s01", peer_demand, 0, True, 0.0)
+        share.update(tenant, quota_fleet.RULE, both, 0, 0.0)
+        assert all(share.admit(0.0) for _ in range(5))
+        share.update(tenant, quota_fleet.RULE, both, 0, 1.0)
+        return share.count
+
+    context.count_later = count_later
+
+
+@behave.then(
+    "it still counts them a second later if the other demands the rate"
+)
+def step_hot_counted(context):
+    # Guards against requests of a hot tenant that are never reported.
+    assert context.count_later(100.0) == 5
+
+
+@behave.then("it counts none of them if the other demands nothing")
+def step_calm_not_counted(context):
+    assert context.count_later(0.0) == 0
