--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -83,6 +83,9 @@
         self.instances = {
             f"i{n}": Instance(f"i{n}", slots, work_s) for n in range(instances)
         }
+        # The work of requests by the prefix of their path, where it is not
+        # that of the instance, in seconds.
+        self.work_s_by_path = {}
         self.attempts = {}
         self.sent = {}
         self.outcomes = {}
@@ -227,8 +230,9 @@
             end_s = message.deadline_s - 1000.0
             self.schedule(max(now_s, end_s - 0.01), self.finish, message, 504)
             return
-        work_s = self.random.lognormvariate(0.0, instance.spread)
-        work_s *= instance.work_s
+        prefix = message.request.path.rpartition("/")[0]
+        mean_s = self.work_s_by_path.get(prefix, instance.work_s)
+        work_s = self.random.lognormvariate(0.0, instance.spread) * mean_s
         if instance.tail_rate and self.random.random() < instance.tail_rate:
             work_s *= 5.0
         self.schedule(now_s + work_s, self.finish, message, instance.status)
--- a/src/dotterelpath/adapters/metrics.py
+++ b/src/dotterelpath/adapters/metrics.py
@@ -43,6 +43,7 @@
         "_overhead",
         "_quota_refusals",
         "_refused_tenants",
+        "_refusals",
         "_registry",
         "_rejections",
         "_requests",
@@ -65,6 +66,9 @@
         )
         self._requests = self._counter("requests", "Requests by result.")
         self._retries = self._counter("retries", "Further tries.")
+        self._refusals = self._counter(
+            "refusals", "Requests refused that were not run."
+        )
         self._rejections = self._counter(
             "rejections", "Attempts that instances rejected as not run."
         )
@@ -119,6 +123,10 @@
         """Records that a request waits; see metrics.Metrics."""
         self._waits.inc({"service": service, "reason": reason})
 
+    def record_refusal(self, service: str, reason: str) -> None:
+        """Records a refused request; see metrics.Metrics."""
+        self._refusals.inc({"service": service, "reason": reason})
+
     def record_rejection(self, service: str, is_full: bool) -> None:
         """Records a rejected attempt; see metrics.Metrics."""
         reason = "full" if is_full else "below full"
