Move late attempts to a module and stop futile hedges

A hedge that cannot end before a stop does was counted as a retry each time it was tried again: 5 retries in 3.5 s in the new scenario, none of them sent. It is now given up before it is counted.

The judging of late attempts moves from the services to a module of the gateway task, and feeds the filter in one place.

--- a/features/late_evidence.feature
+++ b/features/late_evidence.feature
@@ -28,6 +28,13 @@
     When all hang on 75 % from second 2 to 20 at 15 requests a second
     Then no window of 10 seconds has more retries than a fifth and the slack
 
+  # A hedge that cannot end before the stop does is not sent. Trying it again
+  # must not cost the retries of other requests.
+  Scenario: Hedges that a stop prevents cost no retry
+    Given 6 simulated instances of 3 slots, and idempotent requests
+    When all hang, and a stop begins that ends before another attempt would
+    Then no retry is counted
+
   Scenario: Evidence is shared while a request is open, and taken back
     Given a simulated instance that has served 100 bookings in 250 ms each
     When two bookings at it are open for 1.5 seconds
--- a/features/steps/late_evidence_steps.py
+++ b/features/steps/late_evidence_steps.py
@@ -9,6 +9,7 @@
 
 from dotterelpath.domain import health_reports
 from dotterelpath.domain import late_evidence
+from dotterelpath.tasks import events
 from dotterelpath.tasks import fleet_events
 from features.support import gateway_world
 from features.support import hanging
@@ -83,6 +84,24 @@
     world.run(end + 10.0)
 
 
+@behave.when(
+    "all hang, and a stop begins that ends before another attempt would"
+)
+def step_stop(context):
+    world = context.world
+    for instance in world.instances.values():
+        instance.is_silent = True
+    world.send_request("/w/1", 4.0)
+    world.gateway.handle(events.StopBegan(world.clock.now_s() + 0.2))
+    world.run(3.5)
+
+
+@behave.then("no retry is counted")
+def step_no_retry(context):
+    (service,) = context.world.gateway.services.values()
+    assert service.retries.retries == 0, service.retries.retries
+
+
 @behave.given(
     "a simulated instance that has served 100 bookings in 250 ms each"
 )
--- a/src/dotterelpath/domain/late_evidence.py
+++ b/src/dotterelpath/domain/late_evidence.py
@@ -12,6 +12,7 @@
 import math
 
 from dotterelpath.domain import health_filter
+from dotterelpath.domain import instance_state
 
 # The spread of the logarithm of durations that is assumed at first, and the
 # responses that the assumption is worth. Services have spreads of 0.3 to 0.8.
@@ -125,10 +126,10 @@
 
     __slots__ = (
         "_durations",
+        "_evidence_s",
+        "_late_before_s",
         "_sent_s",
         "_step",
-        "evidence_s",
-        "late_before_s",
         "survival",
     )
 
@@ -143,18 +144,13 @@
         self._sent_s = sent_s
         self._step = 0
         # When it last gave evidence, on the monotonic clock, in seconds.
-        self.evidence_s = sent_s
+        self._evidence_s = sent_s
         # When another request was last late at the instance before this one
         # was; None until it is.
-        self.late_before_s: float | None = None
+        self._late_before_s: float | None = None
         # The share of healthy requests that are open for longer.
         self.survival = 1.0
 
-    @property
-    def is_late(self) -> bool:
-        """Whether few healthy requests are open for so long."""
-        return self.survival <= LATE_SURVIVAL
-
     @property
     def next_step_s(self) -> float:
         """When the request is judged next; infinite after the last step."""
@@ -162,34 +158,60 @@
             return math.inf
         return self._sent_s + self._durations.step_s(self._step)
 
-    def advance(self, now_s: float) -> health_filter.Likelihoods | None:
-        """Returns the evidence since the last step, if a step is due.
+    def advance(
+        self, instance: instance_state.InstanceState, now_s: float
+    ) -> bool:
+        """Gives the evidence since the last step, if a step is due.
 
         Args:
+            instance: The instance of the request.
             now_s: The current time on the monotonic clock, in seconds.
+
+        Returns:
+            Whether a step was due.
         """
         if now_s < self.next_step_s:
-            return None
+            return False
         while now_s >= self.next_step_s:
             self._step += 1
         before = self.survival
         self.survival = min(before, self._durations.survival(self.age_s(now_s)))
-        self.evidence_s = now_s
-        return health_filter.open_likelihoods(before, self.survival)
+        self._evidence_s = now_s
+        if self.survival <= LATE_SURVIVAL:
+            if self._late_before_s is None:
+                self._late_before_s = instance.late_s
+            instance.late_s = now_s
+        instance.failure_filter.weigh(
+            health_filter.open_likelihoods(before, self.survival), now_s
+        )
+        return True
 
-    def take_back(self, now_s: float) -> health_filter.Likelihoods | None:
-        """Returns the opposite of the evidence so far, if there is any.
+    def take_back(
+        self, instance: instance_state.InstanceState, now_s: float
+    ) -> bool:
+        """Gives the opposite of the evidence so far, if there is any.
 
         Args:
+            instance: The instance of the request, which was served after all.
             now_s: The current time on the monotonic clock, in seconds.
+
+        Returns:
+            Whether there was any.
         """
         if self.survival == 1.0:
-            return None
-        kept = health_filter.kept_share(now_s - self.evidence_s)
+            return False
+        kept = health_filter.kept_share(now_s - self._evidence_s)
         given = health_filter.open_likelihoods(1.0, self.survival)
         self.survival = 1.0
+        if (
+            self._late_before_s is not None
+            and instance.late_s == self._evidence_s
+        ):
+            # No other request has been found late since.
+            instance.late_s = self._late_before_s
         healthy, impaired, failed = (x**-kept for x in given)
-        return healthy, impaired, failed
+        instance.failure_filter.weigh((healthy, impaired, failed), now_s)
+        return True
 
     def age_s(self, now_s: float) -> float:
         """Returns how long the request is open, in seconds.
--- a/src/dotterelpath/domain/load_balancer.py
+++ b/src/dotterelpath/domain/load_balancer.py
@@ -384,67 +384,15 @@
                 age_s - typical_s
             )
 
-    def record_open(
-        self,
-        instance: instance_state.InstanceState,
-        open_request: late_evidence.OpenRequest,
-        now_s: float,
-    ) -> bool:
-        """Takes the time for which a request is open as evidence, if it is due.
-
-        Args:
-            instance: The instance of the request.
-            open_request: The request.
-            now_s: The current time on the monotonic clock, in seconds.
-
-        Returns:
-            Whether it was due.
-        """
-        likelihoods = open_request.advance(now_s)
-        if likelihoods is None:
-            return False
-        if open_request.is_late:
-            if open_request.late_before_s is None:
-                open_request.late_before_s = instance.late_s
-            instance.late_s = now_s
-        self._weigh(instance, likelihoods, now_s)
-        return True
-
-    def take_back_open(
-        self,
-        instance: instance_state.InstanceState,
-        open_request: late_evidence.OpenRequest,
-        now_s: float,
-    ) -> bool:
-        """Takes back the evidence of a request that was served after all.
+    def rank_again(
+        self, instance: instance_state.InstanceState, now_s: float
+    ) -> None:
+        """Ranks an instance again after evidence of an open request.
 
         Args:
-            instance: The instance of the request.
-            open_request: The request.
+            instance: The instance.
             now_s: The current time on the monotonic clock, in seconds.
-
-        Returns:
-            Whether there was any.
         """
-        likelihoods = open_request.take_back(now_s)
-        if likelihoods is None:
-            return False
-        late_before_s = open_request.late_before_s
-        if late_before_s is not None and (
-            instance.late_s == open_request.evidence_s
-        ):
-            # No other request has been found late since.
-            instance.late_s = late_before_s
-        self._weigh(instance, likelihoods, now_s)
-        return True
-
-    def _weigh(
-        self,
-        instance: instance_state.InstanceState,
-        likelihoods: health_filter.Likelihoods,
-        now_s: float,
-    ) -> None:
-        instance.failure_filter.weigh(likelihoods, now_s)
         self._ranking.update_one(instance, now_s)
 
     def is_immediate(self, route: str, default_s: float, took_s: float) -> bool:
--- a/src/dotterelpath/tasks/_request_sender.py
+++ b/src/dotterelpath/tasks/_request_sender.py
@@ -22,6 +22,7 @@
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import metrics as metrics_port
 from dotterelpath.ports import timers as timers_port
+from dotterelpath.tasks import _late_attempts
 from dotterelpath.tasks import _pending
 from dotterelpath.tasks import _services
 from dotterelpath.tasks import _streams
@@ -63,6 +64,7 @@
         "_clock",
         "_finish",
         "_is_stop_ending",
+        "_late_attempts",
         "_metrics",
         "_open_attempts",
         "_read_metadata",
@@ -99,6 +101,7 @@
             finish: Ends a request with an outcome.
         """
         self._services = services
+        self._late_attempts = _late_attempts.LateAttempts(services)
         self._read_metadata = read_metadata
         self._clock = clock
         self._timers = timers
@@ -200,7 +203,7 @@
         pending = attempt.pending
         if pending.is_ended or attempt not in pending.open_attempts.values():
             return
-        self._services.record_open(attempt, now_s)
+        self._late_attempts.record_open(attempt, now_s)
         if now_s >= attempt.slow_at_s and not attempt.is_slow:
             attempt.is_slow = True
             self._services.record_symptom(
@@ -232,7 +235,10 @@
             or not pending.attempts_left
         ):
             return
-        is_worthwhile = self._services.is_hedge_worthwhile
+        duration_s = self._services.expected_duration_s(pending)
+        if now_s + duration_s > self._stop_end_s:
+            return
+        is_worthwhile = self._late_attempts.is_hedge_worthwhile
         if not (attempt.is_slow or is_worthwhile(attempt, 0.0, now_s)):
             return
         selection = self._services.select_instance(pending)
@@ -461,7 +467,7 @@
             instance,
             now_s,
             now_s + slow_after_s,
-            self._services.open_request(pending, now_s),
+            self._late_attempts.open_request(pending, now_s),
         )
         pending.open_attempts[attempt_id] = attempt
         pending.sent_to.append(instance.id)
@@ -526,7 +532,7 @@
         ):
             self._on_failed_response(pending, attempt, metadata, message)
             return
-        self._services.take_back_open(attempt, now_s)
+        self._late_attempts.take_back(attempt, now_s)
         self._services.record_success(pending, instance, now_s - attempt.sent_s)
         if not message.is_complete and not pending.is_ended:
             pending.stream_id = message.attempt_id
@@ -717,7 +723,9 @@
                 messages.CancelAttempt(attempt_id, timed_out)
             )
             if not timed_out:
-                self._services.record_cancelled(attempt, self._clock.now_s())
+                self._late_attempts.record_cancelled(
+                    attempt, self._clock.now_s()
+                )
             elif not attempt.is_slow:
                 self._services.record_symptom(
                     pending, instance, health_reports.Symptom.SLOW
--- a/src/dotterelpath/tasks/_services.py
+++ b/src/dotterelpath/tasks/_services.py
@@ -9,9 +9,7 @@
 from dotterelpath.domain import bounds as bounds_domain
 from dotterelpath.domain import configuration
 from dotterelpath.domain import health_reports
-from dotterelpath.domain import hedging
 from dotterelpath.domain import instance_state
-from dotterelpath.domain import late_evidence
 from dotterelpath.domain import load_balancer
 from dotterelpath.domain import registry
 from dotterelpath.ports import backend
@@ -358,6 +356,16 @@
             self._clock.now_s(),
         )
 
+    def used_retry_share(self, pending: _pending.PendingRequest) -> float:
+        """Returns the share of the retry budget that is used after a retry."""
+        assert pending.service is not None
+        return pending.service.retries.used_share(
+            self._bounds.retry_ratio,
+            self._retry_slack,
+            self._bounds.retry_window_s,
+            self._clock.now_s(),
+        )
+
     @property
     def _retry_slack(self) -> float:
         """This daemon's share of the fixed allowance, in retries per window."""
@@ -416,129 +424,6 @@
         if not is_local:
             self.publish_symptom(state, instance, symptom)
 
-    def record_open(self, attempt: _pending.OpenAttempt, now_s: float) -> None:
-        """Takes the time for which an attempt is open as evidence.
-
-        Other daemons are told once the instance counts as unhealthy.
-
-        Args:
-            attempt: The attempt.
-            now_s: The current time on the monotonic clock, in seconds.
-        """
-        state = attempt.pending.service
-        assert state is not None
-        instance = attempt.instance
-        if not state.balancer.record_open(
-            instance, attempt.open_request, now_s
-        ):
-            return
-        if attempt.is_reported or not instance.is_unhealthy(now_s):
-            return
-        attempt.is_reported = True
-        state.success_log.discard(instance.id)
-        _log.info(
-            "instance may hang",
-            request_id=attempt.pending.request.request_id,
-            service=state.name,
-            instance=instance.id,
-            open_ms=round(attempt.open_request.age_s(now_s) * 1000.0, 1),
-            chance=round(instance.failing(now_s), 3),
-        )
-        self.publish_symptom(
-            state, instance, health_reports.Symptom.FAILED_LATE
-        )
-
-    def take_back_open(
-        self, attempt: _pending.OpenAttempt, now_s: float
-    ) -> None:
-        """Takes back the evidence of an attempt that was served after all.
-
-        Args:
-            attempt: The attempt.
-            now_s: The current time on the monotonic clock, in seconds.
-        """
-        state = attempt.pending.service
-        assert state is not None
-        had_evidence = state.balancer.take_back_open(
-            attempt.instance, attempt.open_request, now_s
-        )
-        if had_evidence and attempt.is_reported:
-            self.publish_symptom(
-                state, attempt.instance, health_reports.Symptom.RECOVERED
-            )
-
-    def record_cancelled(
-        self, attempt: _pending.OpenAttempt, now_s: float
-    ) -> None:
-        """Records how long an attempt took at least that was cancelled.
-
-        Args:
-            attempt: The attempt; another one of the request was served.
-            now_s: The current time on the monotonic clock, in seconds.
-        """
-        pending = attempt.pending
-        assert pending.service is not None and pending.route is not None
-        if not attempt.instance.is_unhealthy(now_s):
-            pending.service.balancer.record_cancelled(
-                pending.route.name,
-                pending.route.target_latency_s * ASSUMED_DURATION_FRACTION,
-                attempt.open_request.age_s(now_s),
-            )
-
-    def open_request(
-        self, pending: _pending.PendingRequest, now_s: float
-    ) -> late_evidence.OpenRequest:
-        """Returns the evidence of a request that is sent now.
-
-        Args:
-            pending: The request.
-            now_s: The current time on the monotonic clock, in seconds.
-        """
-        return late_evidence.OpenRequest(self._durations(pending), now_s)
-
-    def _durations(
-        self, pending: _pending.PendingRequest
-    ) -> late_evidence.Durations:
-        assert pending.service is not None and pending.route is not None
-        return pending.service.balancer.durations(
-            pending.route.name,
-            pending.route.target_latency_s * ASSUMED_DURATION_FRACTION,
-        )
-
-    def is_hedge_worthwhile(
-        self,
-        attempt: _pending.OpenAttempt,
-        other_failing: float,
-        now_s: float,
-    ) -> bool:
-        """Tells whether a second attempt gains enough for a retry.
-
-        Args:
-            attempt: The attempt that is open.
-            other_failing: The probability that the second one fails.
-            now_s: The current time on the monotonic clock, in seconds.
-        """
-        pending = attempt.pending
-        assert pending.service is not None and pending.route is not None
-        target_s = pending.arrived_s + pending.route.target_latency_s
-        gain = hedging.gain(
-            attempt.open_request,
-            attempt.instance.failure_filter.hang_probability(
-                attempt.open_request.survival, now_s
-            ),
-            other_failing,
-            target_s - now_s,
-            pending.deadline_s - now_s,
-            now_s,
-        )
-        used_share = pending.service.retries.used_share(
-            self._bounds.retry_ratio,
-            self._retry_slack,
-            self._bounds.retry_window_s,
-            now_s,
-        )
-        return gain >= hedging.price(used_share)
-
     def record_leaving(
         self,
         state: _pending.ServiceState,
