Add tests with clients that nobody controls

The scenarios start real daemons with 100 MB of memory and 260 descriptors in their settings and a small crowd on each listening address, and check that the process lives, that its memory and descriptors stay within the settings, and that an ordinary request is served afterwards.

--- a/features/environment.py
+++ b/features/environment.py
@@ -124,6 +124,8 @@
         behave.use_fixture(fleet, context)
     elif tag == "fixture.gateway":
         behave.use_fixture(gateway, context)
+    elif tag == "fixture.lone_gateway":
+        behave.use_fixture(gateway, context, daemons=1)
     elif tag == "fixture.gateway_pair":
         behave.use_fixture(gateway, context, daemons=6)
     elif tag == "fixture.gateway_followers":
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -26,6 +26,7 @@
 }
 MAX_BODY_BYTES = 65536
 MEMORY_MB = 300
+MAX_FDS = 4096
 # The store has a port for each daemon, so that it can turn single ones away.
 MAX_GATEWAYS = 64
 SLOTS = 4  # Requests that an instance runs at the same time.
@@ -80,6 +81,7 @@
         "instance_epoch",
         "instances",
         "max_body_bytes",
+        "max_fds",
         "memory_mb",
         "store_ports",
         "version",
@@ -100,6 +102,7 @@
         self.instance_epoch = 1
         self.version = 0
         self.max_body_bytes = MAX_BODY_BYTES
+        self.max_fds = MAX_FDS
         self.memory_mb = MEMORY_MB
         self.store_ports = fleet.free_ports(MAX_GATEWAYS)
 
@@ -160,6 +163,7 @@
         self.set_store_faults()
         self.bounds = dict(BOUNDS)
         self.max_body_bytes = MAX_BODY_BYTES
+        self.max_fds = MAX_FDS
         self.memory_mb = MEMORY_MB
         self.instance_epoch += 1
         for instance_id in self.instances:
@@ -260,6 +264,7 @@
                 "cpu_share": 0.9,
                 "cores": 1,
                 "memory_mb": self.memory_mb,
+                "max_fds": self.max_fds,
                 "link_mbps": 1000,
             },
             "bounds": [f"{name}={v}" for name, v in self.bounds.items()],
--- a/standins/instance.py
+++ b/standins/instance.py
@@ -38,6 +38,7 @@
             connection; of a negative number, all but so many.
         truncate: Sends fewer bytes than the content length.
         late: Sends a response to another request before the right one.
+        body_bytes: Makes the body this much longer, in bytes.
         endless: Sends a body without end, until the connection is closed.
         unframed: Sends a response without a content length.
         unsigned: Leaves out the signature.
@@ -143,6 +144,8 @@
         if self._mode.get("endless"):
             await self._send_without_end(connection, request_id, b"200 OK")
         data = {"instance": self._id, "target": request.target}
+        if "body_bytes" in self._mode:
+            data["padding"] = "x" * self._mode["body_bytes"]
         return self._respond_in_mode(connection, request_id, data)
 
     async def _send_without_end(
