--- a/features/steps/hostile_steps.py
+++ b/features/steps/hostile_steps.py
@@ -9,12 +9,16 @@
 
 from dotterelpath.adapters import clock as clock_adapter
 from dotterelpath.adapters import h11_backend
+from dotterelpath.adapters import native_server_codec
 from dotterelpath.domain import exchange
 from dotterelpath.platform import server_codec
 
 CODECS = {
     "platform": (server_codec.ServerCodec, b"request-id"),
-    "fleet": (h11_backend.NativeServerCodec, b"dotterelpath-request-id"),
+    "fleet": (
+        native_server_codec.NativeServerCodec,
+        b"dotterelpath-request-id",
+    ),
 }
 CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 # The start of what a server sends, and what it repeats.
--- a/features/support/connection_machine.py
+++ b/features/support/connection_machine.py
@@ -11,9 +11,9 @@
 
 from dotterelpath import errors
 from dotterelpath.adapters import caller_codec
+from dotterelpath.adapters import connection_guard
 from dotterelpath.adapters import h11_frontend
 from dotterelpath.adapters import traffic
-from dotterelpath.domain import body_budget
 from dotterelpath.domain import exchange
 from dotterelpath.ports import frontend
 
@@ -43,6 +43,15 @@
 
     abort = close
 
+    def get_extra_info(self, name):
+        return None
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def is_closing(self):
+        return self.is_closed
+
     def pause_reading(self):
         pass
 
@@ -69,6 +78,9 @@
 
     on_disconnected = on_paused = on_resumed = on_connected
 
+    def on_chunks_written(self, connection, request, size):
+        pass
+
 
 class ConnectionMachine(stateful.RuleBasedStateMachine):
     """A caller pipelines while responses become ready and the daemon stops.
@@ -87,7 +99,7 @@
             caller_codec.CallerCodec("id"),
             frontend.Limits(16384, 65536, max_pipelined=MAX_PIPELINED),
             traffic.TrafficCounter(),
-            body_budget.BodyBudget(),
+            connection_guard.ConnectionGuard(),
         )
         self.connection.connection_made(self.transport)
         self.methods = []
--- a/features/support/edges.py
+++ b/features/support/edges.py
@@ -16,12 +16,12 @@
 
 from dotterelpath import errors
 from dotterelpath.adapters import clock
+from dotterelpath.adapters import connection_guard
 from dotterelpath.adapters import datagrams as datagram_codec
 from dotterelpath.adapters import h11_backend
 from dotterelpath.adapters import h11_frontend
 from dotterelpath.adapters import store_client
 from dotterelpath.adapters import traffic
-from dotterelpath.domain import body_budget
 from dotterelpath.domain import exchange
 from dotterelpath.platform import caller_codec
 from dotterelpath.platform import server_codec
@@ -190,7 +190,7 @@
         caller_codec.CallerCodec(),
         frontend.Limits(16384, 65536, max_pipelined=3),
         traffic.TrafficCounter(),
-        body_budget.BodyBudget(),
+        connection_guard.ConnectionGuard(),
     )
     connection.connection_made(transport)
     edges = sorted({min(cut, len(data)) for cut in cuts} | {0, len(data)})
@@ -234,7 +234,7 @@
         caller_codec.CallerCodec(),
         frontend.Limits(16384, 65536),
         traffic.TrafficCounter(),
-        body_budget.BodyBudget(),
+        connection_guard.ConnectionGuard(),
     )
     connection.connection_made(connection_machine.FakeTransport())
     connection.data_received(
--- a/src/dotterelpath/adapters/api.py
+++ b/src/dotterelpath/adapters/api.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import typing
 
 import orjson
@@ -13,6 +14,8 @@
 from dotterelpath.ports import frontend
 
 MAX_OPEN_CALLS = 2048
+# How often connections are checked for timeouts, in seconds.
+SWEEP_INTERVAL_S = 0.5
 
 Handler = typing.Callable[
     [exchange.Request], typing.Awaitable[exchange.Response]
@@ -36,6 +39,7 @@
         "_host",
         "_port",
         "_server",
+        "_sweep_timer",
     )
 
     def __init__(
@@ -59,6 +63,7 @@
         self._handlers = handlers
         self._server: frontend.Server | None = None
         self._connections: set[frontend.Connection] = set()
+        self._sweep_timer: asyncio.TimerHandle | None = None
         self._call_tasks: set[asyncio.Task[None]] = set()
 
     async def listen(self) -> None:
@@ -68,9 +73,12 @@
             DotterelpathError: The address is in use.
         """
         self._server = await self._binder.listen(self._host, self._port, self)
+        self._schedule_sweep()
 
     def close(self) -> None:
         """Closes the socket, cancels open calls and drops connections."""
+        if self._sweep_timer is not None:
+            self._sweep_timer.cancel()
         if self._server is not None:
             self._server.close()
         for task in self._call_tasks:
@@ -113,6 +121,26 @@
     def on_resumed(self, connection: frontend.Connection) -> None:
         """Does nothing; see on_paused."""
 
+    def on_chunks_written(
+        self,
+        connection: frontend.Connection,
+        request: exchange.Request,
+        size: int,
+    ) -> None:
+        """Does nothing; see on_paused."""
+
+    def _schedule_sweep(self) -> None:
+        self._sweep_timer = asyncio.get_running_loop().call_later(
+            SWEEP_INTERVAL_S, self._close_slow_connections
+        )
+
+    def _close_slow_connections(self) -> None:
+        """Closes connections that have exceeded a timeout."""
+        now_s = time.monotonic()
+        for connection in list(self._connections):
+            connection.check_timeouts(now_s)
+        self._schedule_sweep()
+
     async def _serve(
         self, connection: frontend.Connection, request: exchange.Request
     ) -> None:
--- a/src/dotterelpath/adapters/gateway_status.py
+++ b/src/dotterelpath/adapters/gateway_status.py
@@ -6,8 +6,8 @@
 import typing
 
 from dotterelpath.adapters import api
+from dotterelpath.adapters import connection_guard
 from dotterelpath.adapters import metrics as metrics_adapter
-from dotterelpath.domain import body_budget
 from dotterelpath.domain import exchange
 from dotterelpath.domain import request_limits
 from dotterelpath.tasks import gateway as gateway_task
@@ -19,7 +19,7 @@
     """Serves the calls /metrics and /status."""
 
     __slots__ = (
-        "_body_budget",
+        "_callers",
         "_gateway",
         "_metrics",
         "_peer_monitor",
@@ -32,7 +32,7 @@
         peer_monitor: peer_monitor_task.PeerMonitor,
         registrar: registrar_task.Registrar,
         metrics: metrics_adapter.Metrics,
-        budget: body_budget.BodyBudget,
+        callers: connection_guard.CallerRegistry,
     ) -> None:
         """Creates the handlers.
 
@@ -41,13 +41,13 @@
             peer_monitor: Holds this daemon's view of the fleet.
             registrar: Holds why a configuration was refused.
             metrics: Holds this daemon's counters and histograms.
-            budget: Counts the bytes of the request bodies that are held.
+            callers: Holds the callers' connections and their memory.
         """
         self._gateway = gateway
         self._peer_monitor = peer_monitor
         self._registrar = registrar
         self._metrics = metrics
-        self._body_budget = budget
+        self._callers = callers
 
     @property
     def handlers(self) -> dict[tuple[str, str], api.Handler]:
@@ -69,7 +69,8 @@
                 "version": configuration.version if configuration else None,
                 "refused_configuration": self._registrar.refused_configuration,
                 "in_flight": self._gateway.in_flight,
-                "body_bytes": self._body_budget.held_bytes,
+                "body_bytes": self._callers.memory.body_bytes,
+                "callers": self._callers.status(),
                 "store_watched": self._peer_monitor.store_revision is not None,
                 "daemons": sorted(self._peer_monitor.fleet_view.daemons),
                 "services": {
--- a/src/dotterelpath/adapters/h11_backend.py
+++ b/src/dotterelpath/adapters/h11_backend.py
@@ -8,9 +8,11 @@
 
 import h11
 
-from dotterelpath.adapters import headers as header_names
+from dotterelpath.adapters import native_server_codec
+from dotterelpath.adapters import read_gate
 from dotterelpath.adapters import sockets
 from dotterelpath.adapters import traffic
+from dotterelpath.domain import caller_memory
 from dotterelpath.domain import exchange
 from dotterelpath.domain import response_matching
 from dotterelpath.ports import backend
@@ -23,64 +25,6 @@
 _BODILESS_STATUSES = frozenset({204, 304})
 
 
-class NativeServerCodec:
-    """Uses the fleet's own headers; see backend.ServerCodec."""
-
-    __slots__ = ()
-
-    @property
-    def allows_close_delimited(self) -> bool:
-        """False: a truncated response would look like a complete one."""
-        return False
-
-    @property
-    def may_repeat_responses(self) -> bool:
-        """True; see backend.ServerCodec."""
-        return True
-
-    def encode_headers(
-        self,
-        request: exchange.Request,
-        address: str,
-        instance_id: str,
-        timeout_s: float,
-    ) -> exchange.Headers:
-        """Encodes the headers of a request; see backend.ServerCodec."""
-        timeout_ms = max(1, int(timeout_s * 1000.0))
-        fields = [item for item in request.headers if item[0] != b"host"]
-        fields.append((b"host", address.encode()))
-        fields.append((header_names.TIMEOUT_MS, str(timeout_ms).encode()))
-        fields.append((header_names.REQUEST_ID, request.request_id.encode()))
-        return fields
-
-    def named_request_id(self, response: exchange.Response) -> str | None:
-        """Reads the request id; see backend.ServerCodec."""
-        value = response.header(header_names.REQUEST_ID)
-        return None if value is None else value.decode("latin-1")
-
-    def must_name_request(self, response: exchange.Response) -> bool:
-        """Always False: a server that omits the id gets new connections.
-
-        See backend.ServerCodec.
-        """
-        return False
-
-    def keep_alive_s(self, response: exchange.Response) -> float | None:
-        """Always None: no header states the timeout."""
-        return None
-
-
-class TrustedServerCodec(NativeServerCodec):
-    """For servers that respond once to each request, such as other daemons."""
-
-    __slots__ = ()
-
-    @property
-    def may_repeat_responses(self) -> bool:
-        """False; see backend.ServerCodec."""
-        return False
-
-
 class H11Connection(asyncio.Protocol):
     """A connection to a backend server; see backend.Connection."""
 
@@ -92,15 +36,19 @@
         "_clock",
         "_codec",
         "_conn",
+        "_gate",
         "_idle_timeout_s",
         "_instance_id",
         "_informational_count",
         "_is_first_request",
+        "_is_gated",
         "_is_late_response",
+        "_is_paused",
         "_is_streaming",
         "_last_received_s",
         "_listener",
         "_max_buffered_bytes",
+        "_memory",
         "_poller",
         "_request",
         "_response",
@@ -116,6 +64,8 @@
         clock: clock_port.Clock,
         codec: backend.ServerCodec,
         traffic_counter: traffic.TrafficCounter,
+        memory: caller_memory.CallerMemory | None = None,
+        gate: read_gate.ReadGate | None = None,
     ) -> None:
         """Creates a connection that is not yet open.
 
@@ -125,7 +75,13 @@
             clock: Gives the time at which bytes arrive.
             codec: Encodes request headers and reads those of responses.
             traffic_counter: Counts the bytes written.
+            memory: Counts the bytes that are read ahead of callers.
+            gate: Limits what all connections read at once.
         """
+        self._memory = memory or caller_memory.CallerMemory()
+        self._gate = gate or read_gate.ReadGate()
+        self._is_gated = False
+        self._is_paused = False
         self._address = address
         self._traffic_counter = traffic_counter
         self._codec = codec
@@ -174,11 +130,14 @@
         """Stores the transport of the open connection."""
         self._transport = typing.cast(asyncio.Transport, transport)
         self._poller.register(transport.get_extra_info("socket"), select.POLLIN)
+        self._gate.add(self)
         self._last_received_s = self._clock.now_s()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Reports the end of the connection to the listener."""
         self._transport = None
+        self._gate.remove(self)
+        self._drop_body()
         if self._attempt_id is None:
             self._listener.on_closed(self)
             return
@@ -187,6 +146,7 @@
     def data_received(self, data: bytes) -> None:
         """Parses the server's bytes; closes if no request is in flight."""
         self._last_received_s = self._clock.now_s()
+        self._gate.record_read(len(data))
         if self._attempt_id is None:
             self.close()
             return
@@ -233,8 +193,7 @@
 
     def _expect_response(self) -> None:
         self._response = None
-        self._body = []
-        self._body_size = 0
+        self._drop_body()
         self._is_late_response = False
         self._informational_count = 0
 
@@ -264,17 +223,31 @@
 
     def pause(self) -> None:
         """Stops reading; see backend.Connection."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
+        self._is_paused = True
+        self._apply_pauses()
 
     def resume(self) -> None:
         """Resumes reading; see backend.Connection."""
-        if self._transport is not None and not self._transport.is_closing():
+        self._is_paused = False
+        self._apply_pauses()
+
+    def set_gated(self, is_gated: bool) -> None:
+        """Stops or continues to read; see read_gate.Reader."""
+        self._is_gated = is_gated
+        self._apply_pauses()
+
+    def _apply_pauses(self) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._is_paused or self._is_gated:
+            self._transport.pause_reading()
+        else:
             self._transport.resume_reading()
 
     def close(self) -> None:
         """Closes immediately; see backend.Connection."""
         self._attempt_id = None
+        self._drop_body()
         if self._transport is not None:
             self._transport.abort()
 
@@ -354,7 +327,9 @@
             return
         self._body.append(data)
         self._body_size += len(data)
-        if self._body_size > self._max_buffered_bytes:
+        self._memory.add_read_ahead(len(data))
+        limit = self._memory.limit_read_ahead(self._max_buffered_bytes)
+        if self._body_size > limit:
             self._is_streaming = True
             self._listener.on_response(
                 self, attempt_id, self._take_response(), False
@@ -401,6 +376,7 @@
             self.close()
             return
         self._is_first_request = False
+        self._request = None
         self._conn.start_next_cycle()
 
     def _skip_late_response(self) -> None:
@@ -424,9 +400,17 @@
 
     def _take_response(self) -> exchange.Response:
         assert self._response is not None
-        self._response.body = b"".join(self._body)
+        body = b"".join(self._body)
+        self._drop_body()
+        # An idle connection must not keep the body.
+        return exchange.Response(
+            self._response.status, self._response.headers, body
+        )
+
+    def _drop_body(self) -> None:
+        self._memory.add_read_ahead(-self._body_size)
         self._body = []
-        return self._response
+        self._body_size = 0
 
     def _fail(self, detail: str, is_protocol_error: bool) -> None:
         attempt_id = self._attempt_id
@@ -440,13 +424,14 @@
 class H11Connector:
     """Opens connections over HTTP/1.1; see backend.Connector."""
 
-    __slots__ = ("_clock", "_codec", "_traffic_counter")
+    __slots__ = ("_clock", "_codec", "_gate", "_memory", "_traffic_counter")
 
     def __init__(
         self,
         clock: clock_port.Clock,
         codec: backend.ServerCodec | None = None,
         traffic_counter: traffic.TrafficCounter | None = None,
+        memory: caller_memory.CallerMemory | None = None,
     ) -> None:
         """Creates a connector.
 
@@ -454,10 +439,13 @@
             clock: Gives the time at which bytes arrive.
             codec: Encodes and reads headers; by default the fleet's own.
             traffic_counter: Counts the bytes written.
+            memory: Counts the bytes that are read ahead of callers.
         """
+        self._memory = memory or caller_memory.CallerMemory()
+        self._gate = read_gate.ReadGate(self._memory.max_read_at_once)
         self._clock = clock
         self._traffic_counter = traffic_counter or traffic.TrafficCounter()
-        self._codec = codec or NativeServerCodec()
+        self._codec = codec or native_server_codec.NativeServerCodec()
 
     async def connect(
         self, host: str, port: int, listener: backend.Listener
@@ -471,6 +459,8 @@
                 self._clock,
                 self._codec,
                 self._traffic_counter,
+                self._memory,
+                self._gate,
             ),
             host,
             port,
--- a/src/dotterelpath/adapters/h11_frontend.py
+++ b/src/dotterelpath/adapters/h11_frontend.py
@@ -3,10 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import collections
-import errno
 import math
-import os
 import time
 import typing
 
@@ -14,19 +11,19 @@
 import structlog
 
 from dotterelpath import errors
-from dotterelpath.adapters import caller_codec
-from dotterelpath.adapters import headers as header_names
-from dotterelpath.adapters import request_body
+from dotterelpath.adapters import caller_input
+from dotterelpath.adapters import caller_output
+from dotterelpath.adapters import connection_guard
 from dotterelpath.adapters import request_cycle
+from dotterelpath.adapters import response_queue
 from dotterelpath.adapters import traffic
-from dotterelpath.domain import body_budget
 from dotterelpath.domain import exchange
+from dotterelpath.domain import output_progress
 from dotterelpath.ports import frontend
 
-MAX_HEAD_BYTES = 32 * 1024
-MAX_BODY_BYTES = 1024 * 1024
-# Reading pauses while more received bytes than this wait to be parsed.
-MAX_UNREAD_BYTES = 256 * 1024
+# Reading pauses while more received bytes than this wait to be parsed. One read
+# brings up to 256 KiB.
+MAX_UNREAD_BYTES = 64 * 1024
 # When a caller may return whose body did not fit into the memory, in seconds:
 # about the duration of a request, after which its body is released.
 BODY_RETRY_AFTER_S = 0.5
@@ -35,34 +32,34 @@
 LINGER_S = 1.0
 # How long a draining connection waits for the rest of a request, in seconds.
 DRAIN_READ_S = 1.0
-# The most connections that wait to be accepted.
-LISTEN_BACKLOG = 1024
 
 _log = structlog.get_logger()
 
-# Reason phrases by status; other responses have an empty one.
-_REASONS = {431: b"Request Header Fields Too Large"}
-
 
 class H11Connection(asyncio.Protocol):
     """A caller's connection, which delivers complete requests."""
 
     __slots__ = (
-        "_body_budget",
         "_codec",
-        "_cycle",
         "_drain_began_s",
+        "_guard",
+        "_input",
+        "_is_admitted",
         "_is_closing",
         "_is_draining",
         "_is_lingering",
-        "_is_reading",
+        "_is_read_paused",
         "_last_activity_s",
         "_limits",
         "_listener",
         "_open_cycles",
-        "_traffic_counter",
+        "_output",
+        "_share_bytes",
         "_transport",
-        "_unread",
+        "address",
+        "held_bytes",
+        "is_stalled",
+        "is_used",
     )
 
     def __init__(
@@ -71,7 +68,7 @@
         codec: frontend.CallerCodec,
         limits: frontend.Limits,
         traffic_counter: traffic.TrafficCounter,
-        budget: body_budget.BodyBudget,
+        guard: connection_guard.ConnectionGuard,
     ) -> None:
         """Creates a connection that is not yet open.
 
@@ -81,50 +78,62 @@
             limits: Size and time limits; later changes of the object apply
                 to this connection too.
             traffic_counter: Counts the bytes written.
-            budget: Limits the bytes of the bodies in the whole process.
+            guard: Limits the connections and the memory that they hold.
         """
         self._listener = listener
         self._codec = codec
         self._limits = limits
-        self._traffic_counter = traffic_counter
-        self._body_budget = budget
-        self._cycle = self._new_cycle()
-        self._open_cycles: collections.deque[request_cycle.RequestCycle] = (
-            collections.deque()
-        )
+        self._guard = guard
+        self._share_bytes = guard.registry.memory.share_bytes
+        self._output = caller_output.CallerOutput(traffic_counter)
+        self._input = caller_input.CallerInput(codec, limits, guard.registry)
+        self._open_cycles = response_queue.ResponseQueue()
         self._transport: asyncio.Transport | None = None
-        self._unread: list[bytes] = []
-        self._is_reading = False
+        self._is_admitted = False
+        self._is_read_paused = False
         self._is_closing = False
         self._is_draining = False
         self._drain_began_s = math.inf
         self._is_lingering = False
         self._last_activity_s = time.monotonic()
+        self.address = ""
+        self.held_bytes = 0
+        self.is_stalled = False
+        self.is_used = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Reports the new connection to the listener."""
+        """Reports the new connection to the listener if it is admitted."""
         self._transport = typing.cast(asyncio.Transport, transport)
+        self.address = connection_guard.address_of(transport)
+        if not self._guard.admit(self):
+            self.discard()
+            return
+        self._is_admitted = True
+        self._output.open(self._transport)
         self._listener.on_connected(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Reports the end of the connection to the listener."""
         self._transport = None
-        for cycle in (*self._open_cycles, self._cycle):
-            cycle.body.release()
-        self._listener.on_disconnected(self)
+        self._output.close()
+        self._input.clear()
+        self._guard.remove(self)
+        self._open_cycles.clear()
+        self._input.cycle.release()
+        if self._is_admitted:
+            self._listener.on_disconnected(self)
 
     def data_received(self, data: bytes) -> None:
         """Parses the caller's bytes, up to the limit of pipelined requests."""
         if self._is_lingering:
             return
-        if self._is_reading_body or not self._has_partial_request:
+        if self._input.is_reading_body or not self._input.has_partial_request:
             # The timeout of a head runs from its first byte, so that a caller
             # cannot extend it by sending the head byte by byte.
             self._last_activity_s = time.monotonic()
-        self._unread.append(data)
-        self._read_events()
-        if sum(map(len, self._unread)) > MAX_UNREAD_BYTES and self._transport:
-            self._transport.pause_reading()
+        self._input.append(data)
+        self._input.read(self)
+        self._settle()
 
     def eof_received(self) -> bool:
         """Keeps a half-closed connection open for outstanding responses."""
@@ -137,6 +146,8 @@
     def resume_writing(self) -> None:
         """Reports a drained write buffer to the listener."""
         self._listener.on_resumed(self)
+        self._input.read(self)
+        self._settle()
 
     def respond(
         self,
@@ -144,7 +155,7 @@
         request: exchange.Request | None = None,
     ) -> None:
         """Writes a response or its start; see frontend.Connection."""
-        cycle = self._find_unanswered(request)
+        cycle = self._open_cycles.find_unanswered(request)
         if self._transport is not None and cycle is not None:
             self._respond(cycle, outcome)
 
@@ -152,41 +163,29 @@
         self, cycle: request_cycle.RequestCycle, outcome: exchange.Outcome
     ) -> None:
         encoded = self._codec.encode_response(outcome, cycle.request)
-        fields = list(encoded.headers)
-        is_streamed = outcome.stream_id is not None
-        if not is_streamed:
-            fields.append(
-                _content_length_field(outcome, encoded.body, cycle.method)
-            )
         try:
-            cycle.response_head = h11.Response(
-                status_code=encoded.status,
-                headers=fields,
-                reason=_REASONS.get(encoded.status, b""),
-            )
+            cycle.set_response(outcome, encoded)
         except h11.LocalProtocolError as error:
             self._on_encoding_error(error)
             return
-        if encoded.body and cycle.method != b"HEAD":
-            cycle.chunks.append(encoded.body)
-        cycle.is_streaming = is_streamed
-        cycle.is_answered = not is_streamed
+        if cycle.is_streaming:
+            cycle.unreported_bytes = len(encoded.body)
         self._flush()
 
     def write_chunk(
         self, data: bytes, request: exchange.Request | None = None
     ) -> None:
         """Writes a chunk; see frontend.Connection."""
-        cycle = self._find_stream(request)
+        cycle = self._open_cycles.find_stream(request)
         if self._transport is None or cycle is None:
             return
-        if cycle.method != b"HEAD":
-            cycle.chunks.append(data)
+        cycle.add_chunk(data)
+        cycle.unreported_bytes += len(data)
         self._flush()
 
     def end_response(self, request: exchange.Request | None = None) -> None:
         """Completes a streamed response; see frontend.Connection."""
-        cycle = self._find_stream(request)
+        cycle = self._open_cycles.find_stream(request)
         if self._transport is None or cycle is None:
             return
         cycle.is_streaming = False
@@ -214,42 +213,136 @@
 
     def check_timeouts(self, now_s: float) -> None:
         """Ends a connection that is too slow; see frontend.Connection."""
+        self._check_output(now_s)
         if self._open_cycles or self._transport is None:
             return
+        if self._is_over_share:
+            # What was received is not parsed until the caller has read.
+            self._last_activity_s = now_s
+            return
         idle_s = now_s - self._last_activity_s
         if self._is_lingering:
             if idle_s > LINGER_S:
                 self._transport.abort()
             return
         is_overdue = now_s - self._drain_began_s > DRAIN_READ_S
-        if is_overdue and self._has_partial_request:
-            self._refuse(errors.ResultCode.REQUEST_TIMEOUT)
+        if is_overdue and self._input.has_partial_request:
+            self.on_refused(errors.ResultCode.REQUEST_TIMEOUT)
             return
         limits = self._limits
         is_reading_head = (
-            self._has_partial_request and not self._is_reading_body
+            self._input.has_partial_request and not self._input.is_reading_body
         )
         if is_reading_head:
             if limits.head_timeout_s and idle_s > limits.head_timeout_s:
-                self._refuse(errors.ResultCode.REQUEST_TIMEOUT)
-        elif self._is_reading_body and self._cycle.body.is_too_slow(now_s):
-            self._refuse(errors.ResultCode.REQUEST_TIMEOUT)
+                self.on_refused(errors.ResultCode.REQUEST_TIMEOUT)
+        elif self._input.is_reading_body and self._input.cycle.body.is_too_slow(
+            now_s
+        ):
+            self.on_refused(errors.ResultCode.REQUEST_TIMEOUT)
         elif limits.idle_timeout_s and idle_s > limits.idle_timeout_s:
-            if self._is_reading_body:
-                self._refuse(errors.ResultCode.REQUEST_TIMEOUT)
+            if self._input.is_reading_body:
+                self.on_refused(errors.ResultCode.REQUEST_TIMEOUT)
             else:
                 self._transport.close()
 
+    def measure(self) -> int:
+        """Returns the held memory; see connection_guard.GuardedConnection."""
+        if self._transport is None:
+            return 0
+        return (
+            self._input.held_bytes
+            + self._output.held_bytes
+            + self._open_cycles.held_bytes
+        )
+
+    def discard(self) -> None:
+        """Closes at once; see connection_guard.GuardedConnection."""
+        transport = self._transport
+        if transport is None:
+            return
+        self._transport = None
+        self._output.close()
+        self._input.clear()
+        self._open_cycles.drop_responses()
+        self._guard.remove(self)
+        transport.abort()
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether a request has no complete response yet."""
+        return self._open_cycles.is_serving
+
+    @property
+    def idle_since_s(self) -> float | None:
+        """Since when nothing is received or outstanding; None if it is."""
+        if self._transport is None or self._open_cycles:
+            return None
+        if self._is_lingering or self._input.has_partial_request:
+            return None
+        return None if self._output.waiting_bytes else self._last_activity_s
+
+    def _check_output(self, now_s: float) -> None:
+        """Ends a connection whose caller takes no output."""
+        stalled_s = self._output.stalled_s(now_s)
+        self.is_stalled = stalled_s >= output_progress.STALLED_S
+        if stalled_s > self._limits.stall_timeout_s:
+            self._guard.registry.record_closed(connection_guard.STALLED, self)
+            self.discard()
+        elif self.held_bytes:
+            # Small output is taken without an event.
+            self._input.read(self)
+            self._settle()
+
+    def _settle(self) -> None:
+        """Adapts reading and the accounts to what the connection holds."""
+        if self._transport is None:
+            return
+        if self._transport.is_closing():
+            self._guard.registry.account(self)
+            return
+        limit = 0 if self._is_over_share else MAX_UNREAD_BYTES
+        must_pause = self._input.unread_bytes > limit and not self._is_lingering
+        if must_pause is not self._is_read_paused:
+            self._is_read_paused = must_pause
+            if must_pause:
+                self._transport.pause_reading()
+            else:
+                self._transport.resume_reading()
+        self._guard.registry.account(self)
+
+    @property
+    def _is_over_share(self) -> bool:
+        """Whether so much output waits that further requests have to."""
+        waiting = self._output.held_bytes + self._open_cycles.chunk_bytes
+        return waiting > self._share_bytes
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection is open; see caller_input.InputOwner."""
+        return self._transport is not None
+
     @property
-    def _is_reading_body(self) -> bool:
-        """Whether a head was received whose body is not complete."""
-        return self._cycle.head is not None and not self._cycle.is_received
+    def open_count(self) -> int:
+        """The unanswered requests; see caller_input.InputOwner."""
+        return len(self._open_cycles)
 
     @property
-    def _has_partial_request(self) -> bool:
-        """Whether bytes of an incomplete request were received."""
-        unparsed, _ = self._cycle.conn.trailing_data
-        return self._is_reading_body or bool(unparsed) or bool(self._unread)
+    def takes_requests(self) -> bool:
+        """Whether to parse a request; see caller_input.InputOwner."""
+        if self._is_closed_to_requests or self._is_over_share:
+            return False
+        if self._open_cycles and self._open_cycles.last.is_refused:
+            return False
+        return len(self._open_cycles) < self._limits.max_pipelined
+
+    def on_continue_expected(self, cycle: request_cycle.RequestCycle) -> None:
+        """Tells a caller to send the body; see caller_input.InputOwner."""
+        if self._transport is not None and not self._open_cycles:
+            continue_response = h11.InformationalResponse(
+                status_code=100, headers=[]
+            )
+            self._output.write(cycle.conn.send(continue_response) or b"")
 
     @property
     def _is_closed_to_requests(self) -> bool:
@@ -257,8 +350,8 @@
 
         A request that has begun to arrive is still taken while draining.
         """
-        return self._cycle.is_received and (
-            self._is_draining or self._cycle.is_last
+        return self._input.cycle.is_received and (
+            self._is_draining or self._input.cycle.is_last
         )
 
     @property
@@ -266,29 +359,9 @@
         """Whether a draining connection has nothing left to receive or send."""
         if not self._is_draining or self._open_cycles:
             return False
-        return self._is_closed_to_requests or not self._has_partial_request
-
-    def _find_unanswered(
-        self, request: exchange.Request | None
-    ) -> request_cycle.RequestCycle | None:
-        """Finds the given request if it has no response yet.
-
-        Without a given request, finds the oldest one that has no response.
-        """
-        for cycle in self._open_cycles:
-            if cycle.is_answered or cycle.is_streaming:
-                continue
-            if request is None or cycle.request is request:
-                return cycle
-        return None
-
-    def _find_stream(
-        self, request: exchange.Request | None
-    ) -> request_cycle.RequestCycle | None:
-        for cycle in self._open_cycles:
-            if cycle.is_streaming and request in (None, cycle.request):
-                return cycle
-        return None
+        return (
+            self._is_closed_to_requests or not self._input.has_partial_request
+        )
 
     def _closes_after(self, cycle: request_cycle.RequestCycle) -> bool:
         """Whether the response that is written next announces the end.
@@ -299,9 +372,11 @@
         """
         if cycle.is_refused:
             return True
-        if not self._is_closing or self._open_cycles[-1] is not cycle:
+        if not self._is_closing or self._open_cycles.last is not cycle:
             return False
-        return self._is_closed_to_requests or not self._has_partial_request
+        return (
+            self._is_closed_to_requests or not self._input.has_partial_request
+        )
 
     def _flush(self) -> None:
         """Encodes and writes responses in request order."""
@@ -311,34 +386,35 @@
         must_close = False
         must_linger = False
         while self._open_cycles and not must_close:
-            cycle = self._open_cycles[0]
+            cycle = self._open_cycles.first
             try:
                 chunks.extend(cycle.encode(self._closes_after(cycle)))
             except h11.LocalProtocolError as error:
-                self._write(chunks)
+                self._output.write(b"".join(chunks))
                 self._on_encoding_error(error)
                 return
+            self._report_written(cycle)
             if not cycle.is_answered:
                 break
-            self._open_cycles.popleft()
-            cycle.body.release()
+            self._open_cycles.pop_first()
             must_close = not cycle.is_done
             must_linger = cycle.is_refused
-        self._write(chunks)
+        self._output.write(b"".join(chunks))
         if must_close or self._is_drained:
             # The caller may be sending more, not knowing of the end yet.
             self._end(must_linger or self._is_closing)
-            return
-        if not self._open_cycles:
-            self._last_activity_s = time.monotonic()
-        self._transport.resume_reading()
-        self._read_events()
-
-    def _write(self, chunks: list[bytes]) -> None:
-        if chunks and self._transport is not None:
-            data = b"".join(chunks)
-            self._traffic_counter.add(len(data))
-            self._transport.write(data)
+        else:
+            if not self._open_cycles:
+                self._last_activity_s = time.monotonic()
+            self._input.read(self)
+        self._settle()
+
+    def _report_written(self, cycle: request_cycle.RequestCycle) -> None:
+        """Tells the listener which chunks were written in their turn."""
+        size = cycle.unreported_bytes
+        if size and cycle.request is not None and not cycle.chunks:
+            cycle.unreported_bytes = 0
+            self._listener.on_chunks_written(self, cycle.request, size)
 
     def _on_encoding_error(self, error: h11.LocalProtocolError) -> None:
         _log.error(
@@ -352,7 +428,7 @@
         """Closes, at once unless the caller has sent more than was read."""
         if self._transport is None:
             return
-        if must_linger or self._has_partial_request:
+        if must_linger or self._input.has_partial_request:
             self._linger()
         else:
             self._transport.close()
@@ -365,135 +441,15 @@
         """
         assert self._transport is not None
         self._is_lingering = True
-        self._unread = []
+        self._input.clear()
         self._last_activity_s = time.monotonic()
         self._transport.write_eof()
-        self._transport.resume_reading()
-
-    def _read_events(self) -> None:
-        """Parses requests up to the limit of pipelined requests."""
-        if self._is_reading:
-            # A listener that responds synchronously re-enters this method;
-            # the outer loop continues with the next request.
-            return
-        self._is_reading = True
-        try:
-            while self._transport is not None and self._prepare_cycle():
-                self._feed_parser()
-                if not self._read_available():
-                    return
-        except h11.RemoteProtocolError as error:
-            self._on_protocol_error(error)
-        finally:
-            self._is_reading = False
-
-    def _prepare_cycle(self) -> bool:
-        """Starts the cycle of the next request if it may be parsed now.
-
-        Returns:
-            Whether the current cycle accepts bytes.
-        """
-        cycle = self._cycle
-        if not cycle.is_received:
-            return True
-        if self._is_closed_to_requests:
-            return False
-        if self._open_cycles and self._open_cycles[-1].is_refused:
-            return False
-        if len(self._open_cycles) >= self._limits.max_pipelined:
-            return False
-        unparsed, _ = cycle.conn.trailing_data
-        if not unparsed and not self._unread:
-            return False
-        if cycle.is_answered and cycle.is_done and not self._open_cycles:
-            cycle.conn.start_next_cycle()
-            cycle.reset(self._new_body())
-            return True
-        self._cycle = self._new_cycle()
-        if unparsed:
-            self._cycle.conn.receive_data(unparsed)
-        return True
-
-    def _new_cycle(self) -> request_cycle.RequestCycle:
-        return request_cycle.RequestCycle(
-            self._limits.max_head_bytes, self._new_body()
-        )
-
-    def _new_body(self) -> request_body.RequestBody:
-        return request_body.RequestBody(self._limits, self._body_budget)
-
-    def _feed_parser(self) -> None:
-        if self._unread:
-            data = b"".join(self._unread)
-            self._unread = []
-            self._cycle.conn.receive_data(data)
-
-    def _read_available(self) -> bool:
-        """Processes the parsed events of the current request.
-
-        Returns:
-            Whether the request is complete.
-        """
-        cycle = self._cycle
-        while self._transport is not None and not cycle.is_refused:
-            event = cycle.conn.next_event()
-            if event is h11.NEED_DATA:
-                self._send_continue_if_expected(cycle)
-                return False
-            if isinstance(event, h11.Request):
-                self._on_head(cycle, event)
-            elif isinstance(event, h11.Data):
-                self._on_data(cycle, event)
-            elif isinstance(event, h11.EndOfMessage):
-                self._on_complete(cycle)
-                return True
-            else:
-                return False
-        return False
-
-    def _send_continue_if_expected(
-        self, cycle: request_cycle.RequestCycle
-    ) -> None:
-        is_expected = cycle.conn.they_are_waiting_for_100_continue
-        if is_expected and self._transport and not self._open_cycles:
-            continue_response = h11.InformationalResponse(
-                status_code=100, headers=[]
-            )
-            self._transport.write(cycle.conn.send(continue_response) or b"")
-
-    def _on_head(
-        self, cycle: request_cycle.RequestCycle, event: h11.Request
-    ) -> None:
-        cycle.method = event.method
-        cycle.head = frontend.Head(
-            event.method.decode("ascii"),
-            event.target.decode("latin-1"),
-            list(event.headers),
-            time.monotonic(),
-        )
-        if event.method == b"CONNECT":
-            self._refuse(errors.ResultCode.METHOD_NOT_ALLOWED)
-        elif _has_conflicting_lengths(cycle.head.headers):
-            self._refuse(
-                errors.ResultCode.MALFORMED_REQUEST,
-                "the request has both content-length and transfer-encoding",
-            )
-        elif header_names.has_body(cycle.head.headers):
-            timeout_s = self._codec.timeout_s(cycle.head)
-            self._refuse_if(
-                cycle.body.begin(
-                    cycle.head.headers, timeout_s, cycle.head.received_s
-                )
-            )
-
-    def _on_data(
-        self, cycle: request_cycle.RequestCycle, event: h11.Data
-    ) -> None:
-        self._refuse_if(cycle.body.add(bytes(event.data)))
+        self._settle()
 
-    def _on_complete(self, cycle: request_cycle.RequestCycle) -> None:
+    def on_complete(self, cycle: request_cycle.RequestCycle) -> None:
+        """Passes a request on; see caller_input.InputOwner."""
         assert cycle.head is not None
-        cycle.is_received = True
+        self.is_used = True
         self._open_cycles.append(cycle)
         try:
             cycle.request = self._codec.decode_request(
@@ -505,14 +461,9 @@
             return
         self._listener.on_request(self, cycle.request)
 
-    def _refuse_if(self, code: errors.ResultCode | None) -> None:
-        """Refuses the current request if there is a reason to."""
-        if code is not None:
-            self._refuse(code)
-
-    def _refuse(self, code: errors.ResultCode, detail: str = "") -> None:
+    def on_refused(self, code: errors.ResultCode, detail: str = "") -> None:
         """Responds to a request without reading its rest, then closes."""
-        cycle = self._cycle
+        cycle = self._input.cycle
         error = errors.DotterelpathError(code, detail)
         cycle.is_received = True
         cycle.is_refused = True
@@ -520,13 +471,14 @@
         self._listener.on_rejected(self, error)
         self._respond_error(cycle, error)
 
-    def _on_protocol_error(self, error: h11.RemoteProtocolError) -> None:
+    def on_protocol_error(self, error: h11.RemoteProtocolError) -> None:
+        """Refuses what is no request; see caller_input.InputOwner."""
         code = errors.ResultCode.MALFORMED_REQUEST
         if error.error_status_hint == 431:
             code = errors.ResultCode.HEAD_TOO_LARGE
         if self._transport is None:
             return
-        cycle = self._cycle
+        cycle = self._input.cycle
         if cycle.is_received or cycle.conn.our_state not in (
             h11.IDLE,
             h11.SEND_RESPONSE,
@@ -535,7 +487,7 @@
             # outstanding or partly written.
             self._transport.close()
             return
-        self._refuse(code)
+        self.on_refused(code)
 
     def _respond_error(
         self, cycle: request_cycle.RequestCycle, error: errors.DotterelpathError
@@ -544,105 +496,3 @@
         if error.code is errors.ResultCode.OVERLOADED:
             outcome.retry_after_s = BODY_RETRY_AFTER_S
         self._respond(cycle, outcome)
-
-
-class H11Binder:
-    """Opens sockets that serve callers over HTTP/1.1."""
-
-    __slots__ = ("_body_budget", "_codec", "_limits", "_traffic_counter")
-
-    def __init__(
-        self,
-        codec: frontend.CallerCodec,
-        limits: frontend.Limits,
-        traffic_counter: traffic.TrafficCounter | None = None,
-        budget: body_budget.BodyBudget | None = None,
-    ) -> None:
-        """Creates a binder.
-
-        Args:
-            codec: Decodes requests and encodes responses.
-            limits: Limits of each connection; later changes of the object
-                apply to open connections too.
-            traffic_counter: Counts the bytes written.
-            budget: Limits the bytes of the bodies in the whole process;
-                without a limit by default.
-        """
-        self._codec = codec
-        self._limits = limits
-        self._traffic_counter = traffic_counter or traffic.TrafficCounter()
-        self._body_budget = budget or body_budget.BodyBudget()
-
-    async def listen(
-        self, host: str, port: int, listener: frontend.Listener
-    ) -> asyncio.Server:
-        """Listens for callers; see frontend.Binder."""
-        loop = asyncio.get_running_loop()
-        try:
-            return await loop.create_server(
-                lambda: H11Connection(
-                    listener,
-                    self._codec,
-                    self._limits,
-                    self._traffic_counter,
-                    self._body_budget,
-                ),
-                host,
-                port,
-                backlog=LISTEN_BACKLOG,
-            )
-        except OSError as error:
-            if error.errno in (errno.EADDRINUSE, errno.EADDRNOTAVAIL):
-                raise errors.DotterelpathError(
-                    errors.ResultCode.ADDRESS_IN_USE,
-                    f"cannot listen on {host}:{port}:"
-                    f" {os.strerror(error.errno)}",
-                ) from error
-            raise
-
-
-def native_binder(
-    id_prefix: str,
-    max_body_bytes: int = MAX_BODY_BYTES,
-    closes_on_eof: bool = False,
-) -> H11Binder:
-    """Creates a binder that speaks the fleet's own protocol.
-
-    Args:
-        id_prefix: The prefix of the ids of this daemon's requests.
-        max_body_bytes: The longest request body that is accepted, in bytes.
-        closes_on_eof: Whether to close a connection at once when the caller
-            half-closes it; see frontend.Limits.
-
-    Returns:
-        The binder.
-    """
-    return H11Binder(
-        caller_codec.CallerCodec(id_prefix),
-        frontend.Limits(
-            MAX_HEAD_BYTES, max_body_bytes, closes_on_eof=closes_on_eof
-        ),
-    )
-
-
-def _has_conflicting_lengths(headers: exchange.Headers) -> bool:
-    """Whether parsers could disagree on where the body ends.
-
-    Such a request could smuggle another one past an intermediary.
-    """
-    names = {name for name, _ in headers}
-    return b"content-length" in names and b"transfer-encoding" in names
-
-
-def _content_length_field(
-    outcome: exchange.Outcome, body: bytes, method: bytes
-) -> tuple[bytes, bytes]:
-    """Returns the header for the length of a body.
-
-    A response to HEAD has no body, so the backend server's own length is kept.
-    """
-    if method == b"HEAD" and outcome.response is not None:
-        length = outcome.response.header(b"content-length")
-        if length is not None:
-            return (b"content-length", length)
-    return (b"content-length", str(len(body)).encode())
--- a/src/dotterelpath/adapters/http_client.py
+++ b/src/dotterelpath/adapters/http_client.py
@@ -6,6 +6,7 @@
 import itertools
 
 from dotterelpath.adapters import h11_backend
+from dotterelpath.adapters import native_server_codec
 from dotterelpath.domain import exchange
 from dotterelpath.ports import backend
 from dotterelpath.ports import clock as clock_port
@@ -38,7 +39,7 @@
         """
         self._clock = clock
         self._connector = h11_backend.H11Connector(
-            clock, h11_backend.TrustedServerCodec()
+            clock, native_server_codec.TrustedServerCodec()
         )
         self._idle: dict[tuple[str, int], list[backend.Connection]] = {}
         self._pending: dict[int, asyncio.Future[exchange.Response]] = {}
--- a/src/dotterelpath/adapters/metrics.py
+++ b/src/dotterelpath/adapters/metrics.py
@@ -35,6 +35,7 @@
 
     __slots__ = (
         "_avoided",
+        "_closed_connections",
         "_duration",
         "_ejected",
         "_outcomes",
@@ -63,6 +64,9 @@
         self._unknown_items = self._counter(
             "unknown_items", "Parts of the store that cannot be used."
         )
+        self._closed_connections = self._counter(
+            "closed_connections", "Callers' connections that limits closed."
+        )
         self._avoided = self._gauge("avoided", "Instances avoided here.")
         self._ejected = self._gauge("ejected", "Instances ejected.")
         self._duration = self._histogram(
@@ -113,6 +117,10 @@
         """Records an unusable part of the store; see metrics.Metrics."""
         self._unknown_items.inc({"kind": kind})
 
+    def record_closed_connection(self, reason: str) -> None:
+        """Records a closed connection; see metrics.Metrics."""
+        self._closed_connections.inc({"reason": reason})
+
     def record_store_call(self, call: str, ok: bool) -> None:
         """Records a call to the store; see metrics.Metrics."""
         self._store_calls.inc({"call": call, "ok": str(ok).lower()})
--- a/src/dotterelpath/adapters/request_body.py
+++ b/src/dotterelpath/adapters/request_body.py
@@ -3,18 +3,32 @@
 from __future__ import annotations
 
 import math
+import typing
 
 from dotterelpath import errors
 from dotterelpath.adapters import headers as header_names
-from dotterelpath.domain import body_budget
 from dotterelpath.domain import exchange
 from dotterelpath.ports import frontend
 
 
+class Budget(typing.Protocol):
+    """The memory that bodies may take up."""
+
+    def fits(self, size: int) -> bool:
+        """Tells whether a body of a size in bytes could be held."""
+
+    def reserve(self, size: int) -> bool:
+        """Reserves bytes and tells whether they were left."""
+
+    def release(self, size: int) -> None:
+        """Returns reserved bytes."""
+
+
 class RequestBody:
     """Collects a body within the limits on size, memory and duration."""
 
     __slots__ = (
+        "_announced",
         "_budget",
         "_chunks",
         "_deadline_s",
@@ -25,9 +39,7 @@
         "_window_started_s",
     )
 
-    def __init__(
-        self, limits: frontend.Limits, budget: body_budget.BodyBudget
-    ) -> None:
+    def __init__(self, limits: frontend.Limits, budget: Budget) -> None:
         """Creates an empty body.
 
         Args:
@@ -37,12 +49,18 @@
         self._limits = limits
         self._budget = budget
         self._chunks: list[bytes] = []
+        self._announced = 0
         self._size = 0
         self._reserved = 0
         self._deadline_s = math.inf
         self._window_size = 0
         self._window_started_s = 0.0
 
+    @property
+    def announced_left(self) -> int:
+        """The announced bytes that are not received; 0 if none were."""
+        return max(0, self._announced - self._size)
+
     def begin(
         self, headers: exchange.Headers, timeout_s: float | None, now_s: float
     ) -> errors.ResultCode | None:
@@ -60,7 +78,7 @@
         self._window_started_s = now_s
         if timeout_s is not None:
             self._deadline_s = now_s + timeout_s
-        announced = header_names.content_length(headers)
+        self._announced = announced = header_names.content_length(headers)
         if announced > self._limits.max_body_bytes:
             return errors.ResultCode.BODY_TOO_LARGE
         if not self._budget.fits(announced):
--- a/src/dotterelpath/adapters/request_cycle.py
+++ b/src/dotterelpath/adapters/request_cycle.py
@@ -10,6 +10,17 @@
 from dotterelpath.domain import exchange
 from dotterelpath.ports import frontend
 
+# What an open request takes up besides its head, body and response: the h11
+# connection and the objects of the request.
+REQUEST_OVERHEAD_BYTES = 4096
+# How much of a head or of a chunked body the parser gets at a time. The parser
+# of each pipelined request keeps a copy of what was received behind it.
+PIECE_BYTES = 4096
+# How much of a body of known length it gets at a time; nothing follows it.
+BODY_PIECE_BYTES = 256 * 1024
+# Reason phrases by status; other responses have an empty one.
+_REASONS = {431: b"Request Header Fields Too Large"}
+
 
 class RequestCycle:
     """One request of a connection and the state of its response.
@@ -24,9 +35,11 @@
 
     __slots__ = (
         "body",
+        "chunk_bytes",
         "chunks",
         "conn",
         "head",
+        "head_bytes",
         "is_answered",
         "is_received",
         "is_refused",
@@ -34,6 +47,7 @@
         "method",
         "request",
         "response_head",
+        "unreported_bytes",
     )
 
     def __init__(
@@ -66,6 +80,82 @@
         self.is_streaming = False
         self.response_head: h11.Response | None = None
         self.chunks: list[bytes] = []
+        self.chunk_bytes = 0
+        # What was received up to the end of the head, in pieces.
+        self.head_bytes = 0
+        # Bytes of streamed chunks whose writing was not reported yet.
+        self.unreported_bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """The memory that the request takes up, without its body."""
+        if self.head is None:
+            return self.head_bytes
+        return REQUEST_OVERHEAD_BYTES + self.head_bytes + self.chunk_bytes
+
+    @property
+    def piece_size(self) -> int:
+        """The most bytes that the parser gets at a time."""
+        if self.head is None:
+            return PIECE_BYTES
+        left = self.body.announced_left
+        return min(left, BODY_PIECE_BYTES) if left else PIECE_BYTES
+
+    def receive(self, data: bytes) -> None:
+        """Gives received bytes to the parser.
+
+        Args:
+            data: The bytes.
+        """
+        if self.head is None:
+            self.head_bytes += len(data)
+        self.conn.receive_data(data)
+
+    def set_response(
+        self,
+        outcome: exchange.Outcome,
+        encoded: frontend.EncodedResponse,
+    ) -> None:
+        """Sets the response, or the start of a streamed one.
+
+        Args:
+            outcome: How the request ended.
+            encoded: The response.
+
+        Raises:
+            h11.LocalProtocolError: The head cannot be encoded.
+        """
+        fields = list(encoded.headers)
+        is_streamed = outcome.stream_id is not None
+        if not is_streamed:
+            fields.append(
+                _content_length_field(outcome, encoded.body, self.method)
+            )
+        self.response_head = h11.Response(
+            status_code=encoded.status,
+            headers=fields,
+            reason=_REASONS.get(encoded.status, b""),
+        )
+        if encoded.body:
+            self.add_chunk(encoded.body)
+        self.is_streaming = is_streamed
+        self.is_answered = not is_streamed
+
+    def add_chunk(self, data: bytes) -> None:
+        """Adds a part of the response's body, which HEAD does not get.
+
+        Args:
+            data: The bytes.
+        """
+        if self.method != b"HEAD":
+            self.chunks.append(data)
+            self.chunk_bytes += len(data)
+
+    def release(self) -> None:
+        """Drops the request and its body, once the response is written."""
+        self.body.release()
+        self.request = None
+        self.head = None
 
     @property
     def is_done(self) -> bool:
@@ -100,6 +190,7 @@
         for data in self.chunks:
             yield self.conn.send(h11.Data(data=data)) or b""
         self.chunks = []
+        self.chunk_bytes = 0
         if self.is_answered:
             yield self.conn.send(h11.EndOfMessage()) or b""
 
@@ -113,3 +204,17 @@
             headers=[*head.headers, (b"connection", b"close")],
             reason=head.reason,
         )
+
+
+def _content_length_field(
+    outcome: exchange.Outcome, body: bytes, method: bytes
+) -> tuple[bytes, bytes]:
+    """Returns the header for the length of a body.
+
+    A response to HEAD has no body, so the backend server's own length is kept.
+    """
+    if method == b"HEAD" and outcome.response is not None:
+        length = outcome.response.header(b"content-length")
+        if length is not None:
+            return (b"content-length", length)
+    return (b"content-length", str(len(body)).encode())
--- a/src/dotterelpath/cli/main.py
+++ b/src/dotterelpath/cli/main.py
@@ -255,6 +255,7 @@
         lines.append(
             f"newest configuration refused: {data['refused_configuration']}"
         )
+    lines += _caller_lines(data.get("callers"))
     for name, service in sorted(data["services"].items()):
         lines.append(
             f"service {name}  waiting {service['waiting']}"
@@ -284,6 +285,24 @@
     context.print_result(data, lines)
 
 
+def _caller_lines(callers: dict[str, typing.Any] | None) -> list[str]:
+    if callers is None:
+        # A daemon of an older build.
+        return []
+    limit = callers["max_bytes"]
+    closed = sorted(callers["closed"].items())
+    return [
+        f"callers  connections {callers['connections']}"
+        f"  held {callers['held_bytes'] // 1024} KiB"
+        + (f" of {limit // 1024} KiB" if limit is not None else "")
+        + "".join(f"  closed for {reason} {n}" for reason, n in closed)
+    ] + [
+        f"  {holder['address']}  held {holder['held_bytes'] // 1024} KiB"
+        + ("  stalled" if holder["stalled"] else "")
+        for holder in callers["largest"]
+    ]
+
+
 def _limit_text(limit: dict[str, typing.Any] | None) -> str:
     if limit is None:
         return ""
--- a/src/dotterelpath/daemon.py
+++ b/src/dotterelpath/daemon.py
@@ -20,10 +20,11 @@
 from dotterelpath import errors
 from dotterelpath.adapters import api
 from dotterelpath.adapters import clock as clock_adapter
+from dotterelpath.adapters import connection_guard
 from dotterelpath.adapters import control_api
 from dotterelpath.adapters import document_codec as codec_adapter
 from dotterelpath.adapters import h11_backend
-from dotterelpath.adapters import h11_frontend
+from dotterelpath.adapters import h11_binder
 from dotterelpath.adapters import http_client
 from dotterelpath.adapters import logs
 from dotterelpath.adapters import metrics as metrics_adapter
@@ -32,6 +33,8 @@
 from dotterelpath.adapters import settings as settings_adapter
 from dotterelpath.adapters import store_client
 from dotterelpath.adapters import vm_list_client
+from dotterelpath.domain import caller_memory
+from dotterelpath.domain import connection_limits
 from dotterelpath.domain import keys
 from dotterelpath.tasks import address_directory
 from dotterelpath.tasks import backend_pool
@@ -51,6 +54,8 @@
 from dotterelpath.tasks import timers
 from dotterelpath.tasks import vm_watcher
 
+# The longest time for the head of a request, in seconds.
+HEAD_TIMEOUT_S = 10.0
 # A hand-off carries all records of a home in one body.
 MAX_PEER_BODY_BYTES = 64 * 1024 * 1024
 MAX_CONTROL_BODY_BYTES = 1024 * 1024
@@ -96,6 +101,7 @@
     """One daemon with its adapters and tasks."""
 
     __slots__ = (
+        "_callers",
         "_client",
         "_clock",
         "_codec",
@@ -131,6 +137,9 @@
         self._home = keys.Home(settings.daemon_id, incarnation)
         self._codec = codec_adapter.DocumentCodec()
         self._metrics = metrics_adapter.Metrics()
+        self._callers = connection_guard.CallerRegistry(
+            caller_memory.for_process(settings.memory_bytes), self._metrics
+        )
         self._inboxes = Inboxes()
         self._is_stopping = False
         self._supervisor = supervisor.Supervisor()
@@ -191,7 +200,9 @@
             inboxes.steward,
         )
         self._front_end = front_end.FrontEnd(
-            h11_frontend.native_binder(settings.daemon_id),
+            self._binder(
+                h11_binder.MAX_BODY_BYTES, connection_limits.CALLER_FRACTION
+            ),
             settings.listen.host,
             settings.listen.port,
             inboxes.front_end,
@@ -251,7 +262,7 @@
             inboxes.steward,
         )
         self._peer_server = api.Api(
-            h11_frontend.native_binder(settings.daemon_id, MAX_PEER_BODY_BYTES),
+            self._binder(MAX_PEER_BODY_BYTES, connection_limits.PEER_FRACTION),
             settings.peer_listen.host,
             settings.peer_listen.port,
             self._peer_api.handlers,
@@ -265,14 +276,33 @@
             self._metrics,
         )
         self._control_server = api.Api(
-            h11_frontend.native_binder(
-                settings.daemon_id, MAX_CONTROL_BODY_BYTES
+            self._binder(
+                MAX_CONTROL_BODY_BYTES, connection_limits.STATUS_FRACTION
             ),
             settings.control_listen.host,
             settings.control_listen.port,
             control.handlers,
         )
 
+    def _binder(
+        self, max_body_bytes: int, fraction: float
+    ) -> h11_binder.H11Binder:
+        """Creates the binder of a listening socket.
+
+        Args:
+            max_body_bytes: The longest request body, in bytes.
+            fraction: The part of the descriptors for its connections.
+        """
+        max_connections = connection_limits.share_descriptors(
+            self._settings.max_fds, fraction
+        )
+        return h11_binder.native_binder(
+            self._settings.daemon_id,
+            max_body_bytes,
+            connection_guard.ConnectionGuard(self._callers, max_connections),
+            HEAD_TIMEOUT_S,
+        )
+
     def _start_tasks(self) -> None:
         inboxes = self._inboxes
         start = self._supervisor.start
@@ -307,7 +337,7 @@
 
     def _create_backend_pool(self) -> backend_pool.BackendPool:
         return backend_pool.BackendPool(
-            h11_backend.H11Connector(self._clock),
+            h11_backend.H11Connector(self._clock, memory=self._callers.memory),
             self._clock,
             self._inboxes.back_ends,
             self._inboxes.dispatcher,
@@ -421,73 +451,8 @@
     return 0
 
 
-_address_type = settings_adapter.AddressType()
-
-
 @click.command(context_settings={"auto_envvar_prefix": "DOTTERELPATH"})
-@click.option(
-    "--id",
-    "daemon_id",
-    type=settings_adapter.DaemonIdType(),
-    required=True,
-    envvar="DOTTERELPATH_ID",
-    help="This daemon's id in the VM list.",
-)
-@click.option("--data-centre", required=True, help="This daemon's data centre.")
-@click.option(
-    "--listen",
-    type=_address_type,
-    required=True,
-    help="The address for callers.",
-)
-@click.option(
-    "--peer-listen",
-    type=_address_type,
-    required=True,
-    help="The address for other daemons.",
-)
-@click.option(
-    "--control-listen",
-    type=_address_type,
-    required=True,
-    help="The address for operators.",
-)
-@click.option(
-    "--store",
-    type=_address_type,
-    required=True,
-    help="The configuration store.",
-)
-@click.option(
-    "--store-watchers",
-    type=click.IntRange(1, 10_000),
-    default=64,
-    show_default=True,
-    help="How many daemons of the fleet watch the store.",
-)
-@click.option(
-    "--vm-list", type=_address_type, required=True, help="The VM list."
-)
-@click.option(
-    "--drain-grace-s",
-    type=click.FloatRange(0.0, 300.0),
-    default=2.0,
-    show_default=True,
-    help="How long a daemon that shuts down still accepts callers.",
-)
-@click.option(
-    "--drain-timeout-s",
-    type=click.FloatRange(0.1, 3600.0),
-    default=30.0,
-    show_default=True,
-    help="The longest wait for requests in flight at a shutdown.",
-)
-@click.option(
-    "--log-level",
-    type=click.Choice(logs.LEVELS),
-    default="info",
-    show_default=True,
-)
+@settings_adapter.add_options
 @click.version_option(package_name="dotterelpath")
 def main(**options: typing.Any) -> None:
     """Runs a daemon of the fleet on this entry VM."""
--- a/src/dotterelpath/domain/bounds.py
+++ b/src/dotterelpath/domain/bounds.py
@@ -15,6 +15,7 @@
         "retry_ratio",
         "retry_slack",
         "retry_window_s",
+        "stall_s",
     )
 
     def __init__(
@@ -27,6 +28,7 @@
         retry_window_s: float = 10.0,
         address_ttl_s: float = 5.0,
         min_used_share: float = 1.0,
+        stall_s: float = 15.0,
     ) -> None:
         """Creates limits.
 
@@ -46,7 +48,10 @@
                 in seconds.
             min_used_share: The share of a service's instances that must get
                 requests while many of its requests are not served.
+            stall_s: The longest time for which a caller may take none of the
+                output that waits for it, in seconds.
         """
+        self.stall_s = stall_s
         self.min_used_share = min_used_share
         self.drain_s = drain_s
         self.grace_s = grace_s
--- a/src/dotterelpath/domain/deployment.py
+++ b/src/dotterelpath/domain/deployment.py
@@ -37,6 +37,7 @@
         "daemon_id",
         "data_centre",
         "directory_endpoint",
+        "max_descriptors",
         "memory_bytes",
         "metrics_endpoint",
         "peer_endpoint",
@@ -66,6 +67,7 @@
         resources: steering.Resources,
         bounds: bounds.Bounds,
         memory_bytes: float = math.inf,
+        max_descriptors: float | None = None,
     ) -> None:
         """Creates a deployment.
 
@@ -88,6 +90,8 @@
             resources: This daemon's processor cores and network link.
             bounds: Time and retry limits of the deployment.
             memory_bytes: The most memory that this process may use, in bytes.
+            max_descriptors: The most descriptors that it may open; None if
+                the settings do not say.
         """
         self.daemon_id = daemon_id
         self.data_centre = data_centre
@@ -104,6 +108,7 @@
         self.resources = resources
         self.bounds = bounds
         self.memory_bytes = memory_bytes
+        self.max_descriptors = max_descriptors
 
     @property
     def daemon(self) -> steering.Daemon:
--- a/src/dotterelpath/gateway_daemon.py
+++ b/src/dotterelpath/gateway_daemon.py
@@ -17,16 +17,19 @@
 from dotterelpath import errors
 from dotterelpath.adapters import api
 from dotterelpath.adapters import clock as clock_adapter
+from dotterelpath.adapters import connection_guard
 from dotterelpath.adapters import datagrams
 from dotterelpath.adapters import gateway_status
 from dotterelpath.adapters import h11_backend
-from dotterelpath.adapters import h11_frontend
+from dotterelpath.adapters import h11_binder
 from dotterelpath.adapters import http_client
 from dotterelpath.adapters import logs
 from dotterelpath.adapters import metrics as metrics_adapter
+from dotterelpath.adapters import process_limits
 from dotterelpath.adapters import store_client
 from dotterelpath.adapters import traffic
-from dotterelpath.domain import body_budget
+from dotterelpath.domain import caller_memory
+from dotterelpath.domain import connection_limits
 from dotterelpath.domain import deployment
 from dotterelpath.platform import caller_codec
 from dotterelpath.platform import discovery_api
@@ -58,13 +61,13 @@
 # The lowest rate of a request body, in bytes per second: far below that of the
 # slowest mobile network.
 MIN_BODY_BYTES_PER_S = 100.0
-# The fraction of the process's memory that request bodies may take up. A body
-# takes up to twice its size while it is received, and a process without
-# requests about 60 MB.
-BODY_MEMORY_FRACTION = 0.35
 # The most requests of one connection that are processed concurrently.
 MAX_PIPELINED = 32
-MAX_STATUS_BODY_BYTES = 1024 * 1024
+# The calls for readiness, look-up, metrics and status: the longest body in
+# bytes, and the longest times for a head and between requests, in seconds.
+MAX_STATUS_BODY_BYTES = 64 * 1024
+STATUS_HEAD_TIMEOUT_S = 10.0
+STATUS_IDLE_TIMEOUT_S = 60.0
 # A server in the same region accepts a connection within a few milliseconds; a
 # request that waits longer is better sent to another instance.
 CONNECT_TIMEOUT_S = 0.3
@@ -111,7 +114,7 @@
 
     __slots__ = (
         "_api_servers",
-        "_body_budget",
+        "_callers",
         "_client",
         "_clock",
         "_settings_content",
@@ -152,8 +155,9 @@
         self._random = random.Random()
         self._metrics = metrics_adapter.Metrics()
         self._traffic = traffic.TrafficCounter()
-        self._body_budget = body_budget.BodyBudget(
-            local_deployment.memory_bytes * BODY_MEMORY_FRACTION
+        self._callers = connection_guard.CallerRegistry(
+            caller_memory.for_process(local_deployment.memory_bytes),
+            self._metrics,
         )
         self._inboxes = Inboxes()
         self._is_stopping = False
@@ -217,14 +221,18 @@
         inboxes = self._inboxes
         local_deployment = self._deployment
         limits = frontend.Limits(
-            *INITIAL_CALLER_LIMITS, MAX_PIPELINED, True, MIN_BODY_BYTES_PER_S
+            *INITIAL_CALLER_LIMITS,
+            MAX_PIPELINED,
+            True,
+            MIN_BODY_BYTES_PER_S,
+            local_deployment.bounds.stall_s,
         )
         self._front_end = front_end.FrontEnd(
-            h11_frontend.H11Binder(
+            h11_binder.H11Binder(
                 caller_codec.CallerCodec(),
                 limits,
                 self._traffic,
-                self._body_budget,
+                self._guard(connection_limits.CALLER_FRACTION),
             ),
             local_deployment.caller_endpoint.host,
             local_deployment.caller_endpoint.port,
@@ -277,27 +285,59 @@
             self._peer_monitor,
             self._registrar,
             self._metrics,
-            self._body_budget,
+            self._callers,
         )
-        handlers_by_endpoint = [
-            (local_deployment.readiness_endpoint, discovery.ready_handlers),
-            (local_deployment.metrics_endpoint, status.handlers),
+        status_fraction = connection_limits.STATUS_FRACTION
+        servers = [
+            (
+                local_deployment.readiness_endpoint,
+                discovery.ready_handlers,
+                status_fraction,
+            ),
+            (
+                local_deployment.metrics_endpoint,
+                status.handlers,
+                status_fraction,
+            ),
         ]
         if local_deployment.directory_endpoint is not None:
-            handlers_by_endpoint.append(
+            servers.append(
                 (
                     local_deployment.directory_endpoint,
                     discovery.resolve_handlers,
+                    connection_limits.DIRECTORY_FRACTION,
                 )
             )
-        binder = h11_frontend.native_binder(
-            local_deployment.daemon_id, MAX_STATUS_BODY_BYTES
-        )
         return [
-            api.Api(binder, endpoint.host, endpoint.port, handlers)
-            for endpoint, handlers in handlers_by_endpoint
+            api.Api(
+                h11_binder.native_binder(
+                    local_deployment.daemon_id,
+                    MAX_STATUS_BODY_BYTES,
+                    self._guard(fraction),
+                    STATUS_HEAD_TIMEOUT_S,
+                    STATUS_IDLE_TIMEOUT_S,
+                ),
+                endpoint.host,
+                endpoint.port,
+                handlers,
+            )
+            for endpoint, handlers, fraction in servers
         ]
 
+    def _guard(self, fraction: float) -> connection_guard.ConnectionGuard:
+        """Creates the limits of a listening socket.
+
+        Args:
+            fraction: Its part of the descriptors.
+        """
+        max_descriptors = self._deployment.max_descriptors
+        if max_descriptors is None:
+            max_descriptors = process_limits.max_descriptors()
+        return connection_guard.ConnectionGuard(
+            self._callers,
+            connection_limits.share_descriptors(max_descriptors, fraction),
+        )
+
     def _start_tasks(self) -> None:
         inboxes = self._inboxes
         start = self._supervisor.start
@@ -307,7 +347,10 @@
         start("settings watcher", self._settings_watcher.run())
         pool = backend_pool.BackendPool(
             h11_backend.H11Connector(
-                self._clock, server_codec.ServerCodec(), self._traffic
+                self._clock,
+                server_codec.ServerCodec(),
+                self._traffic,
+                self._callers.memory,
             ),
             self._clock,
             inboxes.back_ends,
--- a/src/dotterelpath/platform/settings.py
+++ b/src/dotterelpath/platform/settings.py
@@ -26,6 +26,7 @@
     "retry_window_s": "budget_window_s",
     "address_ttl_s": "ttl_max_s",
     "min_used_share": "floor_share",
+    "stall_s": "output_stall_s",
 }
 
 
@@ -78,6 +79,7 @@
         fields.get_number(limits, "memory_mb") * 1024 * 1024
         if "memory_mb" in limits
         else math.inf,
+        fields.get_number(limits, "max_fds") if "max_fds" in limits else None,
     )
 
 
--- a/src/dotterelpath/ports/frontend.py
+++ b/src/dotterelpath/ports/frontend.py
@@ -7,6 +7,10 @@
 from dotterelpath import errors
 from dotterelpath.domain import exchange
 
+# The default of the longest time without progress of waiting output, in
+# seconds: above the pauses of mobile networks, which retransmit within it.
+STALL_TIMEOUT_S = 15.0
+
 
 class Limits:
     """Size and time limits of a caller's connection."""
@@ -19,6 +23,7 @@
         "max_head_bytes",
         "max_pipelined",
         "min_body_bytes_per_s",
+        "stall_timeout_s",
     )
 
     def __init__(
@@ -30,6 +35,7 @@
         max_pipelined: int = 1,
         closes_on_eof: bool = False,
         min_body_bytes_per_s: float = 0.0,
+        stall_timeout_s: float = STALL_TIMEOUT_S,
     ) -> None:
         """Creates limits.
 
@@ -47,7 +53,10 @@
                 for responses; if not, outstanding responses are written.
             min_body_bytes_per_s: The lowest rate of a body, averaged over the
                 idle timeout.
+            stall_timeout_s: The longest time for which a caller may take
+                none of the output that waits for it, in seconds.
         """
+        self.stall_timeout_s = stall_timeout_s
         self.min_body_bytes_per_s = min_body_bytes_per_s
         self.max_head_bytes = max_head_bytes
         self.max_body_bytes = max_body_bytes
@@ -255,6 +264,17 @@
             connection: The caller's connection.
         """
 
+    def on_chunks_written(
+        self, connection: Connection, request: exchange.Request, size: int
+    ) -> None:
+        """Handles chunks of a streamed response that were written in turn.
+
+        Args:
+            connection: The caller's connection.
+            request: The request that the response belongs to.
+            size: The bytes of the chunks.
+        """
+
 
 class Server(typing.Protocol):
     """A listening socket."""
--- a/src/dotterelpath/ports/metrics.py
+++ b/src/dotterelpath/ports/metrics.py
@@ -63,6 +63,13 @@
                 invalid, or a request kind that is unknown.
         """
 
+    def record_closed_connection(self, reason: str) -> None:
+        """Records a caller's connection that a limit has closed.
+
+        Args:
+            reason: The limit.
+        """
+
     def record_store_call(self, call: str, ok: bool) -> None:
         """Records a call to the store.
 
--- a/src/dotterelpath/tasks/backend_pool.py
+++ b/src/dotterelpath/tasks/backend_pool.py
@@ -152,7 +152,13 @@
         if is_complete:
             self._release(connection, attempt_id)
         else:
-            self._streams[attempt_id] = stream_window.StreamWindow()
+            # What was read so far counts too, so that no more is read of a
+            # response whose turn has not come.
+            stream = stream_window.StreamWindow()
+            stream.record_read(len(response.body))
+            self._streams[attempt_id] = stream
+            if not stream.is_open:
+                connection.pause()
         self._dispatcher.force(
             messages.AttemptEnded(
                 attempt_id,
--- a/src/dotterelpath/tasks/front_end.py
+++ b/src/dotterelpath/tasks/front_end.py
@@ -28,13 +28,15 @@
 class _PendingRequest:
     """Holds a request whose caller waits for the response."""
 
-    __slots__ = ("connection", "request")
+    __slots__ = ("attempt_id", "connection", "request")
 
     def __init__(
         self, connection: frontend.Connection, request: exchange.Request
     ) -> None:
         self.connection = connection
         self.request = request
+        # The attempt whose response is streamed.
+        self.attempt_id: int | None = None
 
 
 class FrontEnd:
@@ -52,6 +54,7 @@
         "_is_leaving",
         "_limits",
         "_mailbox",
+        "_paused",
         "_pending",
         "_port",
         "_server",
@@ -96,6 +99,8 @@
         self._backend_pool = backend_pool
         self._server: frontend.Server | None = None
         self._connections: set[frontend.Connection] = set()
+        # Connections whose callers read too slowly.
+        self._paused: set[frontend.Connection] = set()
         self._pending: dict[int, _PendingRequest] = {}
         self._tokens_by_connection: dict[frontend.Connection, set[int]] = {}
         self._sweep_timer: asyncio.TimerHandle | None = None
@@ -161,6 +166,7 @@
     def on_disconnected(self, connection: frontend.Connection) -> None:
         """Cancels a closed connection's requests; see frontend.Listener."""
         self._connections.discard(connection)
+        self._paused.discard(connection)
         for token in self._tokens_by_connection.pop(connection, ()):
             self._pending.pop(token, None)
             self._cancel_stream(token)
@@ -171,12 +177,29 @@
 
     def on_paused(self, connection: frontend.Connection) -> None:
         """Pauses the responses to a slow caller; see frontend.Listener."""
+        self._paused.add(connection)
         self._set_responses_paused(connection, True)
 
     def on_resumed(self, connection: frontend.Connection) -> None:
         """Resumes the responses to a caller; see frontend.Listener."""
+        self._paused.discard(connection)
         self._set_responses_paused(connection, False)
 
+    def on_chunks_written(
+        self,
+        connection: frontend.Connection,
+        request: exchange.Request,
+        size: int,
+    ) -> None:
+        """Lets more of a response be read; see frontend.Listener."""
+        for token in self._tokens_by_connection.get(connection, ()):
+            pending = self._pending[token]
+            if pending.request is request and pending.attempt_id is not None:
+                self._backend_pool.force(
+                    messages.ChunkWritten(pending.attempt_id, size)
+                )
+                return
+
     def on_request_ended(self, message: messages.RequestEnded) -> None:
         """Writes a response.
 
@@ -194,9 +217,6 @@
         pending = self._streaming_request(message.attempt_id)
         if pending is not None:
             pending.connection.write_chunk(message.data, pending.request)
-            self._backend_pool.force(
-                messages.ChunkWritten(message.attempt_id, len(message.data))
-            )
 
     def on_response_ended(self, message: messages.ResponseEnded) -> None:
         """Ends a streamed response, or aborts the connection if it is cut off.
@@ -268,7 +288,12 @@
                 )
             return
         if outcome.stream_id is not None:
+            pending.attempt_id = outcome.stream_id
             self._tokens_by_attempt[outcome.stream_id] = token
+            if pending.connection in self._paused:
+                self._backend_pool.force(
+                    messages.FlowControlChanged(outcome.stream_id, True)
+                )
         else:
             self._release(token)
         pending.connection.respond(outcome, pending.request)
--- a/standins/http.py
+++ b/standins/http.py
@@ -9,7 +9,7 @@
 
 from dotterelpath import errors
 from dotterelpath.adapters import caller_codec
-from dotterelpath.adapters import h11_frontend
+from dotterelpath.adapters import h11_binder
 from dotterelpath.adapters import headers as header_names
 from dotterelpath.domain import exchange
 from dotterelpath.ports import frontend
@@ -65,10 +65,10 @@
             host: The IP address.
             port: The port.
         """
-        binder = h11_frontend.H11Binder(
+        binder = h11_binder.H11Binder(
             EchoCodec("standin"),
             frontend.Limits(
-                h11_frontend.MAX_HEAD_BYTES, MAX_BODY_BYTES, closes_on_eof=True
+                h11_binder.MAX_HEAD_BYTES, MAX_BODY_BYTES, closes_on_eof=True
             ),
         )
         await binder.listen(host, port, self)
@@ -101,6 +101,14 @@
     def on_resumed(self, connection: frontend.Connection) -> None:
         """Ignores that the send buffer has room again."""
 
+    def on_chunks_written(
+        self,
+        connection: frontend.Connection,
+        request: exchange.Request,
+        size: int,
+    ) -> None:
+        """Does nothing, as responses are never streamed."""
+
     async def _serve(
         self, connection: frontend.Connection, request: exchange.Request
     ) -> None:
