Parse nothing on a connection that lingers, and wait for slow last readers

The checks of waiting output called the parser also on a connection that lingers behind a refusal, so that the refused request's rest was taken for a request. A lingering connection was closed a second after its end even if its caller was still reading the last response. The parser is now called through one guard, and the second counts from the last waiting byte unless the caller takes none.

--- a/features/connection.feature
+++ b/features/connection.feature
@@ -37,3 +37,10 @@
     Given a connection on which half a request has arrived
     When the stop begins and drains, and the rest does not come for a second
     Then the caller reads status 408, and the last announces the end
+
+  # What was left of the refused request was parsed as a further request while
+  # the caller read the refusal slowly.
+  Scenario: Nothing is parsed behind a refused request whose caller reads late
+    Given a connection with a request that is refused before its body, and output that waits
+    When time-outs are checked and output is taken
+    Then the refusal 413 is read, and nothing else is taken
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -128,3 +128,29 @@
     connection.check_timeouts(
         time.monotonic() + h11_frontend.DRAIN_READ_S + 0.1
     )
+
+
+@behave.given(
+    "a connection with a request that is refused before its body, and output"
+    " that waits"
+)
+def step_refused_unread(context):
+    context.caller = connection_machine.ConnectionMachine()
+    context.caller.transport.waiting_bytes = 1000
+    context.caller.connection.data_received(
+        b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9000000\r\n\r\n"
+        b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+    )
+
+
+@behave.when("time-outs are checked and output is taken")
+def step_check_and_resume(context):
+    connection = context.caller.connection
+    connection.check_timeouts(time.monotonic() + 0.1)
+    connection.resume_writing()
+
+
+@behave.then("the refusal {status:d} is read, and nothing else is taken")
+def step_read_only(context, status):
+    step_read(context, str(status))
+    assert context.caller.listener.taken_count == 1
--- a/features/support/connection_machine.py
+++ b/features/support/connection_machine.py
@@ -27,6 +27,8 @@
 
     def __init__(self):
         self.written = b""
+        # What the caller's kernel has not accepted yet.
+        self.waiting_bytes = 0
         # Whether nothing more can be written, or read either.
         self.is_ended = False
         self.is_closed = False
@@ -47,7 +49,7 @@
         return None
 
     def get_write_buffer_size(self):
-        return 0
+        return self.waiting_bytes
 
     def is_closing(self):
         return self.is_closed
--- a/src/dotterelpath/adapters/caller_input.py
+++ b/src/dotterelpath/adapters/caller_input.py
@@ -106,6 +106,21 @@
         unparsed, _ = self.cycle.conn.trailing_data
         return bool(unparsed)
 
+    def is_too_slow(self, idle_s: float, now_s: float) -> bool:
+        """Tells whether the rest of a request comes too late or too slowly.
+
+        Args:
+            idle_s: The time since the head began or the last byte of the body
+                came, in seconds.
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        timeout_s = self._limits.head_timeout_s
+        if self.is_reading_body:
+            if self.cycle.body.is_too_slow(now_s):
+                return True
+            timeout_s = self._limits.idle_timeout_s
+        return bool(timeout_s) and idle_s > (timeout_s or 0.0)
+
     def append(self, data: bytes) -> None:
         """Adds received bytes, which read parses.
 
--- a/src/dotterelpath/adapters/h11_frontend.py
+++ b/src/dotterelpath/adapters/h11_frontend.py
@@ -132,7 +132,7 @@
             # cannot extend it by sending the head byte by byte.
             self._last_activity_s = time.monotonic()
         self._input.append(data)
-        self._input.read(self)
+        self._read()
         self._settle()
 
     def eof_received(self) -> bool:
@@ -146,7 +146,7 @@
     def resume_writing(self) -> None:
         """Reports a drained write buffer to the listener."""
         self._listener.on_resumed(self)
-        self._input.read(self)
+        self._read()
         self._settle()
 
     def respond(
@@ -214,38 +214,32 @@
     def check_timeouts(self, now_s: float) -> None:
         """Ends a connection that is too slow; see frontend.Connection."""
         self._check_output(now_s)
-        if self._open_cycles or self._transport is None:
-            return
-        if self._is_over_share:
-            # What was received is not parsed until the caller has read.
-            self._last_activity_s = now_s
+        if self._transport is None:
             return
         idle_s = now_s - self._last_activity_s
         if self._is_lingering:
-            if idle_s > LINGER_S:
-                self._transport.abort()
-            return
-        is_overdue = now_s - self._drain_began_s > DRAIN_READ_S
-        if is_overdue and self._input.has_partial_request:
-            self.on_refused(errors.ResultCode.REQUEST_TIMEOUT)
+            self._check_linger(now_s, idle_s)
+        elif self._open_cycles:
             return
-        limits = self._limits
-        is_reading_head = (
-            self._input.has_partial_request and not self._input.is_reading_body
-        )
-        if is_reading_head:
-            if limits.head_timeout_s and idle_s > limits.head_timeout_s:
-                self.on_refused(errors.ResultCode.REQUEST_TIMEOUT)
-        elif self._input.is_reading_body and self._input.cycle.body.is_too_slow(
-            now_s
-        ):
-            self.on_refused(errors.ResultCode.REQUEST_TIMEOUT)
-        elif limits.idle_timeout_s and idle_s > limits.idle_timeout_s:
-            if self._input.is_reading_body:
+        elif self._is_over_share:
+            # What was received is not parsed until the caller has read.
+            self._last_activity_s = now_s
+        elif self._input.has_partial_request:
+            is_overdue = now_s - self._drain_began_s > DRAIN_READ_S
+            if is_overdue or self._input.is_too_slow(idle_s, now_s):
                 self.on_refused(errors.ResultCode.REQUEST_TIMEOUT)
-            else:
+        else:
+            idle_timeout_s = self._limits.idle_timeout_s
+            if idle_timeout_s and idle_s > idle_timeout_s:
                 self._transport.close()
 
+    def _check_linger(self, now_s: float, idle_s: float) -> None:
+        """Closes once the caller has the last response, or does not read."""
+        if self._output.waiting_bytes and not self.is_stalled:
+            self._last_activity_s = now_s
+        elif idle_s > LINGER_S and self._transport is not None:
+            self._transport.abort()
+
     def measure(self) -> int:
         """Returns the held memory; see connection_guard.GuardedConnection."""
         if self._transport is None:
@@ -291,9 +285,16 @@
             self.discard()
         elif self.held_bytes:
             # Small output is taken without an event.
-            self._input.read(self)
+            self._read()
             self._settle()
 
+    def _read(self) -> None:
+        """Parses what was received, unless the connection is ending."""
+        if self._transport is None or self._is_lingering:
+            return
+        if not self._transport.is_closing():
+            self._input.read(self)
+
     def _settle(self) -> None:
         """Adapts reading and the accounts to what the connection holds."""
         if self._transport is None:
@@ -406,7 +407,7 @@
         else:
             if not self._open_cycles:
                 self._last_activity_s = time.monotonic()
-            self._input.read(self)
+            self._read()
         self._settle()
 
     def _report_written(self, cycle: request_cycle.RequestCycle) -> None:
