Bound the time that refused clients cost

A flood of connections beyond the limit, or of bodies that do not fit, searched all connections each time.

--- a/src/dotterelpath/adapters/connection_guard.py
+++ b/src/dotterelpath/adapters/connection_guard.py
@@ -21,6 +21,9 @@
 # How often one reason is logged, in seconds; a line counts those since the
 # last one.
 LOG_INTERVAL_S = 1.0
+# The pause after a search among all connections, as a multiple of its duration,
+# so that a flood of refused clients spends little on searches.
+SEARCH_PAUSE_MULTIPLE = 10.0
 # How many of the connections that hold most the status shows.
 SHOWN_HOLDERS = 5
 
@@ -56,6 +59,28 @@
         """Closes at once and drops what waits to be read or written."""
 
 
+class SearchLimiter:
+    """Bounds the time that is spent on searches among all connections."""
+
+    __slots__ = ("_began_s", "_next_s")
+
+    def __init__(self) -> None:
+        """Creates a limiter that allows a search."""
+        self._began_s = 0.0
+        self._next_s = -math.inf
+
+    def begin(self) -> bool:
+        """Tells whether a search may begin now."""
+        self._began_s = time.monotonic()
+        return self._began_s >= self._next_s
+
+    def end(self) -> None:
+        """Records the end of a search."""
+        now_s = time.monotonic()
+        pause_s = (now_s - self._began_s) * SEARCH_PAUSE_MULTIPLE
+        self._next_s = now_s + pause_s
+
+
 class CallerRegistry:
     """The connections of all listening sockets of a process."""
 
@@ -65,6 +90,7 @@
         "_logged_s",
         "_memory",
         "_metrics",
+        "_search",
         "_unlogged_counts",
     )
 
@@ -85,6 +111,7 @@
         self._closed_counts: collections.Counter[str] = collections.Counter()
         self._unlogged_counts: collections.Counter[str] = collections.Counter()
         self._logged_s: dict[str, float] = {}
+        self._search = SearchLimiter()
 
     @property
     def memory(self) -> caller_memory.CallerMemory:
@@ -202,8 +229,11 @@
         Returns:
             Whether the body fits now.
         """
+        if not self._search.begin():
+            return False
         self._refresh()
         self._discard(self._memory.choose_for_body(self._connections, size))
+        self._search.end()
         return self._memory.fits(size)
 
     def _refresh(self) -> None:
@@ -222,7 +252,7 @@
 class ConnectionGuard:
     """The limits of one listening socket."""
 
-    __slots__ = ("_connections", "_limits", "_registry")
+    __slots__ = ("_connections", "_limits", "_registry", "_search")
 
     def __init__(
         self,
@@ -238,6 +268,7 @@
         self._registry = registry or CallerRegistry()
         self._limits = connection_limits.ConnectionLimits(max_connections)
         self._connections: set[GuardedConnection] = set()
+        self._search = SearchLimiter()
 
     @property
     def registry(self) -> CallerRegistry:
@@ -257,22 +288,29 @@
         """
         address = connection.address
         admission = self._limits.check(address)
-        if admission is not connection_limits.Admission.ADMITTED:
-            idle = self._limits.choose_idle(
-                self._connections, address, admission
-            )
-            for chosen in idle:
-                closed = typing.cast(GuardedConnection, chosen)
-                self._registry.record_closed(DESCRIPTORS, closed)
-                closed.discard()
-            if not idle:
-                self._registry.record_closed(DESCRIPTORS, connection)
-                return False
+        is_admitted = admission is connection_limits.Admission.ADMITTED
+        if not is_admitted and not self._evict_idle(address, admission):
+            self._registry.record_closed(DESCRIPTORS, connection)
+            return False
         self._limits.add(address)
         self._connections.add(connection)
         self._registry.add(connection)
         return True
 
+    def _evict_idle(
+        self, address: str, admission: connection_limits.Admission
+    ) -> bool:
+        """Closes idle connections; returns whether there were any."""
+        if not self._search.begin():
+            return False
+        idle = self._limits.choose_idle(self._connections, address, admission)
+        for chosen in idle:
+            closed = typing.cast(GuardedConnection, chosen)
+            self._registry.record_closed(DESCRIPTORS, closed)
+            closed.discard()
+        self._search.end()
+        return bool(idle)
+
     def remove(self, connection: GuardedConnection) -> None:
         """Removes a closed connection; one that was not admitted is ignored.
 
