Merge the bounds on what clients hold

Two parts had each made the front end acknowledge streamed chunks only when the caller's connection forwards them. What was read before a response streams now counts to its read-ahead, too.

--- a/features/support/connection_machine.py
+++ b/features/support/connection_machine.py
@@ -11,9 +11,9 @@
 
 from dotterelpath import errors
 from dotterelpath.adapters import caller_codec
+from dotterelpath.adapters import connection_guard
 from dotterelpath.adapters import h11_frontend
 from dotterelpath.adapters import traffic
-from dotterelpath.domain import body_budget
 from dotterelpath.domain import exchange
 from dotterelpath.ports import frontend
 
@@ -27,6 +27,8 @@
 
     def __init__(self):
         self.written = b""
+        # What the caller's kernel has not accepted yet.
+        self.waiting_bytes = 0
         # Whether nothing more can be written, or read either.
         self.is_ended = False
         self.is_closed = False
@@ -43,6 +45,15 @@
 
     abort = close
 
+    def get_extra_info(self, name):
+        return None
+
+    def get_write_buffer_size(self):
+        return self.waiting_bytes
+
+    def is_closing(self):
+        return self.is_closed
+
     def pause_reading(self):
         pass
 
@@ -87,7 +98,7 @@
             caller_codec.CallerCodec("id"),
             frontend.Limits(16384, 65536, max_pipelined=MAX_PIPELINED),
             traffic.TrafficCounter(),
-            body_budget.BodyBudget(),
+            connection_guard.ConnectionGuard(),
         )
         self.connection.connection_made(self.transport)
         self.methods = []
--- a/src/dotterelpath/adapters/gateway_status.py
+++ b/src/dotterelpath/adapters/gateway_status.py
@@ -6,8 +6,8 @@
 import typing
 
 from dotterelpath.adapters import api
+from dotterelpath.adapters import connection_guard
 from dotterelpath.adapters import metrics as metrics_adapter
-from dotterelpath.domain import body_budget
 from dotterelpath.domain import configuration as configuration_domain
 from dotterelpath.domain import exchange
 from dotterelpath.domain import request_limits
@@ -25,7 +25,7 @@
     """Serves the calls /metrics and /status."""
 
     __slots__ = (
-        "_body_budget",
+        "_callers",
         "_gateway",
         "_metrics",
         "_peer_monitor",
@@ -38,7 +38,7 @@
         peer_monitor: peer_monitor_task.PeerMonitor,
         registrar: registrar_task.Registrar,
         metrics: metrics_adapter.Metrics,
-        budget: body_budget.BodyBudget,
+        callers: connection_guard.CallerRegistry,
     ) -> None:
         """Creates the handlers.
 
@@ -47,13 +47,13 @@
             peer_monitor: Holds this daemon's view of the fleet.
             registrar: Holds why a configuration was refused.
             metrics: Holds this daemon's counters and histograms.
-            budget: Counts the bytes of the request bodies that are held.
+            callers: Holds the callers' connections and their memory.
         """
         self._gateway = gateway
         self._peer_monitor = peer_monitor
         self._registrar = registrar
         self._metrics = metrics
-        self._body_budget = budget
+        self._callers = callers
 
     @property
     def handlers(self) -> dict[tuple[str, str], api.Handler]:
@@ -79,7 +79,8 @@
                 ),
                 "stale": self._peer_monitor.is_stale,
                 "in_flight": self._gateway.in_flight,
-                "body_bytes": self._body_budget.held_bytes,
+                "body_bytes": self._callers.memory.body_bytes,
+                "callers": self._callers.status(),
                 "store_watched": self._peer_monitor.store_revision is not None,
                 "quotas": self._gateway.quotas.status(MAX_TENANTS),
                 "daemons": sorted(self._peer_monitor.fleet_view.daemons),
--- a/src/dotterelpath/adapters/metrics.py
+++ b/src/dotterelpath/adapters/metrics.py
@@ -37,6 +37,7 @@
 
     __slots__ = (
         "_avoided",
+        "_closed_connections",
         "_duration",
         "_ejected",
         "_outcomes",
@@ -81,6 +82,9 @@
             "quota_refusals", "Requests beyond their tenant's quota."
         )
         self._refused_tenants: set[str] = set()
+        self._closed_connections = self._counter(
+            "closed_connections", "Callers' connections that limits closed."
+        )
         self._avoided = self._gauge("avoided", "Instances avoided here.")
         self._ejected = self._gauge("ejected", "Instances ejected.")
         self._duration = self._histogram(
@@ -153,6 +157,10 @@
             {"tenant": tenant if is_known else OTHER_TENANTS}
         )
 
+    def record_closed_connection(self, reason: str) -> None:
+        """Records a closed connection; see metrics.Metrics."""
+        self._closed_connections.inc({"reason": reason})
+
     def record_store_call(self, call: str, ok: bool) -> None:
         """Records a call to the store; see metrics.Metrics."""
         self._store_calls.inc({"call": call, "ok": str(ok).lower()})
--- a/src/dotterelpath/domain/bounds.py
+++ b/src/dotterelpath/domain/bounds.py
@@ -21,6 +21,7 @@
         "retry_slack",
         "retry_window_s",
         "revoke_s",
+        "stall_s",
     )
 
     def __init__(
@@ -39,6 +40,7 @@
         quota_window_s: float = 5.0,
         quota_overshoot: float = 0.1,
         quota_slack: float = 20.0,
+        stall_s: float = 15.0,
     ) -> None:
         """Creates limits.
 
@@ -71,6 +73,8 @@
                 may accept beyond it in a window.
             quota_slack: The requests that all daemons together may accept
                 beyond it in a window.
+            stall_s: The longest time for which a caller may take none of the
+                output that waits for it, in seconds.
         """
         self.revoke_s = revoke_s
         self.max_stretch_s = max_stretch_s
@@ -78,6 +82,7 @@
         self.quota_window_s = quota_window_s
         self.quota_overshoot = quota_overshoot
         self.quota_slack = quota_slack
+        self.stall_s = stall_s
         self.min_used_share = min_used_share
         self.drain_s = drain_s
         self.grace_s = grace_s
--- a/src/dotterelpath/platform/settings.py
+++ b/src/dotterelpath/platform/settings.py
@@ -31,6 +31,7 @@
     "quota_window_s": "quota_window_s",
     "quota_overshoot": "quota_overshoot",
     "quota_slack": "quota_slack",
+    "stall_s": "output_stall_s",
 }
 # The same for bounds that are true or false.
 _FLAG_NAMES = {"is_revocation_strict": "strict_revoke"}
@@ -86,6 +87,7 @@
         fields.get_number(limits, "memory_mb") * 1024 * 1024
         if "memory_mb" in limits
         else math.inf,
+        fields.get_number(limits, "max_fds") if "max_fds" in limits else None,
     )
 
 
--- a/src/dotterelpath/ports/metrics.py
+++ b/src/dotterelpath/ports/metrics.py
@@ -94,6 +94,13 @@
             tenant: The tenant's name.
         """
 
+    def record_closed_connection(self, reason: str) -> None:
+        """Records a caller's connection that a limit has closed.
+
+        Args:
+            reason: The limit.
+        """
+
     def record_store_call(self, call: str, ok: bool) -> None:
         """Records a call to the store.
 
--- a/src/dotterelpath/tasks/front_end.py
+++ b/src/dotterelpath/tasks/front_end.py
@@ -202,12 +202,10 @@
         """
         pending = self._streaming_request(message.attempt_id)
         if pending is not None:
-            connection = pending.connection
-            connection.write_chunk(message.data, pending.request)
-            sizes = self._unacknowledged.setdefault(connection, {})
-            size = sizes.get(message.attempt_id, 0)
-            sizes[message.attempt_id] = size + len(message.data)
-            self._acknowledge_chunks(connection)
+            pending.connection.write_chunk(message.data, pending.request)
+            self._record_forwarded(
+                pending.connection, message.attempt_id, len(message.data)
+            )
 
     def on_response_ended(self, message: messages.ResponseEnded) -> None:
         """Ends a streamed response, or aborts the connection if it is cut off.
@@ -284,6 +282,12 @@
         else:
             self._release(token)
         pending.connection.respond(outcome, pending.request)
+        if outcome.stream_id is not None and outcome.response is not None:
+            self._record_forwarded(
+                pending.connection,
+                outcome.stream_id,
+                len(outcome.response.body),
+            )
 
     def _release(self, token: int) -> None:
         pending = self._pending.pop(token, None)
@@ -320,6 +324,14 @@
             self._tokens_by_connection.get(connection, (token,))
         )
 
+    def _record_forwarded(
+        self, connection: frontend.Connection, attempt_id: int, size: int
+    ) -> None:
+        """Records bytes of a stream that the connection got to forward."""
+        sizes = self._unacknowledged.setdefault(connection, {})
+        sizes[attempt_id] = sizes.get(attempt_id, 0) + size
+        self._acknowledge_chunks(connection)
+
     def _acknowledge_chunks(self, connection: frontend.Connection) -> None:
         """Acknowledges the chunks that the connection now forwards."""
         sizes = self._unacknowledged.get(connection, {})
