Report a demand again after a change of contact, and repeat sparingly

A demand that was reported before the first contact counted as unknown for as long as it did not change much, and left its tenant with the floor. Entries without news now leave half of the bytes to those with some, and 16 KB instead of 8 may be sent at once when callers move.

--- a/src/dotterelpath/domain/quota_reports.py
+++ b/src/dotterelpath/domain/quota_reports.py
@@ -25,7 +25,7 @@
 # The bytes a second that the reports to all daemons take, and the most at once:
 # when callers move, all tenants have news.
 BYTES_PER_S = 4000.0
-MAX_BYTES = 8000.0
+MAX_BYTES = 16000.0
 # Heartbeats take this part of the bytes.
 HEARTBEAT_PART = 0.5
 # The entries of a report get at least these bytes.
--- a/src/dotterelpath/domain/quota_shares.py
+++ b/src/dotterelpath/domain/quota_shares.py
@@ -191,7 +191,7 @@
             # The others have forgotten the count.
             self._count = self.sent_count = 0
             self._settled_count = 0.0
-            self._sent.clear()
+            self._forget_reports()
         self.last_request_s = now_s
         self.arrivals.record(now_s, self._tenant.rate_per_s)
         if self._level < max(1.0, self._needed_level()):
@@ -434,7 +434,13 @@
         self._mode = mode
         # Others reserve what a daemon alone or a stray may take.
         self._settled_count = self._count
+        self._forget_reports()
+
+    def _forget_reports(self) -> None:
+        """Takes the own demand for unknown to others until it is reported."""
         self._sent.clear()
+        self._settled_demand = 0.0
+        self.sent_s = -math.inf
 
 
 class TenantStatus:
--- a/src/dotterelpath/domain/quota_uses.py
+++ b/src/dotterelpath/domain/quota_uses.py
@@ -10,8 +10,8 @@
 # its earlier reports were received.
 MAX_FIRST_COUNT = 2
 # Demand that is not confirmed for this time is taken for none, in seconds. It
-# is confirmed every four seconds, so that its last report must have been lost.
-DEMAND_TIMEOUT_S = 12.0
+# is confirmed every four seconds if the bytes allow it.
+DEMAND_TIMEOUT_S = 20.0
 # Counts are kept without a report for this many times the time after which the
 # daemon that counts begins from 0 again.
 COUNT_TIMEOUTS = 3.0
--- a/src/dotterelpath/domain/quotas.py
+++ b/src/dotterelpath/domain/quotas.py
@@ -452,6 +452,8 @@
     ) -> list[quota_shares.TenantShare]:
         """Returns the tenants to report, the most urgent first."""
         found = []
+        # Entries without news leave half of the bytes for those with some.
+        has_spare = self._bytes > 0.5 * quota_reports.MAX_BYTES
         for name in list(itertools.islice(self._touched, MAX_EXAMINED)):
             share = self._touched.pop(name)
             share = self._update(
@@ -472,7 +474,8 @@
             if (
                 urgency >= MIN_URGENCY
                 or is_notable
-                or age_s >= REPEAT_PERIOD_S
+                or age_s == math.inf
+                or (has_spare and age_s >= REPEAT_PERIOD_S)
                 or (unsent and share.mode is quota_rules.Mode.STRAY)
             ):
                 found.append((urgency + age_s / 50.0, share))
