Divide pools when demands change, and give what quotas cost

A decision summed the demands of all daemons and searched the reports that are not acknowledged, twice each.

--- a/src/dotterelpath/domain/quota_peers.py
+++ b/src/dotterelpath/domain/quota_peers.py
@@ -92,6 +92,7 @@
         "_apart_since_s",
         "_contact_s",
         "_expected",
+        "_fields",
         "_is_serving",
         "_own_id",
         "_peers",
@@ -116,7 +117,8 @@
         self._sent_s: dict[int, float] = {}
         # None if no daemon must acknowledge reports.
         self._settled: int | None = None
-        self._standing = Standing(1, 1, False, True, False)
+        self._fields = (1, 1, False, True, False)
+        self._standing = Standing(*self._fields)
         self._valid_until_s = -math.inf
 
     @property
@@ -301,13 +303,12 @@
         has_quorum = 2 * len(inside) > count or (
             2 * len(inside) == count and min(members) in inside
         )
-        self._standing = Standing(
-            count,
-            len(inside),
-            has_quorum,
-            gives_way or (count > 1 and len(inside) == 1),
-            self._is_serving,
-        )
+        is_alone = gives_way or (count > 1 and len(inside) == 1)
+        fields = (count, len(inside), has_quorum, is_alone, self._is_serving)
+        if fields != self._fields:
+            # Whoever computed something from the last one need not do so again.
+            self._fields = fields
+            self._standing = Standing(*fields)
         ends = [
             min(self._peers[id].heard_s, self._peers[id].contact_s)
             + self._contact_s
--- a/src/dotterelpath/domain/quota_shares.py
+++ b/src/dotterelpath/domain/quota_shares.py
@@ -46,8 +46,11 @@
         "_fill_per_s",
         "_filled_s",
         "_floor",
+        "_fraction",
         "_level",
         "_mode",
+        "_own_demand",
+        "_peer_demand",
         "_pool",
         "_refilled",
         "_refunds",
@@ -86,7 +89,6 @@
             now_s: The current time on the monotonic clock, in seconds.
         """
         self._mode = quota_rules.find_mode(standing)
-        self._find_limits(tenant, rule, standing)
         self._level = level
         self._filled_s = now_s
         self._count = 0
@@ -109,6 +111,7 @@
         self.used = quota_uses.Average()
         self.refusals = quota_uses.Average()
         self.peers: dict[str, quota_uses.PeerUse] = {}
+        self._find_limits(tenant, rule, standing)
 
     @property
     def tenant(self) -> tenants.Tenant:
@@ -166,9 +169,11 @@
             or standing is not self._standing
         ):
             self._find_limits(tenant, rule, standing)
-        while self._sent and self._sent[0][0] <= settled_sequence:
-            _, count, self._settled_demand = self._sent.popleft()
-            self._settled_count = max(self._settled_count, count)
+        if self._sent and self._sent[0][0] <= settled_sequence:
+            while self._sent and self._sent[0][0] <= settled_sequence:
+                _, count, self._settled_demand = self._sent.popleft()
+                self._settled_count = max(self._settled_count, count)
+            self._divide()
         elapsed_s = max(0.0, now_s - self._filled_s)
         self._filled_s = now_s
         flow = elapsed_s * self._fill_per_s
@@ -226,22 +231,17 @@
         """
         needed = max(1.0, self._needed_level())
         fill_per_s = self._fill_per_s
-        own_per_s = fill_per_s * self.fraction()
+        own_per_s = fill_per_s * self._fraction
         waiting = self.refusals.per_s(now_s) * quota_uses.AVERAGE_S
         if own_per_s <= 0.0:
             return MAX_RETRY_AFTER_S
         wait_s = max(0.0, needed - self._level) / fill_per_s
         return min(MAX_RETRY_AFTER_S, wait_s + draw * waiting / own_per_s)
 
+    @property
     def fraction(self) -> float:
-        """Returns the part of the pool that this daemon may take."""
-        if (
-            self._mode is not quota_rules.Mode.MEMBER
-            or self._standing.members == 1
-        ):
-            return 1.0
-        own = self._known_demand
-        return self._fraction_of(own, own + self._peer_demand)
+        """The part of the pool that this daemon may take."""
+        return self._fraction
 
     def urgency(self, unsent: int) -> float:
         """Returns how soon the others should hear of admitted requests.
@@ -287,6 +287,7 @@
         if self.sent_demand < OVER_PART * self._tenant.rate_per_s:
             self.sent_demand = 0.0
         self._sent.append((sequence, self._count, self.sent_demand))
+        self._divide()
 
     def record_peer(
         self,
@@ -309,6 +310,7 @@
         admitted = quota_uses.added_count(self.peers, peer_id, count, is_known)
         self.peers[peer_id] = quota_uses.PeerUse(demand, count, now_s)
         self.take(admitted)
+        self._divide()
 
     def take(self, tokens: float) -> None:
         """Takes tokens from the pool, down to a bounded debt.
@@ -331,33 +333,44 @@
         peer = self.peers.pop(peer_id, None)
         if peer is None or peer.demand == 0.0:
             return
-        total = self._known_demand + self._peer_demand + peer.demand
+        total = self._own_demand + self._peer_demand
         fraction = self._fraction_of(peer.demand, total)
         rate_per_s = self._tenant.rate_per_s
         used = fraction * (max(0.0, self._level) + rate_per_s * silent_s)
         self.take(used * quota_rules.pool_part(self._pool, self._standing))
+        self._divide()
+
+    def drop_outdated(self, now_s: float) -> None:
+        """Forgets what other daemons have not confirmed for long.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        quota_uses.drop_outdated(self.peers, self._rule.idle_s, now_s)
+        self._divide()
 
     def allowed(self) -> float:
         """Returns how many requests may be unsettled."""
         unsettled = self.unsettled
-        return max(1.0, self.fraction() * (self._level + unsettled))
+        return max(1.0, self._fraction * (self._level + unsettled))
 
     def _needed_level(self) -> float:
         """Returns the level at which the next request may be admitted."""
         unsettled = self.unsettled
         if self._mode is not quota_rules.Mode.MEMBER or unsettled <= 0.0:
             return 1.0
-        return (unsettled + 1.0) / self.fraction() - unsettled
+        return (unsettled + 1.0) / self._fraction - unsettled
 
-    @property
-    def _known_demand(self) -> float:
-        """The own demand that no other daemon can believe to be lower."""
+    def _divide(self) -> None:
+        """Computes the fraction from what the daemons know of each other."""
+        # No other daemon can believe the own demand to be lower than this.
         sent = (demand for _, _, demand in self._sent)
-        return min(self._settled_demand, *sent, math.inf)
-
-    @property
-    def _peer_demand(self) -> float:
-        return sum(peer.demand for peer in self.peers.values())
+        self._own_demand = min(self._settled_demand, *sent, math.inf)
+        self._peer_demand = sum(peer.demand for peer in self.peers.values())
+        self._fraction = 1.0
+        if self._mode is quota_rules.Mode.MEMBER and self._standing.members > 1:
+            total = self._own_demand + self._peer_demand
+            self._fraction = self._fraction_of(self._own_demand, total)
 
     def _fraction_of(self, demand: float, total: float) -> float:
         part = demand / total if total > 0.0 else 0.0
@@ -385,6 +398,7 @@
             part = quota_rules.pool_part(pool, standing)
             self._capacity = max(1.0, pool * part)
             self._fill_per_s = tenant.rate_per_s * part
+        self._divide()
 
     def _settle_refilled(self, filled: float, is_full: bool) -> None:
         """Settles requests whose tokens the pool has got back.
@@ -400,7 +414,7 @@
             filled: The tokens that have flowed in.
             is_full: Whether the pool is full.
         """
-        own = self._known_demand
+        own = self._own_demand
         others = self._peer_demand
         rate_per_s = self._tenant.rate_per_s
         if own + others > CALM_PART * rate_per_s and (
@@ -429,7 +443,7 @@
         unsettled = self.unsettled
         if self._mode is quota_rules.Mode.MEMBER and self._standing.members > 1:
             # What is left of the fraction; the others may take the rest.
-            left = self.fraction() * (self._level + unsettled)
+            left = self._fraction * (self._level + unsettled)
             self._level = min(self._level, max(0.0, left - unsettled))
         self._mode = mode
         # Others reserve what a daemon alone or a stray may take.
@@ -441,6 +455,7 @@
         self._sent.clear()
         self._settled_demand = 0.0
         self.sent_s = -math.inf
+        self._divide()
 
 
 class TenantStatus:
@@ -470,7 +485,7 @@
         self.tenant = share.tenant
         self.used_per_s = share.used.per_s(now_s)
         self.refused_per_s = share.refusals.per_s(now_s)
-        self.fraction = share.fraction()
+        self.fraction = share.fraction
         self.level = share.level
         self.mode = share.mode
         self.reports = len(share.peers)
--- a/src/dotterelpath/domain/quotas.py
+++ b/src/dotterelpath/domain/quotas.py
@@ -11,7 +11,6 @@
 from dotterelpath.domain import quota_reports
 from dotterelpath.domain import quota_rules
 from dotterelpath.domain import quota_shares
-from dotterelpath.domain import quota_uses
 from dotterelpath.domain import tenants
 
 # The period with which an entry is repeated, in seconds.
@@ -408,7 +407,7 @@
 
     def _drop_idle(self, now_s: float) -> None:
         for name, share in list(self._shares.items()):
-            quota_uses.drop_outdated(share.peers, self._rule.idle_s, now_s)
+            share.drop_outdated(now_s)
             if now_s - share.last_request_s > self._rule.idle_s and not any(
                 peer.demand for peer in share.peers.values()
             ):
