--- a/src/dotterelpath/domain/quotas.py
+++ b/src/dotterelpath/domain/quotas.py
@@ -11,7 +11,6 @@
 from dotterelpath.domain import quota_reports
 from dotterelpath.domain import quota_rules
 from dotterelpath.domain import quota_shares
-from dotterelpath.domain import quota_uses
 from dotterelpath.domain import tenants
 
 # The period with which an entry is repeated, in seconds.
@@ -408,7 +407,7 @@
 
     def _drop_idle(self, now_s: float) -> None:
         for name, share in list(self._shares.items()):
-            quota_uses.drop_outdated(share.peers, self._rule.idle_s, now_s)
+            share.drop_outdated(now_s)
             if now_s - share.last_request_s > self._rule.idle_s and not any(
                 peer.demand for peer in share.peers.values()
             ):
@@ -452,6 +451,8 @@
     ) -> list[quota_shares.TenantShare]:
         """Returns the tenants to report, the most urgent first."""
         found = []
+        # Entries without news leave half of the bytes for those with some.
+        has_spare = self._bytes > 0.5 * quota_reports.MAX_BYTES
         for name in list(itertools.islice(self._touched, MAX_EXAMINED)):
             share = self._touched.pop(name)
             share = self._update(
@@ -472,7 +473,8 @@
             if (
                 urgency >= MIN_URGENCY
                 or is_notable
-                or age_s >= REPEAT_PERIOD_S
+                or age_s == math.inf
+                or (has_spare and age_s >= REPEAT_PERIOD_S)
                 or (unsent and share.mode is quota_rules.Mode.STRAY)
             ):
                 found.append((urgency + age_s / 50.0, share))
