--- a/src/dotterelpath/adapters/gateway_status.py
+++ b/src/dotterelpath/adapters/gateway_status.py
@@ -98,6 +98,8 @@
     return {
         "waiting": len(state.queue),
         "retries": state.retries.retries,
+        "retries_waiting": len(state.waiting_retries),
+        "rejected_share": round(state.rejections.share(now_s), 3),
         "instances": {
             instance.id: {
                 "started_ms": instance.entry.started_ms,
@@ -107,6 +109,7 @@
                 "failing": round(
                     instance.failure_filter.unhealthy_probability(now_s), 3
                 ),
+                "rejecting": round(instance.rejecting(now_s), 3),
                 "slow": round(
                     instance.slow_filter.unhealthy_probability(now_s), 3
                 ),
--- a/src/dotterelpath/domain/request_queue.py
+++ b/src/dotterelpath/domain/request_queue.py
@@ -121,6 +121,14 @@
         """
         return start_s > self.latest_start_s
 
+    def is_late(self, start_s: float) -> bool:
+        """Tells whether the request will most likely miss its target time.
+
+        Args:
+            start_s: The time at which an instance could start the request.
+        """
+        return start_s + self.work_s > self.target_s
+
     def rank(self, now_s: float) -> tuple[float, bool, float]:
         """Returns the sort key of the request; the lowest is sent first.
 
@@ -131,7 +139,7 @@
             The priority after aging, whether the target time can no longer be
             met, and the target time, or else the deadline.
         """
-        if self.is_delayed or now_s + self.work_s > self.target_s:
+        if self.is_delayed or self.is_late(now_s):
             # A late request does not age: it would overtake others that then
             # become late as well, and lose more.
             return (float(self.priority), True, self.deadline_s)
@@ -265,6 +273,16 @@
         )
         return max(slots - taken, slots * MIN_SLOT_SHARE)
 
+    def _free_slots_by_priority(
+        self, slots: float, now_s: float
+    ) -> dict[int, float]:
+        """Returns the free slots for each queued priority and the next one."""
+        return {
+            rank: self._free_slots(rank, slots, now_s)
+            for priority in self._work_s
+            for rank in (priority, priority + 1)
+        }
+
     def may_be_infeasible(
         self,
         request: QueuedRequest[T],
@@ -300,12 +318,8 @@
 
         A request is expected to start when the work ahead of it is done in the
         slots that requests of higher priority leave. Infeasible requests are
-        removed from the queue and do not delay those behind them.
-
-        If a request would be late, the longest one before it is delayed
-        instead, and of those that would be infeasible the longest is refused:
-        the most requests are then in time, and the most are served (Moore's
-        rule for one machine).
+        removed and delay no others. The longest request gives way to one that
+        would be late or infeasible (Moore's rule for one machine).
 
         Args:
             slots: The number of concurrent requests allowed to this daemon.
@@ -316,54 +330,44 @@
             The infeasible and the late requests.
         """
         first_start_s = max(now_s, first_start_s)
-        free_slots: dict[int, float] = {}
-        for priority in self._work_s:
-            for rank in (priority, priority + 1):
-                free_slots[rank] = self._free_slots(rank, slots, now_s)
-        infeasible: list[QueuedRequest[T]] = []
-        late: list[QueuedRequest[T]] = []
+        free_slots = self._free_slots_by_priority(slots, now_s)
+        check = DeadlineCheck[T]([], [])
         in_time = _LongestFirst[T]()
-        kept_late = _LongestFirst[T]()
+        late = _LongestFirst[T]()
         ahead_s = 0.0
         for request in self._queued:
-            priority = request.priority
-            start_s = first_start_s + ahead_s / free_slots[priority]
-            is_late = (
-                request.is_delayed
-                or start_s + request.work_s > request.target_s
-            )
+            free = free_slots[request.priority]
+            start_s = first_start_s + ahead_s / free
+            is_late = request.is_delayed or request.is_late(start_s)
             if is_late and not request.is_delayed:
                 longer = in_time.pop_longer(request)
                 if longer is not None:
-                    # Without the longest request, most are in time.
                     longer.is_delayed = True
-                    late.append(longer)
+                    check.late.append(longer)
                     ahead_s -= longer.work_s
-                    start_s = first_start_s + ahead_s / free_slots[priority]
-                    is_late = start_s + request.work_s > request.target_s
+                    start_s = first_start_s + ahead_s / free
+                    is_late = request.is_late(start_s)
             if is_late:
                 # New requests of the same priority overtake a late one, so
                 # the slots that they need are not free either.
+                free = free_slots[request.priority + 1]
                 start_s = first_start_s + _late_wait_s(
-                    ahead_s, free_slots[priority + 1], slots, len(late)
+                    ahead_s, free, slots, len(check.late)
                 )
             if request.is_infeasible(start_s):
-                longer = kept_late.pop_longer(request)
-                if longer is None:
-                    infeasible.append(request)
+                refused = late.pop_longer(request) or request
+                check.infeasible.append(refused)
+                if refused is request:
                     continue
-                infeasible.append(longer)
-                late.remove(longer)
-                ahead_s -= longer.work_s
+                check.late.remove(refused)
+                ahead_s -= refused.work_s
             if is_late:
-                late.append(request)
-                kept_late.push(request)
-            else:
-                in_time.push(request)
+                check.late.append(request)
+            (late if is_late else in_time).push(request)
             ahead_s += request.work_s
-        for request in infeasible:
+        for request in check.infeasible:
             self.remove(request.item)
-        return DeadlineCheck(infeasible, late)
+        return check
 
     def ordered(self, now_s: float) -> list[QueuedRequest[T]]:
         """Lists the requests in the order in which they are to be sent.
