--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -6,6 +6,7 @@
 import contextlib
 import itertools
 import math
+import random
 
 import behave
 
@@ -436,3 +437,18 @@
         took_s = load_steps.fastest_s(weigh)
         assert took_s <= limit * 1e-6, (chance, took_s)
         assert len(queue) == 500
+
+
+@behave.then(
+    "choosing one of {number:d} instances after a rejection takes at most"
+    " {limit:d}"
+)
+def step_choice_cost(context, number, limit):
+    draw = random.Random(1)
+    balancer = load_steps.make_balancer(number, 4, draw)
+    balancer.choose(draw, 1.0, False)
+    balancer.record_rejection("i1", 1.0)
+    took_s = load_steps.fastest_s(
+        lambda: balancer.choose(draw, 1.0, False, ["i1"])
+    )
+    assert took_s <= limit * 1e-6, took_s
--- a/src/dotterelpath/domain/ranking.py
+++ b/src/dotterelpath/domain/ranking.py
@@ -136,7 +136,10 @@
         Args:
             excluded: Ids of instances that are left out.
         """
-        if not excluded:
+        left_out = (self._by_id.get(id) for id in excluded)
+        if not any(r and r.failing <= self._best_failing for r in left_out):
+            # The best instance is not among those left out. A request that was
+            # sent before was mostly failed by instances that are worse.
             return self._best_failing
         return min(
             (
