Keep no ended request in the heaps of waiting retries

The heaps of holding and expiry times kept requests with their bodies until their time came, also after they had ended. They now have numbers only, and are cleared with the queue.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -54,6 +54,7 @@
   Scenario: A decision stays cheap with 500 waiting requests
     Given 500 requests that wait for the budget or for a better chance
     Then weighing another one takes at most 60 microseconds
+    And one that ends meanwhile is not kept in memory
     And choosing one of 1000 instances after a rejection takes at most 60
 
   # Load: the same, and some requests matter more than others.
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -7,6 +7,7 @@
 import itertools
 import math
 import random
+import weakref
 
 import behave
 
@@ -439,6 +440,23 @@
         assert len(queue) == 500
 
 
+class Ended:
+    """A request whose memory is watched."""
+
+
+@behave.then("one that ends meanwhile is not kept in memory")
+def step_freed(context):
+    for chance, queue in context.queues.items():
+        ended = Ended()
+        reference = weakref.ref(ended)
+        queued = request_queue.QueuedRequest(ended, 1, 0.0, 1.2, 4.0, WORK_S)
+        prospect = dispatch_decision.Prospect(1.2, 4.0, WORK_S, 1.7 * WORK_S)
+        queue.add(queued, prospect, chance, 0.0, 0.01)
+        queue.remove(ended)
+        del ended, queued
+        assert reference() is None, chance
+
+
 @behave.then(
     "choosing one of {number:d} instances after a rejection takes at most"
     " {limit:d}"
--- a/src/dotterelpath/domain/retry_queue.py
+++ b/src/dotterelpath/domain/retry_queue.py
@@ -20,13 +20,15 @@
 class _Waiting(typing.Generic[T]):
     """A request that waits, with what its next attempt is worth."""
 
-    __slots__ = ("held_until_s", "prospect", "queued")
+    __slots__ = ("held_until_s", "number", "prospect", "queued")
 
     def __init__(
         self,
         queued: request_queue.QueuedRequest[T],
         prospect: dispatch_decision.Prospect | None,
+        number: int,
     ) -> None:
+        self.number = number
         self.queued = queued
         self.prospect = prospect
         self.held_until_s = -math.inf
@@ -40,6 +42,7 @@
     """
 
     __slots__ = (
+        "_by_number",
         "_expiries",
         "_held",
         "_held_chance",
@@ -54,9 +57,11 @@
         self._ready: request_queue.Queue[T] = request_queue.Queue()
         # The lowest chance at which a request was held.
         self._held_chance = 1.0
-        # Both heaps also contain requests that do not wait any more.
-        self._held: list[tuple[float, int, T]] = []
-        self._expiries: list[tuple[float, int, T]] = []
+        # Both heaps also contain the numbers of requests that do not wait any
+        # more, but not the requests, which may be large.
+        self._held: list[tuple[float, int]] = []
+        self._expiries: list[tuple[float, int]] = []
+        self._by_number: dict[int, T] = {}
         self._numbers = itertools.count()
 
     def __len__(self) -> int:
@@ -88,11 +93,10 @@
             price: What a retry is worth if it is kept for later.
             now_s: The current time on the monotonic clock, in seconds.
         """
-        self._waiting[queued.item] = _Waiting(queued, prospect)
-        expiry_s = queued.latest_start_s
-        heapq.heappush(
-            self._expiries, (expiry_s, next(self._numbers), queued.item)
-        )
+        number = next(self._numbers)
+        self._waiting[queued.item] = _Waiting(queued, prospect, number)
+        self._by_number[number] = queued.item
+        heapq.heappush(self._expiries, (queued.latest_start_s, number))
         self._ready.add(queued, now_s)
         self._hold_if_better(queued.item, chance, price, now_s)
 
@@ -102,8 +106,13 @@
         Args:
             item: The request.
         """
-        if self._waiting.pop(item, None) is not None:
+        waiting = self._waiting.pop(item, None)
+        if waiting is not None:
+            del self._by_number[waiting.number]
             self._ready.remove(item)
+        if not self._waiting:
+            self._held.clear()
+            self._expiries.clear()
 
     def least_urgent(self, now_s: float) -> T:
         """Returns a request that loses least if it is refused.
@@ -115,8 +124,8 @@
         candidates = [queued.item for queued in ends]
         # The newest request and one that is held for long.
         candidates.append(next(reversed(self._waiting)))
-        if self._held and self._held[-1][2] in self._waiting:
-            candidates.append(self._held[-1][2])
+        if self._held and self._held[-1][1] in self._by_number:
+            candidates.append(self._by_number[self._held[-1][1]])
         return max(
             candidates, key=lambda item: self._waiting[item].queued.rank(now_s)
         )
@@ -146,8 +155,8 @@
         """
         overdue = []
         while self._expiries and self._expiries[0][0] < now_s:
-            item = heapq.heappop(self._expiries)[2]
-            if item in self._waiting:
+            item = self._by_number.get(heapq.heappop(self._expiries)[1])
+            if item is not None:
                 self.remove(item)
                 overdue.append(item)
         return overdue
@@ -167,7 +176,7 @@
         self._ready.remove(item)
         self._held_chance = min(self._held_chance, chance)
         waiting.held_until_s = start_s
-        heapq.heappush(self._held, (start_s, next(self._numbers), item))
+        heapq.heappush(self._held, (start_s, waiting.number))
         return True
 
     def _release(self, chance: float, now_s: float) -> None:
@@ -179,9 +188,12 @@
         if chance >= self._held_chance + CHANCE_STEP:
             limit_s = math.inf
         while self._held and self._held[0][0] <= limit_s:
-            start_s, _, item = heapq.heappop(self._held)
-            waiting = self._waiting.get(item)
-            if waiting is not None and waiting.held_until_s == start_s:
+            start_s, number = heapq.heappop(self._held)
+            item = self._by_number.get(number)
+            if item is None:
+                continue
+            waiting = self._waiting[item]
+            if waiting.held_until_s == start_s:
                 waiting.held_until_s = -math.inf
                 self._ready.add(waiting.queued, now_s)
         if not self._held:
