--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -6,6 +6,8 @@
 import contextlib
 import itertools
 import math
+import random
+import weakref
 
 import behave
 
@@ -436,3 +438,35 @@
         took_s = load_steps.fastest_s(weigh)
         assert took_s <= limit * 1e-6, (chance, took_s)
         assert len(queue) == 500
+
+
+class Ended:
+    """A request whose memory is watched."""
+
+
+@behave.then("one that ends meanwhile is not kept in memory")
+def step_freed(context):
+    for chance, queue in context.queues.items():
+        ended = Ended()
+        reference = weakref.ref(ended)
+        queued = request_queue.QueuedRequest(ended, 1, 0.0, 1.2, 4.0, WORK_S)
+        prospect = dispatch_decision.Prospect(1.2, 4.0, WORK_S, 1.7 * WORK_S)
+        queue.add(queued, prospect, chance, 0.0, 0.01)
+        queue.remove(ended)
+        del ended, queued
+        assert reference() is None, chance
+
+
+@behave.then(
+    "choosing one of {number:d} instances after a rejection takes at most"
+    " {limit:d}"
+)
+def step_choice_cost(context, number, limit):
+    draw = random.Random(1)
+    balancer = load_steps.make_balancer(number, 4, draw)
+    balancer.choose(draw, 1.0, False)
+    balancer.record_rejection("i1", 1.0)
+    took_s = load_steps.fastest_s(
+        lambda: balancer.choose(draw, 1.0, False, ["i1"])
+    )
+    assert took_s <= limit * 1e-6, took_s
