--- a/src/dotterelpath/adapters/control_api.py
+++ b/src/dotterelpath/adapters/control_api.py
@@ -8,6 +8,7 @@
 
 from dotterelpath import errors
 from dotterelpath.adapters import api
+from dotterelpath.adapters import connection_guard
 from dotterelpath.adapters import metrics as metrics_adapter
 from dotterelpath.domain import edits
 from dotterelpath.domain import exchange
@@ -27,6 +28,7 @@
     """Shows the daemon's state and saves edits of the document."""
 
     __slots__ = (
+        "_callers",
         "_coordinator",
         "_dispatcher",
         "_editor",
@@ -43,6 +45,7 @@
         gossip: gossip_task.Gossip,
         coordinator: coordinator_task.EjectionCoordinator,
         metrics: metrics_adapter.Metrics,
+        callers: connection_guard.CallerRegistry,
     ) -> None:
         """Creates the handlers.
 
@@ -53,7 +56,9 @@
             gossip: Holds the membership of the fleet.
             coordinator: Holds the ledgers.
             metrics: Holds this daemon's counters and histograms.
+            callers: Holds the callers' connections and their memory.
         """
+        self._callers = callers
         self._editor = editor
         self._loader = loader
         self._dispatcher = dispatcher
@@ -121,6 +126,7 @@
                     for member_id, member in membership.peers.items()
                 },
                 "services": self._service_states(),
+                "callers": self._callers.status(),
             }
         )
 
--- a/src/dotterelpath/adapters/h11_frontend.py
+++ b/src/dotterelpath/adapters/h11_frontend.py
@@ -287,9 +287,9 @@
 
     def _read(self) -> None:
         """Parses what was received, unless the connection is ending."""
-        if self._transport is None or self._is_lingering:
+        if self._transport is None or self._transport.is_closing():
             return
-        if not self._transport.is_closing():
+        if not self._is_lingering:
             self._input.read(self)
 
     def _settle(self) -> None:
@@ -298,8 +298,7 @@
             return
         if self._input.unread_bytes or self._is_read_paused:
             self._adjust_reading(self._transport)
-        size = self.measure()
-        if size != self.held_bytes:
+        if (size := self.measure()) != self.held_bytes:
             self._guard.registry.account(self, size)
 
     def _adjust_reading(self, transport: asyncio.Transport) -> None:
--- a/src/dotterelpath/cli/main.py
+++ b/src/dotterelpath/cli/main.py
@@ -237,6 +237,7 @@
         for name, member in sorted(data["members"].items())
     ]
     lines += _service_lines(data["services"])
+    lines += _caller_lines(data.get("callers"))
     context.print_result(data, lines)
 
 
--- a/src/dotterelpath/daemon.py
+++ b/src/dotterelpath/daemon.py
@@ -200,9 +200,7 @@
             inboxes.steward,
         )
         self._front_end = front_end.FrontEnd(
-            self._binder(
-                h11_binder.MAX_BODY_BYTES, connection_limits.CALLER_FRACTION
-            ),
+            self._binder(connection_limits.CALLER_FRACTION),
             settings.listen.host,
             settings.listen.port,
             inboxes.front_end,
@@ -262,7 +260,7 @@
             inboxes.steward,
         )
         self._peer_server = api.Api(
-            self._binder(MAX_PEER_BODY_BYTES, connection_limits.PEER_FRACTION),
+            self._binder(connection_limits.PEER_FRACTION, MAX_PEER_BODY_BYTES),
             settings.peer_listen.host,
             settings.peer_listen.port,
             self._peer_api.handlers,
@@ -274,10 +272,11 @@
             self._gossip,
             self._ejection_coordinator,
             self._metrics,
+            self._callers,
         )
         self._control_server = api.Api(
             self._binder(
-                MAX_CONTROL_BODY_BYTES, connection_limits.STATUS_FRACTION
+                connection_limits.STATUS_FRACTION, MAX_CONTROL_BODY_BYTES
             ),
             settings.control_listen.host,
             settings.control_listen.port,
@@ -285,13 +284,13 @@
         )
 
     def _binder(
-        self, max_body_bytes: int, fraction: float
+        self, fraction: float, max_body_bytes: int = h11_binder.MAX_BODY_BYTES
     ) -> h11_binder.H11Binder:
         """Creates the binder of a listening socket.
 
         Args:
-            max_body_bytes: The longest request body, in bytes.
             fraction: The part of the descriptors for its connections.
+            max_body_bytes: The longest request body, in bytes.
         """
         max_connections = connection_limits.share_descriptors(
             self._settings.max_fds, fraction
