Report quotas to daemons with callers, and join without contact

At a start of all daemons each was alone for its first reports. The gateway also never told the quotas which tenants the configuration has, so that reports on tenants without requests here were dropped.

Reports between heartbeats now go to daemons that lately reported requests, and only these must acknowledge them. A daemon that begins to serve takes its fraction for a second without contact. A pool starts with 0.8 of the overshoot, which is less than the rate allows while processes start.

Two settings of ACTIVE_S (3 s) and START (0.6 of the tolerance) failed its bounds on the use of hot tenants and were not taken.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -47,6 +47,14 @@
       | 6     | all daemons |
       | 6     | one daemon  |
 
+  # Load: the usual one, from a start of all daemons. Most members are reserves
+  # without callers. Reports to all of them took the bytes of the reports to
+  # those with callers, which then had their floors only.
+  Scenario: The usual load is served from the start, with members in reserve
+    Given 10 daemons with 70 small tenants and 7 large ones
+    When callers at three daemons send the usual load
+    Then at most 3 % of the requests are refused in the first 10 seconds
+
   Scenario Outline: Stray requests at 131 daemons add up to the rule
     Given 6 serving daemons and 131 others, and a tenant of <rate> a second
     When the tenant sends <load> of its quota, and each other daemon gets 2
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -84,6 +84,8 @@
     """Returns the daemons that callers at a place are sent to."""
     if place == "one daemon":
         return {"s00": 1.0}
+    if place == "three daemons":
+        return dict.fromkeys(fleet.serving[:3], 1.0)
     if place == "all daemons":
         return dict.fromkeys(fleet.serving, 1.0)
     return lambda now_s: {fleet.serving[int(now_s / 5.0) % 6]: 1.0}
@@ -192,6 +194,16 @@
         assert refused <= 0.005 * (refused + admitted), (kind, refused)
 
 
+@behave.then("at most 3 % of the requests are refused in the first 10 seconds")
+def step_served_from_start(context):
+    fleet = context.quota_fleet
+    refused, admitted = (
+        sum(at_s < 110.0 for times in counted.values() for at_s in times)
+        for counted in (fleet.refused, fleet.admitted)
+    )
+    assert refused <= 0.03 * (refused + admitted), (refused, admitted)
+
+
 @behave.then("no daemon sends 5000 bytes a second, and no report has 1200")
 def step_bytes(context):
     fleet = context.quota_fleet
--- a/features/support/quota_fleet.py
+++ b/features/support/quota_fleet.py
@@ -139,6 +139,10 @@
         report = daemon.take_report(self.now_s)
         if report is not None:
             for receiver in self.serving:
+                if report.receivers is not None and (
+                    receiver not in report.receivers
+                ):
+                    continue
                 header = report.header_for(receiver)
                 self.post(daemon_id, receiver, header, report.entries)
                 self.sent_bytes[daemon_id] += self.measure(report, receiver)
--- a/src/dotterelpath/domain/quota_peers.py
+++ b/src/dotterelpath/domain/quota_peers.py
@@ -26,6 +26,12 @@
 # A daemon that does not serve callers is remembered for this time, in seconds:
 # as long as the counts that it reported.
 STRAY_MEMORY_S = 20.0
+# A daemon with requests of tenants reports some of them with each heartbeat. It
+# counts as active for this time afterwards, in seconds: three heartbeats.
+ACTIVE_S = 1.5
+# How long a daemon that begins to serve callers takes its fraction without
+# contact, in seconds. The first reports take less; its fraction is its floor.
+JOIN_S = 1.0
 # The limit of daemons whose reports are kept.
 MAX_PEERS = 1024
 # The limit of own reports that may still be acknowledged.
@@ -66,6 +72,7 @@
 
     __slots__ = (
         "acknowledged",
+        "active_s",
         "contact_s",
         "heard",
         "heard_s",
@@ -76,6 +83,8 @@
 
     def __init__(self, run: int, since_s: float) -> None:
         self.run = run
+        # When it last reported requests of a tenant.
+        self.active_s = -math.inf
         self.since_s = since_s
         self.seen = 0
         self.heard_s = -math.inf
@@ -94,6 +103,7 @@
         "_expected",
         "_fields",
         "_is_serving",
+        "_joined_s",
         "_own_id",
         "_peers",
         "_resumed_s",
@@ -110,6 +120,8 @@
         self._expected: frozenset[str] = frozenset()
         self._contact_s = MIN_CONTACT_S
         self._is_serving = False
+        # When this daemon began to serve callers.
+        self._joined_s: float | None = None
         self._peers: dict[str, _Peer] = {}
         self._apart_since_s: dict[str, float] = {}
         self._resumed_s = -math.inf
@@ -216,14 +228,35 @@
                 found.append(id)
         return found
 
+    def active(self, now_s: float) -> frozenset[str]:
+        """Returns the serving daemons that lately reported requests.
+
+        The others have callers of no tenant, and act on what they know only
+        within their floors.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        return frozenset(
+            id
+            for id in self._expected
+            if id in self._peers
+            and now_s - self._peers[id].active_s <= ACTIVE_S
+        )
+
     def record(
-        self, sender: str, header: quota_reports.Header, now_s: float
+        self,
+        sender: str,
+        header: quota_reports.Header,
+        has_entries: bool,
+        now_s: float,
     ) -> bool | None:
         """Records that a report arrived.
 
         Args:
             sender: The daemon that sent it.
             header: Its header.
+            has_entries: Whether it names tenants.
             now_s: The current time on the monotonic clock, in seconds.
 
         Returns:
@@ -243,6 +276,8 @@
             return None
         peer.seen = header.sequence
         peer.heard_s = now_s
+        if has_entries:
+            peer.active_s = now_s
         if header.heard is not None:
             peer.heard = frozenset(header.heard)
         sent_s = self._sent_s.get(header.acknowledged)
@@ -281,6 +316,21 @@
             self._update_standing(now_s)
         return self._standing
 
+    def _is_joining(self, now_s: float) -> bool:
+        """Whether this daemon has just begun to serve callers.
+
+        It has had no time to get in contact, and a start of all daemons would
+        refuse most callers. A daemon that was paused is not joining.
+        """
+        if not self._is_serving:
+            self._joined_s = None
+            return False
+        if self._joined_s is None:
+            self._joined_s = now_s
+        return (
+            now_s - self._joined_s < JOIN_S and self._resumed_s < self._joined_s
+        )
+
     def _update_standing(self, now_s: float) -> None:
         """Computes the standing, and until when it holds without news."""
         connected = set(self.connected(now_s))
@@ -305,6 +355,8 @@
         )
         is_alone = gives_way or (count > 1 and len(inside) == 1)
         fields = (count, len(inside), has_quorum, is_alone, self._is_serving)
+        if self._is_joining(now_s):
+            fields = (count, count, True, False, True)
         if fields != self._fields:
             # Whoever computed something from the last one need not do so again.
             self._fields = fields
@@ -317,11 +369,14 @@
         ends += [s + APART_S for s in self._apart_since_s.values()]
         awaited = [
             peer
-            for peer in map(self._peers.get, self._expected)
+            for peer in map(self._peers.get, self.active(now_s))
             if peer is not None
             and now_s - max(peer.contact_s, peer.since_s) <= self._reserve_s
         ]
         self._settled = min((p.acknowledged for p in awaited), default=None)
         ends += [max(p.contact_s, p.since_s) + self._reserve_s for p in awaited]
+        ends += [p.active_s + ACTIVE_S for p in awaited]
+        if self._joined_s is not None:
+            ends.append(self._joined_s + JOIN_S)
         later = [end_s for end_s in ends if end_s > now_s]
         self._valid_until_s = min(later, default=math.inf)
--- a/src/dotterelpath/domain/quota_reports.py
+++ b/src/dotterelpath/domain/quota_reports.py
@@ -30,6 +30,8 @@
 HEARTBEAT_PART = 0.5
 # The entries of a report get at least these bytes.
 MIN_ENTRY_BYTES = 80
+# The entries of a heartbeat get at most these bytes if other reports follow.
+BEAT_ENTRY_BYTES = 160
 
 Entry = tuple[str, float, int]
 
@@ -65,13 +67,14 @@
 class Report:
     """What a daemon tells the others of its tenants."""
 
-    __slots__ = ("acknowledgements", "entries", "header")
+    __slots__ = ("acknowledgements", "entries", "header", "receivers")
 
     def __init__(
         self,
         header: Header,
         entries: list[Entry],
         acknowledgements: dict[str, int],
+        receivers: frozenset[str] | None = None,
     ) -> None:
         """Creates a report.
 
@@ -81,7 +84,9 @@
                 admitted requests of each tenant.
             acknowledgements: The number of the last report of each other
                 daemon, which only that daemon gets.
+            receivers: The serving daemons that get the report; None for all.
         """
+        self.receivers = receivers
         self.header = header
         self.entries = entries
         self.acknowledgements = acknowledgements
--- a/src/dotterelpath/domain/quota_rules.py
+++ b/src/dotterelpath/domain/quota_rules.py
@@ -11,9 +11,11 @@
 # The rest covers what a daemon admitted but could not report before it failed,
 # and requests that reach instances a moment after they were admitted.
 POOL_PART = 0.8
-# The part of the tolerance that the pool holds after a restart. What was
-# admitted before is not known, and may have used up the pool.
-START_PART = 0.2
+# The parts of the overshoot and of the slack that the pool holds after a start.
+# What was admitted before is not known, and may have used up the pool. The first
+# part is less than what the rate allows while processes start.
+START_OVERSHOOT_PART = 0.8
+START_SLACK_PART = 0.2
 # The part of the pool that members have whatever their demand. A small pool is
 # divided more evenly, so that each member can admit MIN_TOKENS requests before
 # the others know of them.
@@ -62,6 +64,18 @@
         quota = tenant.rate_per_s * self.window_s + tenant.burst
         return self.overshoot * quota + self.slack
 
+    def start_level(self, tenant: tenants.Tenant) -> float:
+        """Returns the tokens in the pool when it is not known what was used.
+
+        Args:
+            tenant: The tenant.
+        """
+        quota = tenant.rate_per_s * self.window_s + tenant.burst
+        return (
+            START_OVERSHOOT_PART * self.overshoot * quota
+            + START_SLACK_PART * self.slack
+        )
+
     def pool(self, tenant: tenants.Tenant) -> float:
         """Returns the tokens that the pool of all daemons holds when full.
 
--- a/src/dotterelpath/domain/quota_shares.py
+++ b/src/dotterelpath/domain/quota_shares.py
@@ -312,6 +312,16 @@
         self.take(admitted)
         self._divide()
 
+    def raise_level(self, tokens: float) -> None:
+        """Raises the level of a daemon that begins to serve callers.
+
+        Until then it kept no copy of the pool.
+
+        Args:
+            tokens: The level from which it starts.
+        """
+        self._level = max(self._level, tokens)
+
     def take(self, tokens: float) -> None:
         """Takes tokens from the pool, down to a bounded debt.
 
--- a/src/dotterelpath/domain/quotas.py
+++ b/src/dotterelpath/domain/quotas.py
@@ -19,6 +19,8 @@
 MIN_URGENCY = 0.25
 # The shortest time between two reports of a changed demand, in seconds.
 DEMAND_PERIOD_S = 0.3
+# A daemon with fewer requests of each tenant need not stay active, a second.
+MIN_DEMAND_PER_S = 0.05
 # A tenant whose pool is below this part is announced as used up to daemons that
 # do not serve callers.
 USED_UP_PART = 0.5
@@ -198,20 +200,27 @@
         if not self.is_active(now_s) or now_s < self._next_report_s:
             return None
         standing = self._peers.standing(now_s)
-        receivers = self._peers.receiver_count
         silent_s = now_s - self._reported_s
         is_beat = standing.is_serving and (
-            silent_s >= quota_reports.heartbeat_s(receivers)
+            silent_s >= quota_reports.heartbeat_s(self._peers.receiver_count)
         )
+        active = self._peers.active(now_s)
+        # Reports between the heartbeats go to daemons with requests only.
+        is_for_all = is_beat or not active or not standing.is_serving
+        receivers = self._peers.receiver_count if is_for_all else len(active)
         self._bytes = min(
             quota_reports.MAX_BYTES,
             self._bytes + (now_s - self._paid_s) * quota_reports.BYTES_PER_S,
         )
         self._paid_s = now_s
         room = self._bytes / receivers - quota_reports.HEADER_BYTES
+        if is_beat and active:
+            room = min(room, quota_reports.BEAT_ENTRY_BYTES)
         if room < quota_reports.MIN_ENTRY_BYTES and not is_beat:
             return None
         due = self._due_shares(standing, now_s)
+        if is_beat and not due:
+            due = self._any_share(now_s)
         if not due and not is_beat and not self._has_news:
             return None
         sequence = self._peers.start_report(now_s)
@@ -229,7 +238,10 @@
         heard = self._peers.connected(now_s) if is_beat else None
         header = quota_reports.Header(self._run, sequence, 0, heard)
         return quota_reports.Report(
-            header, entries, self._peers.acknowledgements()
+            header,
+            entries,
+            self._peers.acknowledgements(),
+            None if is_for_all else active,
         )
 
     def take_announcement(self, now_s: float) -> list[str] | None:
@@ -281,7 +293,7 @@
             now_s: The current time on the monotonic clock, in seconds.
         """
         self._observe(now_s)
-        is_known = self._peers.record(sender, header, now_s)
+        is_known = self._peers.record(sender, header, bool(entries), now_s)
         if is_known is None:
             return
         if entries:
@@ -342,6 +354,8 @@
         if share is None:
             share = self._new_share(tenant, standing, now_s)
             self._shares[tenant.name] = share
+        elif share.mode is quota_rules.Mode.STRAY and standing.is_serving:
+            share.raise_level(self._rule.start_level(tenant))
         share.update(
             tenant,
             self._rule,
@@ -375,8 +389,7 @@
         elif now_s - self._complete_since_s < self._rule.window_s:
             # What the others admitted, or this one before it started, is not
             # known.
-            tolerance = self._rule.tolerance(tenant)
-            level = min(level, quota_rules.START_PART * tolerance)
+            level = min(level, self._rule.start_level(tenant))
         return quota_shares.TenantShare(
             tenant, self._rule, standing, level, now_s
         )
@@ -446,6 +459,14 @@
             )
         return entries, used
 
+    def _any_share(self, now_s: float) -> list[quota_shares.TenantShare]:
+        """Returns a tenant with requests, by which this daemon is active."""
+        for share in self._shares.values():
+            is_over = quota_shares.OVER_PART * share.tenant.rate_per_s
+            if share.demand(now_s) >= max(is_over, MIN_DEMAND_PER_S):
+                return [share]
+        return []
+
     def _due_shares(
         self, standing: quota_peers.Standing, now_s: float
     ) -> list[quota_shares.TenantShare]:
--- a/src/dotterelpath/tasks/_quota_exchange.py
+++ b/src/dotterelpath/tasks/_quota_exchange.py
@@ -69,6 +69,8 @@
             return
         daemons = self._fleet_view.daemons
         receivers = self._fleet_view.serving_ids(now_s) - {self._own_id}
+        if message.report.receivers is not None:
+            receivers &= message.report.receivers
         for daemon_id in receivers:
             datagram = datagrams.QuotaReportDatagram(
                 self._own_id,
--- a/src/dotterelpath/tasks/gateway.py
+++ b/src/dotterelpath/tasks/gateway.py
@@ -199,6 +199,8 @@
         self._authenticator.on_configuration_changed(
             message.configuration, self._clock.now_s()
         )
+        table = message.configuration.tenants
+        self._quotas.set_tenants({} if table is None else table.tenants)
         self._splitter.keep_only(message.configuration.routes)
         self._services.set_services(message.configuration.services)
 
