--- a/src/dotterelpath/domain/quota_rules.py
+++ b/src/dotterelpath/domain/quota_rules.py
@@ -12,8 +12,8 @@
 # and requests that reach instances a moment after they were admitted.
 POOL_PART = 0.8
 # The parts of the overshoot and of the slack that the pool holds after a start.
-# What was admitted before is not known, and may have used up the pool. The first
-# part is less than what the rate allows while processes start.
+# What was admitted before is not known, and may have used up the pool. The
+# first part is less than what the rate allows while processes start.
 START_OVERSHOOT_PART = 0.8
 START_SLACK_PART = 0.2
 # The part of the pool that members have whatever their demand. A small pool is
