Let late requests wait where their timeout is short

An overload was taken to last 5 s, which is as long as the timeout of the route, so that each late request counted as infeasible. It is now taken to end within half of the time that is left, 5 s at most.

--- a/src/dotterelpath/domain/request_queue.py
+++ b/src/dotterelpath/domain/request_queue.py
@@ -30,8 +30,11 @@
 LONGER_FACTOR = 1.5
 # A request that is late is refused only if it will be infeasible even if the
 # overload ends after this time, in seconds, and leaves this share of the slots
-# free from then on.
+# free from then on. Where less time is left, the overload is taken to end
+# within the given share of it: with 5 s for all, requests with a timeout of
+# 5 s were sent to unhealthy instances within 50 ms of their arrival.
 OVERLOAD_S = 5.0
+OVERLOAD_SHARE = 0.5
 CALM_SLOT_SHARE = 0.3
 # With this many late requests, further ones are refused unless they are
 # feasible in the present overload. They must not use up the requests that a
@@ -170,21 +173,27 @@
 
 
 def _late_wait_s(
-    ahead_s: float, free_slots: float, slots: float, late_count: int
+    left_s: float,
+    ahead_s: float,
+    free_slots: float,
+    slots: float,
+    late_count: int,
 ) -> float:
     """Estimates how long a late request waits, in seconds.
 
     Args:
+        left_s: The time until it must start, in seconds.
         ahead_s: The work ahead of it, in seconds.
         free_slots: The slots that others leave at present.
         slots: The number of concurrent requests allowed to this daemon.
         late_count: The late requests ahead of it.
     """
     wait_s = ahead_s / free_slots
-    if wait_s <= OVERLOAD_S or late_count >= MAX_HOPEFUL:
+    overload_s = min(OVERLOAD_S, OVERLOAD_SHARE * max(0.0, left_s))
+    if wait_s <= overload_s or late_count >= MAX_HOPEFUL:
         return wait_s
-    left_s = ahead_s - free_slots * OVERLOAD_S
-    return OVERLOAD_S + left_s / max(free_slots, slots * CALM_SLOT_SHARE)
+    work_left_s = ahead_s - free_slots * overload_s
+    return overload_s + work_left_s / max(free_slots, slots * CALM_SLOT_SHARE)
 
 
 class DeadlineCheck(typing.Generic[T]):
@@ -352,7 +361,11 @@
                 # the slots that they need are not free either.
                 free = free_slots[request.priority + 1]
                 start_s = first_start_s + _late_wait_s(
-                    ahead_s, free, slots, len(check.late)
+                    request.latest_start_s - first_start_s,
+                    ahead_s,
+                    free,
+                    slots,
+                    len(check.late),
                 )
             if request.is_infeasible(start_s):
                 refused = late.pop_longer(request) or request
