--- a/src/dotterelpath/domain/quota_peers.py
+++ b/src/dotterelpath/domain/quota_peers.py
@@ -41,7 +41,14 @@
 class Standing:
     """What contact a daemon has with those that share the quotas."""
 
-    __slots__ = ("connected", "has_quorum", "is_alone", "is_serving", "members")
+    __slots__ = (
+        "connected",
+        "has_quorum",
+        "is_alone",
+        "is_serving",
+        "members",
+        "sharing",
+    )
 
     def __init__(
         self,
@@ -50,6 +57,7 @@
         has_quorum: bool,
         is_alone: bool,
         is_serving: bool,
+        sharing: int | None = None,
     ) -> None:
         """Creates a standing.
 
@@ -59,7 +67,10 @@
             has_quorum: Whether these are most of them.
             is_alone: Whether this daemon has no contact, or must give way.
             is_serving: Whether this daemon is one of the members.
+            sharing: How many members have requests, with this one; all of them
+                by default.
         """
+        self.sharing = members if sharing is None else sharing
         self.members = members
         self.connected = connected
         self.has_quorum = has_quorum
@@ -129,7 +140,7 @@
         self._sent_s: dict[int, float] = {}
         # None if no daemon must acknowledge reports.
         self._settled: int | None = None
-        self._fields = (1, 1, False, True, False)
+        self._fields = (1, 1, False, True, False, 1)
         self._standing = Standing(*self._fields)
         self._valid_until_s = -math.inf
 
@@ -354,9 +365,19 @@
             2 * len(inside) == count and min(members) in inside
         )
         is_alone = gives_way or (count > 1 and len(inside) == 1)
-        fields = (count, len(inside), has_quorum, is_alone, self._is_serving)
+        # Members without requests need no floors until they have some. Their
+        # first requests are few, and reported at once.
+        sharing = len(self.active(now_s) | {self._own_id})
+        fields = (
+            count,
+            len(inside),
+            has_quorum,
+            is_alone,
+            self._is_serving,
+            sharing,
+        )
         if self._is_joining(now_s):
-            fields = (count, count, True, False, True)
+            fields = (count, count, True, False, True, count)
         if fields != self._fields:
             # Whoever computed something from the last one need not do so again.
             self._fields = fields
--- a/src/dotterelpath/domain/quota_reports.py
+++ b/src/dotterelpath/domain/quota_reports.py
@@ -30,8 +30,9 @@
 HEARTBEAT_PART = 0.5
 # The entries of a report get at least these bytes.
 MIN_ENTRY_BYTES = 80
-# The entries of a heartbeat get at most these bytes if other reports follow.
-BEAT_ENTRY_BYTES = 160
+# The entries of a heartbeat get at most these bytes if other reports follow: it
+# names one tenant, by which the sender is known to have requests.
+BEAT_ENTRY_BYTES = 40
 
 Entry = tuple[str, float, int]
 
@@ -124,4 +125,5 @@
         receivers: How many daemons get the reports.
     """
     bytes_per_s = BYTES_PER_S * HEARTBEAT_PART
-    return max(MIN_HEARTBEAT_S, HEADER_BYTES * receivers / bytes_per_s)
+    size = HEADER_BYTES + BEAT_ENTRY_BYTES
+    return max(MIN_HEARTBEAT_S, size * receivers / bytes_per_s)
--- a/src/dotterelpath/domain/quota_shares.py
+++ b/src/dotterelpath/domain/quota_shares.py
@@ -267,7 +267,7 @@
         if change <= NOTABLE_CHANGE * self.sent_demand:
             return False
         # The floors do not depend on the demand.
-        divided = 1.0 - self._floor * self._standing.members
+        divided = 1.0 - self._floor * self._standing.sharing
         return divided * change > NOTABLE_PART * self._tenant.rate_per_s
 
     def record_sent(self, sequence: int, now_s: float) -> None:
@@ -384,7 +384,7 @@
 
     def _fraction_of(self, demand: float, total: float) -> float:
         part = demand / total if total > 0.0 else 0.0
-        return self._floor + (1.0 - self._floor * self._standing.members) * part
+        return self._floor + (1.0 - self._floor * self._standing.sharing) * part
 
     def _find_limits(
         self,
@@ -396,7 +396,7 @@
         self._tenant = tenant
         self._rule = rule
         self._pool = pool = rule.pool(tenant)
-        self._floor = quota_rules.find_floor(pool, standing.members)
+        self._floor = quota_rules.find_floor(pool, standing.sharing)
         mode = quota_rules.find_mode(standing)
         if mode is not self._mode:
             self._enter(mode)
