--- a/features/steps/uncontrolled_client_steps.py
+++ b/features/steps/uncontrolled_client_steps.py
@@ -38,6 +38,7 @@
     "a path without route": encode("/nowhere"),
     "HEAD": encode("/nowhere", method="HEAD"),
     "another host": encode("/presses/1", host="other.example"),
+    "uploads without a key": encode("/uploads/1"),
     "no request id": encode("/presses/1", id_line=""),
     "presses": encode("/presses/1"),
     "readiness": encode("/v1/ready"),
@@ -132,6 +133,17 @@
     print_use(context, "before")
 
 
+@behave.given("uploads need the key of a tenant, and presses need none")
+def step_keys(context):
+    fleet = context.fleet
+    fleet.configure(
+        gateway_fleet.route("/presses/", "presses", auth_exempt=True),
+        gateway_fleet.route("/uploads/", "deposits", route_type="upload"),
+        tenants=[{"name": "ada", "api_keys": ["secret"]}],
+    )
+    fleet.wait_for_configuration(fleet.version)
+
+
 @behave.given("instances of presses with {mode:w} {value:g}")
 def step_mode(context, mode, value):
     value = int(value) if mode == "body_bytes" else value
--- a/features/uncontrolled_clients.feature
+++ b/features/uncontrolled_clients.feature
@@ -26,6 +26,12 @@
       | metrics   | metrics              | 5000  |
       | metrics   | status               | 5000  |
 
+  Scenario: Clients without a known key pipeline requests and read no response
+    Given uploads need the key of a tenant, and presses need none
+    When 12 clients pipeline 8000 requests for uploads without a key at the caller port and read nothing
+    Then g1 lives within its memory and descriptors
+    And g1 serves an ordinary request
+
   Scenario: Clients pipeline requests at instances that take their time
     Given instances of presses with work_s 2.0
     When 12 clients pipeline 4000 requests for presses at the caller port and read nothing
