--- a/features/overload.feature
+++ b/features/overload.feature
@@ -103,3 +103,11 @@
   Scenario: The time for checks does not grow with the queue
     Given a queue of 1000 requests of different work and times
     Then the checks take at most 2.8 % of a core
+
+  # Load: one of three daemons has half of the callers. By an equal share of the
+  # slots, requests with 4.6 s left counted as infeasible, and were sent to
+  # instances that failed half of them.
+  Scenario: A daemon with many callers counts the slots that it keeps busy
+    Given a queue of 45 requests of 0.38 s whose daemon keeps 22 slots busy
+    Then 10 or more count as infeasible with an equal share of 10 slots
+    And none of them does with the slots that the daemon keeps busy
--- a/features/steps/queue_order_steps.py
+++ b/features/steps/queue_order_steps.py
@@ -259,3 +259,36 @@
     assert len(context.queue) > 900, len(context.queue)
     period_s = len(context.queue) * _request_sender.DEADLINE_CHECK_PER_REQUEST_S
     assert took_s <= percent / 100.0 * period_s, took_s
+
+
+@behave.given(
+    "a queue of 45 requests of 0.38 s whose daemon keeps 22 slots busy"
+)
+def step_busy_queue(context):
+    def make():
+        queue = request_queue.Queue()
+        for number in range(60 * 10):
+            queue.record_start(1, 0.38, number / 60.0)
+        for number in range(45):
+            request = request_queue.QueuedRequest(
+                number, 1, 10.0, 11.6, 15.0, 0.38
+            )
+            queue.add(request, 10.0)
+        return queue
+
+    context.make_queue = make
+
+
+@behave.then("10 or more count as infeasible with an equal share of 10 slots")
+def step_infeasible_by_share(context):
+    check = context.make_queue().check_deadlines(10.0, 10.0)
+    assert len(check.infeasible) >= 10, len(check.infeasible)
+
+
+@behave.then("none of them does with the slots that the daemon keeps busy")
+def step_feasible_by_use(context):
+    queue = context.make_queue()
+    busy = queue.busy_slots(10.0)
+    assert 20.0 < busy < 25.0, busy
+    check = queue.check_deadlines(busy, 10.0)
+    assert not check.infeasible, len(check.infeasible)
--- a/src/dotterelpath/domain/request_queue.py
+++ b/src/dotterelpath/domain/request_queue.py
@@ -269,6 +269,14 @@
         rate = self._rates.setdefault(priority, _WorkRate(now_s))
         rate.add(work_s, now_s)
 
+    def busy_slots(self, now_s: float) -> float:
+        """Returns the slots that this daemon's requests have kept busy lately.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        return sum(rate.per_s(now_s) for rate in self._rates.values())
+
     def _free_slots(self, priority: int, slots: float, now_s: float) -> float:
         """Estimates the slots that requests of higher priority do not need.
 
--- a/src/dotterelpath/tasks/_services.py
+++ b/src/dotterelpath/tasks/_services.py
@@ -384,12 +384,17 @@
         )
 
     def slot_share(self, state: _pending.ServiceState) -> float:
-        """Returns this daemon's share of the slots that requests wait for."""
+        """Returns this daemon's share of the slots that requests wait for.
+
+        A daemon with more callers than the others uses more than an equal
+        share, and can at least keep busy what it does now.
+        """
         now_s = self._clock.now_s()
         slots = state.balancer.accepted_slots(now_s)
         shared = max(1.0, slots / self._serving_daemons) if slots else 0.0
         if not state.balancer.limited:
-            return max(1.0, shared)
+            busy = min(float(slots), state.queue.busy_slots(now_s))
+            return max(1.0, shared, busy)
         return max(MIN_SLOTS, shared + state.balancer.limited_slots(now_s))
 
     def expected_duration_s(self, pending: _pending.PendingRequest) -> float:
