Log how old the knowledge of the store was when changes are read

The logs could not tell a daemon that had asked the store lately from one that only believed so: the time of a confirmation, which may be stale, was the only one that was kept. Each read of changes now says whether the answer is exact, how long the call took, and how long ago the last exact answer and the last confirmation were; the loss of the store says the same. One line a change and daemon, next to the two that a change writes already. No decision uses it.

--- a/src/dotterelpath/tasks/store_reader.py
+++ b/src/dotterelpath/tasks/store_reader.py
@@ -74,6 +74,7 @@
         "_newest_revision",
         "_peer_monitor",
         "_prefix",
+        "_proved_s",
         "_published_revision",
         "_random",
         "_reported_s",
@@ -129,6 +130,8 @@
         self._fallback_watch_s = MIN_FALLBACK_WATCH_S
         self._reported_s = self._started_s
         self._confirmed_s = self._started_s
+        # When the last answer that cannot be stale was requested.
+        self._proved_s = self._started_s
 
     @property
     def follower(self) -> store_following.StoreFollower:
@@ -344,6 +347,7 @@
         # The store was available before this call, which may have been a watch
         # that waited for up to its timeout.
         max_silence_s = WATCH_TIMEOUT_S
+        self._log_changes(changes, sent_s, is_exact)
         if self._is_store_lost:
             _log.info("store available again", revision=changes.revision)
             self._is_store_lost = False
@@ -353,11 +357,34 @@
         self._report_changes(changes, max_silence_s)
         self._report_read(sent_s, is_exact)
 
+    def _log_changes(
+        self, changes: store_port.Changes, sent_s: float, is_exact: bool
+    ) -> None:
+        """Logs changes with the age of what was known before them.
+
+        The age of the last confirmation may be younger than that of the last
+        proof, since a stale read confirms only what its replica knows.
+        """
+        if not changes.entries or changes.is_full:
+            return
+        now_s = self._clock.now_s()
+        _log.info(
+            "store changes read",
+            revision=changes.revision,
+            known_revision=self._revision,
+            exact=is_exact,
+            took_s=round(now_s - sent_s, 3),
+            proved_age_s=round(now_s - self._proved_s, 3),
+            confirmed_age_s=round(now_s - self._confirmed_s, 3),
+        )
+
     def _report_read(self, sent_s: float, is_exact: bool) -> None:
         """Reports up to which revision this daemon has read the store.
 
         The report takes the way of the changes, which are in force first.
         """
+        if is_exact:
+            self._proved_s = max(self._proved_s, sent_s)
         self._subscriber.force(
             fleet_events.StoreRead(self._revision, sent_s, is_exact)
         )
@@ -420,6 +447,7 @@
                 error=str(error),
                 revision=self._revision,
                 silent_s=round(self._clock.now_s() - self._confirmed_s, 3),
+                proved_age_s=round(self._clock.now_s() - self._proved_s, 3),
             )
             self._is_store_lost = True
             self._subscriber.force(store_events.StoreLost())
