Show that daemons in touch with the store know changes too late (red)

Store readers and peer monitors run in simulated time, without sockets, in fleets with data centres of 1 to 16 daemons.

--- /dev/null
+++ b/features/late_changes.feature
@@ -0,0 +1,25 @@
+Feature: Daemons in touch with the store know its changes in time
+
+  # A short disruption swallowed the answer to a watch of up to 4 s of a daemon
+  # without followers, which learned of no change until the call timed out.
+  Scenario: A lost answer to a watch does not hide changes
+    Given a daemon that watches the store for itself while it changes
+    When answers to it are lost for 0.05 seconds, at each of 40 moments
+    Then it knew each change within 2 seconds once it was in touch
+
+  # Reports of other daemons were not read while a call was pending.
+  Scenario: A report of a newer revision is read while a call is pending
+    Given a daemon that watches the store for itself while it changes
+    When answers are lost for 1 second and another daemon reports the change
+    Then it knew the change within 0.5 seconds of the report
+
+  Scenario: All daemons in touch know all changes in time
+    Given fleets with data centres of 1 to 16 daemons and 0.2 s old stale reads
+    When paths to the store and between daemons fail at random, from 60 seeds
+    Then each daemon in touch knew each change within 2 seconds
+
+  # Stale reads may be seconds old at any time.
+  Scenario: All daemons in touch know all changes in time despite old reads
+    Given fleets with data centres of 1 to 16 daemons and 3 s old stale reads
+    When paths to the store and between daemons fail at random, from 60 seeds
+    Then each daemon in touch knew each change within 2 seconds
--- /dev/null
+++ b/features/steps/late_change_steps.py
@@ -0,0 +1,144 @@
+"""Steps on how late daemons know the changes of the store."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import behave
+
+from dotterelpath.tasks import fleet_events
+from features.support import following_fleet
+from features.support import simulated_time
+
+APPLY_S = 2.0
+# A daemon without reports has reached its longest wait by then, in seconds.
+SETTLED_S = 1012.0
+SIZES = (1, 2, 3, 6, 16)
+
+
+@behave.given("a daemon that watches the store for itself while it changes")
+def step_lone_daemon(context):
+    context.sizes = [1]
+
+
+def play_loss(sizes, start_s, duration_s):
+    """Plays one loss of answers, and returns the late daemons."""
+
+    async def play(loop):
+        fleet = following_fleet.FollowingFleet(loop, 1, sizes, 0.2, APPLY_S)
+        fleet.members[0].faults.append(
+            following_fleet.Fault(start_s, start_s + duration_s, "silent")
+        )
+        return await fleet.play(25.0, (0.8, 1.6))
+
+    return simulated_time.run(play)
+
+
+@behave.when(
+    "answers to it are lost for {duration_s:g} seconds, at each of {count:d}"
+    " moments"
+)
+def step_short_losses(context, duration_s, count):
+    context.late = {
+        number: found
+        for number in range(count)
+        if (
+            found := play_loss(
+                context.sizes, SETTLED_S + number * 0.117, duration_s
+            )
+        )
+    }
+
+
+@behave.then("it knew each change within 2 seconds once it was in touch")
+@behave.then("each daemon in touch knew each change within 2 seconds")
+def step_in_time(context):
+    oldest = {
+        seed: max((round(age_s, 2), daemon.id) for _, daemon, age_s in found)
+        for seed, found in context.late.items()
+    }
+    assert not oldest, oldest
+
+
+@behave.when(
+    "answers are lost for 1 second and another daemon reports the change"
+)
+def step_reported(context):
+    context.delays_s = []
+    for number in range(20):
+        start_s = SETTLED_S + number * 0.231
+        context.delays_s.append(simulated_time.run(report_in_loss(start_s)))
+
+
+def report_in_loss(start_s):
+    """Loses a change, and reports it once answers arrive again.
+
+    Returns what plays it and returns how long the daemon took, in seconds.
+    """
+
+    async def play(loop):
+        fleet = following_fleet.FollowingFleet(loop, 1, [1], 0.2, APPLY_S)
+        member = fleet.members[0]
+        member.faults.append(
+            following_fleet.Fault(start_s, start_s + 1.0, "silent")
+        )
+        tasks = fleet.start()
+        await asyncio.sleep(start_s + 0.5 - loop.time())
+        fleet.store.change()
+        await asyncio.sleep(start_s + 1.01 - loop.time())
+        reported_s = loop.time()
+        member.reader_inbox.force(
+            fleet_events.RevisionReceived(
+                "peer", fleet.store.revision, reported_s, reported_s
+            )
+        )
+        while member.known_revision < fleet.store.revision:
+            await asyncio.sleep(following_fleet.CHECK_S / 10.0)
+            member.note_known()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return loop.time() - reported_s
+
+    return play
+
+
+@behave.then("it knew the change within 0.5 seconds of the report")
+def step_read_soon(context):
+    assert max(context.delays_s) <= 0.5, sorted(context.delays_s)
+
+
+@behave.given(
+    "fleets with data centres of 1 to 16 daemons and {stale_s:g} s old stale"
+    " reads"
+)
+def step_fleets(context, stale_s):
+    context.max_stale_s = stale_s
+
+
+@behave.when(
+    "paths to the store and between daemons fail at random, from {seeds:d}"
+    " seeds"
+)
+def step_random_faults(context, seeds):
+    context.late = {
+        seed: late
+        for seed in range(seeds)
+        if (late := play_random_faults(seed, context.max_stale_s))
+    }
+
+
+def play_random_faults(seed, max_stale_s):
+    """Plays random faults of a random fleet, and returns the late daemons."""
+    source = random.Random(seed)
+    sizes = [source.choice(SIZES) for _ in range(source.choice((1, 2, 3)))]
+
+    async def play(loop):
+        fleet = following_fleet.FollowingFleet(
+            loop, seed, sizes, max_stale_s, APPLY_S
+        )
+        following_fleet.add_faults(fleet, source, 1005.0, 1035.0)
+        return await fleet.play(40.0, (0.3, 4.0))
+
+    return simulated_time.run(play)
--- /dev/null
+++ b/features/support/following_fleet.py
@@ -0,0 +1,369 @@
+"""A fleet that follows the store, with faults, in simulated time."""
+
+from __future__ import annotations
+
+import asyncio
+import bisect
+import math
+import random
+
+from dotterelpath import errors
+from dotterelpath.adapters import store_client
+from dotterelpath.domain import configuration
+from dotterelpath.domain import steering
+from dotterelpath.ports import store as store_port
+from dotterelpath.tasks import fleet_events
+from dotterelpath.tasks import mailbox
+from dotterelpath.tasks import peer_monitor
+from dotterelpath.tasks import store_events
+from dotterelpath.tasks import store_reader
+from features.support import deployments
+from features.support import gateway_world
+from features.support import simulated_time
+
+# How long a daemon must have been without a fault until the bounds hold for it,
+# in seconds; the users' pages state it.
+STABLE_S = 3.0
+# One way to the store and to other daemons, in seconds.
+STORE_LATENCY_S = (0.002, 0.008)
+PEER_LATENCY_S = (0.0005, 0.005)
+# How often it is checked what the daemons know, in seconds.
+CHECK_S = 0.05
+
+
+class Fault:
+    """A time in which a daemon's connections fail.
+
+    Attributes:
+        kind: "silent": the store gets no calls, or their responses are lost;
+            "reset": they fail at once; "cut": silent, and no datagrams either.
+    """
+
+    def __init__(self, start_s, end_s, kind):
+        self.start_s = start_s
+        self.end_s = end_s
+        self.kind = kind
+
+
+class SimulatedStore:
+    """The revisions of a store, and when each was acknowledged."""
+
+    def __init__(self, loop, source, max_stale_s):
+        self.acknowledged_s = [0.0]
+        self._loop = loop
+        self._random = source
+        self._max_stale_s = max_stale_s
+        self._changed = asyncio.Event()
+
+    @property
+    def revision(self):
+        return len(self.acknowledged_s)
+
+    def change(self):
+        self.acknowledged_s.append(self._loop.time())
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def changes_after(self, revision, may_be_stale):
+        """Returns the changes that a response has."""
+        known = self.revision
+        if may_be_stale:
+            oldest_s = self._loop.time() - self._random.random() * (
+                self._max_stale_s
+            )
+            known = max(1, bisect.bisect(self.acknowledged_s, oldest_s))
+        entries = [
+            store_port.VersionedValue("k", str(n), n)
+            for n in range(revision + 1, known + 1)
+        ]
+        return store_port.Changes(entries[-1:], known, not revision)
+
+    async def wait_for_change(self, revision, wait_s):
+        """Waits for a change after a revision, or until the wait ends."""
+        until_s = self._loop.time() + wait_s
+        while self.revision <= revision and self._loop.time() < until_s:
+            try:
+                async with asyncio.timeout(until_s - self._loop.time()):
+                    await self._changed.wait()
+            except TimeoutError:
+                return
+
+
+class StorePath:
+    """The calls of one daemon to the store; see ports.store.Store."""
+
+    def __init__(self, member, store, source):
+        self.calls = 0
+        self.stale_calls = 0
+        self._member = member
+        self._store = store
+        self._random = source
+
+    def set_daemon_count(self, count):
+        pass
+
+    async def watch(
+        self,
+        prefix,
+        after_revision,
+        wait_s,
+        may_be_stale=False,
+    ):
+        if may_be_stale:
+            self.stale_calls += 1
+        else:
+            self.calls += 1
+        call = asyncio.create_task(
+            self._call(after_revision, wait_s, may_be_stale)
+        )
+        reset = asyncio.create_task(self._member.wait_for_reset())
+        try:
+            done, _ = await asyncio.wait(
+                (call, reset),
+                timeout=wait_s + store_client.WATCH_MARGIN_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if call in done:
+                return call.result()
+            raise errors.StoreError("reset" if done else "no response")
+        finally:
+            call.cancel()
+            reset.cancel()
+            await asyncio.gather(call, reset, return_exceptions=True)
+
+    async def _call(self, after_revision, wait_s, may_be_stale):
+        await self._cross()
+        if not may_be_stale:
+            await self._store.wait_for_change(after_revision, wait_s)
+        changes = self._store.changes_after(after_revision, may_be_stale)
+        await self._cross()
+        return changes
+
+    async def _cross(self):
+        """Takes one way between the daemon and the store, or loses the call."""
+        await asyncio.sleep(self._random.uniform(*STORE_LATENCY_S))
+        fault = self._member.fault()
+        if fault is not None and fault.kind == "reset":
+            raise errors.StoreError("reset")
+        if fault is not None:
+            await asyncio.sleep(math.inf)
+
+
+class Member:
+    """A daemon: its store reader and its peer monitor."""
+
+    def __init__(self, fleet, number, data_centre):
+        self.id = f"d{number}"
+        self.number = number
+        self.data_centre = data_centre
+        self.faults = []
+        self.known_revision = 0
+        self._fleet = fleet
+        clock = fleet.clock
+        source = random.Random(f"{fleet.seed} {number}")
+        self.path = StorePath(self, fleet.store, source)
+        self.known = mailbox.Mailbox("known", 10**6)
+        self.reader_inbox = mailbox.Mailbox("reader", 10**6)
+        self.monitor_inbox = mailbox.Mailbox("monitor", 10**6)
+        self.monitor = peer_monitor.PeerMonitor(
+            deployments.make(
+                self.id, data_centre, number, steering.Resources(1.0, 5.0)
+            ),
+            clock,
+            lambda: 0.0,
+            lambda: 0,
+            self.monitor_inbox,
+            mailbox.Mailbox("gateway", 10**6),
+            self.reader_inbox,
+        )
+        self.monitor.connect(self)
+        self.reader = store_reader.StoreReader(
+            "",
+            self.path,
+            clock,
+            source,
+            self.reader_inbox,
+            self.known,
+            self.monitor_inbox,
+            fleet.apply_s,
+        )
+
+    def fault(self):
+        """Returns the fault that holds now."""
+        now_s = self._fleet.clock.now_s()
+        return next(
+            (f for f in self.faults if f.start_s <= now_s < f.end_s), None
+        )
+
+    def is_calm(self, now_s):
+        """Tells whether there has been no fault for long enough."""
+        return not any(
+            f.start_s <= now_s and f.end_s > now_s - STABLE_S
+            for f in self.faults
+        )
+
+    async def wait_for_reset(self):
+        """Waits until a fault resets the open connections."""
+        while True:
+            now_s = self._fleet.clock.now_s()
+            starts = [f for f in self.faults if f.kind == "reset"]
+            next_s = min(
+                (f.start_s for f in starts if f.start_s >= now_s),
+                default=math.inf,
+            )
+            if next_s == math.inf:
+                await asyncio.sleep(1.0)
+                continue
+            await asyncio.sleep(next_s - now_s)
+            return
+
+    def send(self, host, port, datagram):
+        """Sends a datagram to another daemon; see ports.datagrams."""
+        self._fleet.send(self, port, datagram)
+
+    def note_known(self):
+        """Reads up to which revision this daemon knows the store."""
+        while (message := self.known.poll()) is not None:
+            if isinstance(message, store_events.StoreChanged):
+                self.known_revision = message.changes.revision
+            elif isinstance(message, fleet_events.StoreRead):
+                self.monitor_inbox.force(message)
+
+
+class FollowingFleet:
+    """Daemons that follow the store, whose paths to it and links fail."""
+
+    def __init__(self, loop, seed, sizes, max_stale_s, apply_s=2.0):
+        """Creates a fleet.
+
+        Args:
+            loop: The simulated loop.
+            seed: The seed of the delays.
+            sizes: The number of daemons in each data centre.
+            max_stale_s: The highest age of stale reads, in seconds.
+            apply_s: The time within which a change must be in force, in
+                seconds.
+        """
+        self.seed = seed
+        self.apply_s = apply_s
+        self.clock = simulated_time.SimulatedClock(loop)
+        self.random = random.Random(f"fleet {seed}")
+        self.store = SimulatedStore(loop, self.random, max_stale_s)
+        self._loop = loop
+        places = [f"dc{n}" for n, size in enumerate(sizes) for _ in range(size)]
+        self.members = [
+            Member(self, number, place) for number, place in enumerate(places)
+        ]
+
+    def start(self):
+        """Starts the daemons' tasks, and returns them."""
+        daemons = {
+            m.id: steering.Daemon(
+                m.id,
+                m.data_centre,
+                deployments.REGION,
+                "h",
+                m.number,
+                "h",
+                m.number,
+                steering.Resources(1.0, 5.0),
+            )
+            for m in self.members
+        }
+        in_force = configuration.Configuration(1, {}, [], gateway_world.LIMITS)
+        tasks = []
+        for member in self.members:
+            member.monitor.handle(fleet_events.RegistryChanged({}))
+            member.monitor.handle(fleet_events.ConfigurationChanged(in_force))
+            member.monitor.handle(fleet_events.DaemonsChanged(daemons))
+            tasks.append(asyncio.create_task(member.monitor.run()))
+            tasks.append(asyncio.create_task(member.reader.run()))
+        return tasks
+
+    def send(self, sender, port, datagram):
+        """Delivers a datagram later, unless a fault cuts off either daemon."""
+        receiver = self.members[port]
+        self._loop.call_later(
+            self.random.uniform(*PEER_LATENCY_S),
+            self._deliver,
+            sender,
+            receiver,
+            datagram,
+        )
+
+    def _deliver(self, sender, receiver, datagram):
+        faults = (sender.fault(), receiver.fault())
+        if not any(f is not None and f.kind == "cut" for f in faults):
+            receiver.monitor.on_datagram("h", sender.number, datagram)
+
+    async def play(self, duration_s, change_gaps_s):
+        """Plays a time with changes, and notes each late daemon.
+
+        Args:
+            duration_s: The time, in seconds.
+            change_gaps_s: The shortest and the longest time between changes.
+
+        Returns:
+            The late daemons: the time, the daemon, and the age of the oldest
+            change that it does not know, in seconds.
+        """
+        tasks = self.start()
+        end_s = self._loop.time() + duration_s
+        change_s = self._loop.time() + 5.0
+        late = []
+        while (now_s := self._loop.time()) < end_s:
+            if now_s >= change_s:
+                self.store.change()
+                change_s = now_s + self.random.uniform(*change_gaps_s)
+            for member in self.members:
+                member.note_known()
+                age_s = self.age_of_unknown_s(member, now_s)
+                if age_s > self.apply_s and member.is_calm(now_s):
+                    late.append((now_s, member, age_s))
+            await asyncio.sleep(CHECK_S)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return late
+
+    def age_of_unknown_s(self, member, now_s):
+        """Returns how long ago the oldest change was that a daemon lacks."""
+        if member.known_revision >= self.store.revision:
+            return 0.0
+        if not member.known_revision:
+            return 0.0
+        return now_s - self.store.acknowledged_s[member.known_revision]
+
+
+def add_faults(fleet, source, from_s, to_s):
+    """Draws faults of a fleet: of some daemons, or of a data centre's best."""
+    at_s = from_s
+    places = sorted({m.data_centre for m in fleet.members})
+    while at_s < to_s:
+        kind = source.choice(("silent", "silent", "reset", "cut"))
+        duration_s = source.choice((0.05, 0.3, 0.8, 2.0, 6.0, 12.0))
+        if source.random() < 0.5:
+            share = source.choice((0.1, 0.35, 0.5))
+            hit = [m for m in fleet.members if source.random() < share]
+        else:
+            place = source.choice(places)
+            near = [m for m in fleet.members if m.data_centre == place]
+            ranked = steering.rank([_description(m) for m in near])
+            best = {d.id for d in ranked[: source.choice((1, 2, 3))]}
+            hit = [m for m in near if m.id in best]
+        for member in hit:
+            member.faults.append(Fault(at_s, at_s + duration_s, kind))
+        at_s += source.choice((0.2, 1.0, 3.0)) * (0.5 + source.random())
+
+
+def _description(member):
+    return steering.Daemon(
+        member.id,
+        member.data_centre,
+        deployments.REGION,
+        "h",
+        member.number,
+        "h",
+        member.number,
+        steering.Resources(1.0, 5.0),
+    )
