Prove what is known of the store within the bound on changes

What callers saw: daemons that reached the store decided by an old configuration, or sent requests to an instance that had been leaving, up to 2.8 s after the acknowledgement (CONFIG, DRAIN; 2.0 and 2.5 s allowed).

Cause: nothing owned the time that a change may take. A watch waits for up to 4 s and its call 1 s longer. If its response is lost in a short disruption, the daemon hears nothing until then. Only daemons with followers let the store confirm their revision meanwhile, by stale reads, which prove nothing; a daemon that watches for itself, since its data centre's watching daemons are away, did not. Reports of a newer revision were not read while a call was pending, and the first retry waited as long as all others.

The traces show a watch of 4 s whose response was lost, and pongs with the newer revision that were left in the mailbox.

Change: each daemon keeps the time of its last proof, an exact answer or the end of a watch's wait, and pongs tell its age. store_following owns all times as shares of the bound, one lost call included; a scenario adds them up. One daemon of those that watch for the same followers proves the revision, the others step in. A pending watch is checked by another call if the proof gets old or a peer reports a newer revision. After a lost call the first retry comes at once, on a new connection. Timers that fire a millisecond early no longer repeat a step.

Two scenarios of following.feature change. One wanted stale reads of the daemon with followers, and none of the other: now both must ask the store three to five times in 1.5 s, and never by stale reads. The age at which a follower asks for itself is 0.75 of the bound, not 0.6; the sum of all times, which must stay below the bound, is checked instead.

--- a/features/following.feature
+++ b/features/following.feature
@@ -29,11 +29,12 @@
     When requests are sent to all daemons until the entries reappear
     Then all requests got the status 200
 
-  # All daemons watch for themselves in an outage, or when the fleet starts.
-  Scenario: Only a daemon with followers lets the store confirm its revision
+  # All daemons watch for themselves in an outage, or when the fleet starts. A
+  # stale answer proves nothing, and a watch proves its revision when it ends.
+  Scenario: Daemons that watch prove their revision at the price of few calls
     Given a daemon that watches the store for itself, and one with followers
     When both have watched for 1.5 seconds with a bound of 1 second
-    Then only the one with followers has made stale reads, 2 to 5 of them
+    Then both have asked the store 3 to 5 times since, and not by stale reads
 
   Scenario: A daemon decides whether to watch or to follow
     Given a daemon that must have changes in force within 2 seconds
@@ -41,7 +42,17 @@
     And it reads the store when a peer reports a newer revision
     And it watches again after 0.8 seconds without reports
     And it watches while it has followers
-    And it watches again if peers report, but heard the store 1.2 seconds ago
+    And it watches again if peers report, but heard the store 1.5 seconds ago
+
+  # A change may be older than the last proof by nothing: all that follows must
+  # fit into the bound one after the other.
+  Scenario: The waits on the way of a change fit into its bound
+    Then these times add up to less than each bound from 1.5 to 7 seconds
+      | way of the change        | times                                        |
+      | two batches              | batch report batch lost_call retry call      |
+      | old proofs               | proof lost_call retry call                   |
+      | a lone watch             | lone_proof lost_call retry call              |
+      | two batches at the start | start_batch report start_batch call          |
 
   # The store reader and the address responses kept the bounds of the start.
   Scenario: A daemon follows changed bounds at once
--- a/features/late_changes.feature
+++ b/features/late_changes.feature
@@ -23,3 +23,10 @@
     Given fleets with data centres of 1 to 16 daemons and 3 s old stale reads
     When paths to the store and between daemons fail at random, from 60 seeds
     Then each daemon in touch knew each change within 2 seconds
+
+  # A daemon relied on the proofs of a peer that was cut off together with it,
+  # and waited for a lost answer for 4 s.
+  Scenario: A watch is checked when the proofs of a peer end
+    Given fleets with data centres of 1 to 16 daemons and 0.2 s old stale reads
+    When paths to the store and between daemons fail at random, from seed 98
+    Then each daemon in touch knew each change within 2 seconds
--- a/features/steps/late_change_steps.py
+++ b/features/steps/late_change_steps.py
@@ -129,6 +129,14 @@
     }
 
 
+@behave.when(
+    "paths to the store and between daemons fail at random, from seed {seed:d}"
+)
+def step_one_seed(context, seed):
+    late = play_random_faults(seed, context.max_stale_s)
+    context.late = {seed: late} if late else {}
+
+
 def play_random_faults(seed, max_stale_s):
     """Plays random faults of a random fleet, and returns the late daemons."""
     source = random.Random(seed)
--- a/features/steps/store_age_steps.py
+++ b/features/steps/store_age_steps.py
@@ -216,20 +216,33 @@
 
 
 class ScriptedStore:
-    """A store whose answers a scenario sets; a watch that waits hears none."""
+    """A store whose answers a scenario sets.
 
-    def __init__(self):
+    A watch that waits gets the answer at its end, or never.
+    """
+
+    def __init__(self, is_watch_lost=False):
+        self._is_watch_lost = is_watch_lost
         self.exact = store_port.Changes([], 9)
         self.stale = store_port.Changes([], 9)
 
     def set_daemon_count(self, count):
         pass
 
-    async def watch(self, prefix, after_revision, wait_s, may_be_stale=False):
+    async def watch(
+        self,
+        prefix,
+        after_revision,
+        wait_s,
+        may_be_stale=False,
+        response_s=None,
+    ):
         if not after_revision:
             entry = store_port.VersionedValue("k", "new", 9)
             return store_port.Changes([entry], 9, True)
-        await asyncio.sleep(3600.0 if wait_s > 1.0 else 0.01)
+        if wait_s and self._is_watch_lost:
+            await asyncio.sleep(3600.0)
+        await asyncio.sleep(wait_s + 0.01)
         return self.stale if may_be_stale else self.exact
 
 
@@ -273,11 +286,15 @@
 
 
 @behave.given("a daemon that knows revision 9 of the store")
-@behave.given("a daemon with followers, whose watch hears nothing any more")
 def step_scripted(context):
     context.scripted = ScriptedStore()
 
 
+@behave.given("a daemon with followers, whose watch hears nothing any more")
+def step_watch_lost(context):
+    context.scripted = ScriptedStore(is_watch_lost=True)
+
+
 @behave.when("an exact answer has revision 5 and an old value")
 def step_exact_old(context):
     def change():
--- a/features/support/following_fleet.py
+++ b/features/support/following_fleet.py
@@ -108,6 +108,7 @@
         after_revision,
         wait_s,
         may_be_stale=False,
+        response_s=None,
     ):
         if may_be_stale:
             self.stale_calls += 1
@@ -120,7 +121,7 @@
         try:
             done, _ = await asyncio.wait(
                 (call, reset),
-                timeout=wait_s + store_client.WATCH_MARGIN_S,
+                timeout=wait_s + (response_s or store_client.WATCH_MARGIN_S),
                 return_when=asyncio.FIRST_COMPLETED,
             )
             if call in done:
@@ -186,6 +187,7 @@
             self.known,
             self.monitor_inbox,
             fleet.apply_s,
+            daemon_id=self.id,
         )
 
     def fault(self):
--- a/src/dotterelpath/adapters/http_client.py
+++ b/src/dotterelpath/adapters/http_client.py
@@ -79,6 +79,8 @@
             async with asyncio.timeout(timeout_s):
                 response = await future
         except TimeoutError:
+            # What swallowed the response may have hit the others as well.
+            self._close_idle(host, port)
             raise NoResponseError(f"no response within {timeout_s} s") from None
         finally:
             del self._pending[call_id]
@@ -90,10 +92,8 @@
 
     def close(self) -> None:
         """Closes the idle connections."""
-        for idle in self._idle.values():
-            for connection in list(idle):
-                connection.close()
-        self._idle.clear()
+        for host, port in list(self._idle):
+            self._close_idle(host, port)
 
     def on_response(
         self,
@@ -141,6 +141,10 @@
             if connection in idle:
                 idle.remove(connection)
 
+    def _close_idle(self, host: str, port: int) -> None:
+        for connection in self._idle.pop((host, port), []):
+            connection.close()
+
     async def _acquire(self, host: str, port: int) -> backend.Connection:
         idle = self._idle.get((host, port), [])
         while idle:
--- a/src/dotterelpath/adapters/store_client.py
+++ b/src/dotterelpath/adapters/store_client.py
@@ -25,7 +25,8 @@
 # The calls that a daemon may make at once after a time without calls.
 BURST_READS = 200.0
 BURST_WRITES = 50.0
-# Added to the wait that a call requests; the sum is the call's timeout.
+# Added to the wait that a call requests, unless the call says how long its
+# response may take; the sum is the call's timeout.
 WATCH_MARGIN_S = 1.0
 
 
@@ -280,12 +281,13 @@
         after_revision: int,
         wait_s: float,
         may_be_stale: bool = False,
+        response_s: float | None = None,
     ) -> store.Changes:
         """Waits for changes; see store.Store."""
         if not after_revision:
             return await self._read_all(prefix, wait_s, may_be_stale)
         return await self._read_changes(
-            prefix, after_revision, wait_s, may_be_stale
+            prefix, after_revision, wait_s, may_be_stale, response_s
         )
 
     async def renew(self, lease: int) -> bool:
@@ -327,12 +329,14 @@
         after_revision: int,
         wait_s: float,
         may_be_stale: bool,
+        response_s: float | None = None,
     ) -> store.Changes:
         call = self._codec.encode_watch(
             prefix, after_revision, wait_s, may_be_stale
         )
+        margin_s = WATCH_MARGIN_S if response_s is None else response_s
         response = await self._read(
-            "watch", call, wait_s + WATCH_MARGIN_S, may_be_stale
+            "watch", call, wait_s + margin_s, may_be_stale
         )
         return _decode_read(self._codec.decode_watch, response)
 
--- a/src/dotterelpath/domain/revocation.py
+++ b/src/dotterelpath/domain/revocation.py
@@ -10,14 +10,15 @@
 import math
 
 from dotterelpath.domain import bounds as bounds_domain
+from dotterelpath.domain import store_following
 
 # A report of another daemon shows that the store can be reached if the store
-# confirmed the reported revision within this share of the time within which a
-# change must be in force. Healthy daemons report confirmations half as old.
-MAX_EVIDENCE_AGE_SHARE = 0.6
+# proved the reported revision within this share of the time within which a
+# change must be in force. The proofs of healthy daemons are not older.
+MAX_EVIDENCE_AGE_SHARE = store_following.MAX_PROOF_AGE_SHARE
 # The same share for the knowledge of this daemon: if it was confirmed longer
 # ago, the daemon asks further daemons for their revisions.
-MAX_CONFIRMED_AGE_SHARE = 0.6
+MAX_CONFIRMED_AGE_SHARE = store_following.MAX_PROOF_AGE_SHARE
 # A refusal takes effect within this time, in seconds: reports arrive with the
 # responses to pings, of which one may be lost.
 REACTION_S = 0.5
--- a/src/dotterelpath/domain/store_following.py
+++ b/src/dotterelpath/domain/store_following.py
@@ -11,17 +11,37 @@
 # A peer counts as a follower for this time after its last query, in seconds.
 # Peers query with each ping; four pings fit into the time.
 FOLLOWER_TIMEOUT_S = 1.0
-# A daemon starts its own watch if the watching peers are silent for this share
-# of the time within which a change must be in force. The rest is enough to
-# watch the store and to apply a change.
+# All further times are shares of the time within which a change must be in
+# force, in which they must fit one after the other. See the design page.
+#
+# A daemon starts its own watch if the watching peers are silent for this share.
 MAX_SILENCE_SHARE = 0.4
-# The same if they respond, but the store last confirmed their revision longer
-# ago than this share: they may have lost the store without knowing it.
-MAX_CONFIRMED_AGE_SHARE = 0.6
-# A daemon with followers lets the store confirm its revision at intervals of
-# this share. With the pings' interval and a lost ping, the confirmation that
-# followers know stays younger than its highest age.
-CONFIRMATION_SHARE = 0.3
+# The same if they respond, but the store last proved their revision longer ago
+# than this share: they may have lost the store without knowing it. A daemon
+# that watches asks the store besides its watch then.
+MAX_PROOF_AGE_SHARE = 0.75
+# The store is to prove a revision that peers follow again after this share.
+PROOF_SHARE = 0.55
+# The same if requests rely on the proofs of this daemon alone.
+STRICT_PROOF_AGE_SHARE = 0.3
+# The same for a revision that no peer follows.
+LONE_PROOF_SHARE = 0.6
+# The wait of a watch while a peer proves the revision.
+RESERVE_WAIT_SHARE = 2.0
+# The shortest wait of a watch that is to prove the revision.
+MIN_WAIT_SHARE = 0.05
+# A response is lost if it takes longer than this share, apart from the wait.
+RESPONSE_SHARE = 0.15
+# How long to wait for further changes after a change, to read them in one call.
+BATCH_SHARE = 0.25
+# The same while a fleet starts, which writes many keys meanwhile.
+STARTUP_BATCH_SHARE = 0.35
+# Timers may fire this much earlier, in seconds.
+TIMER_RESOLUTION_S = 0.001
+# The longest time to wait for a response, in seconds, however slow the store.
+MAX_RESPONSE_S = 1.0
+# How many times longer than the last response the next one may take.
+RESPONSE_SLACK = 3.0
 
 
 class Step(enum.Enum):
@@ -36,40 +56,56 @@
 
 
 class StoreFollower:
-    """Decides whether a daemon watches the store or follows peers that do.
+    """Decides how a daemon learns of changes, and when it must have proof.
 
     Calls to the store are costly, and a change ends all pending watches, so
     that each must be renewed by another call. Therefore only daemons with
     followers watch the store. They report the newest revision in each response
     to a ping, and their followers read the store only if that revision is new.
     A response proves that its sender lives, not that the sender still hears the
-    store, so each report tells when the store last confirmed the revision.
-    A daemon that gets no reports, or only reports of old confirmations, watches
-    the store itself.
+    store, so each report tells when the store last proved the revision.
+    A daemon that gets no reports, or only reports of old proofs, watches the
+    store itself.
+
+    Only responses that cannot be stale prove that there are no later changes. A
+    pending watch proves nothing, since its response may be lost. It proves its
+    revision when it ends, so that watches end at the rate of the proofs.
     """
 
     __slots__ = (
-        "_confirmation_interval_s",
+        "_apply_s",
         "_confirmed_s",
-        "_max_confirmed_age_s",
-        "_max_silence_s",
+        "_newer_reported_s",
+        "_own_id",
+        "_peer_id",
+        "_proved_s",
         "_queried_s",
         "_reported_revision",
         "_reported_s",
+        "_response_s",
     )
 
-    def __init__(self, apply_s: float) -> None:
+    def __init__(self, apply_s: float, own_id: str = "") -> None:
         """Creates the state of a daemon without reports and followers.
 
         Args:
             apply_s: The time within which a change must be in force, in
                 seconds.
+            own_id: The id of this daemon.
         """
-        self.set_apply_s(apply_s)
+        self._own_id = own_id
+        self._apply_s = apply_s
         self._confirmed_s = -math.inf
         self._queried_s = -math.inf
         self._reported_s = -math.inf
         self._reported_revision = 0
+        # The peer that last reported a newer proof.
+        self._peer_id = ""
+        # When the newest revision was reported first.
+        self._newer_reported_s = -math.inf
+        self._proved_s = -math.inf
+        # How long the last responses took, times RESPONSE_SLACK.
+        self._response_s = 0.0
 
     @property
     def reported_revision(self) -> int:
@@ -77,9 +113,26 @@
         return self._reported_revision
 
     @property
-    def confirmation_interval_s(self) -> float:
-        """How often the store is to confirm a watched revision, in seconds."""
-        return self._confirmation_interval_s
+    def newer_reported_s(self) -> float:
+        """When that revision was first reported, on the monotonic clock."""
+        return self._newer_reported_s
+
+    @property
+    def proved_s(self) -> float:
+        """When this daemon last had proof that it knew all changes.
+
+        On the monotonic clock, in seconds.
+        """
+        return self._proved_s
+
+    @property
+    def response_s(self) -> float:
+        """How long the next response may take, apart from its wait.
+
+        In seconds. Longer than usual while the store is slow.
+        """
+        usual_s = self._apply_s * RESPONSE_SHARE
+        return min(MAX_RESPONSE_S, max(usual_s, self._response_s))
 
     def set_apply_s(self, apply_s: float) -> None:
         """Sets the time within which a change must be in force.
@@ -87,9 +140,84 @@
         Args:
             apply_s: The time, in seconds.
         """
-        self._max_silence_s = apply_s * MAX_SILENCE_SHARE
-        self._max_confirmed_age_s = apply_s * MAX_CONFIRMED_AGE_SHARE
-        self._confirmation_interval_s = apply_s * CONFIRMATION_SHARE
+        self._apply_s = apply_s
+
+    def record_response(self, took_s: float) -> None:
+        """Records how long a response took, apart from its wait.
+
+        Args:
+            took_s: The time, in seconds.
+        """
+        self._response_s = took_s * RESPONSE_SLACK
+
+    def record_lost_response(self) -> None:
+        """Records that there was no response in time."""
+        self._response_s = 2.0 * self.response_s
+
+    def record_proof(
+        self, revision: int, proved_s: float, complete_s: float
+    ) -> None:
+        """Records an answer of the store that cannot be stale.
+
+        It also refutes earlier reports of a revision that the store has not.
+
+        Args:
+            revision: The revision up to which all changes are known now.
+            proved_s: The time for which they are complete, on the monotonic
+                clock, in seconds.
+            complete_s: The same, even if the answer was delayed on its way.
+        """
+        self._proved_s = max(self._proved_s, proved_s)
+        if self._newer_reported_s <= complete_s:
+            self._reported_revision = min(self._reported_revision, revision)
+
+    def proof_due_s(self, revision: int, is_strict: bool) -> float:
+        """Returns when the store must be asked for a proof.
+
+        Args:
+            revision: The revision of the store up to which changes are known.
+            is_strict: Whether the proofs of peers do not count.
+
+        Returns:
+            The time on the monotonic clock, in seconds.
+        """
+        if is_strict:
+            return self._proved_s + self._apply_s * STRICT_PROOF_AGE_SHARE
+        newest_s = self._proved_s
+        if self._reported_revision <= revision:
+            newest_s = max(newest_s, self._confirmed_s)
+        return newest_s + self._apply_s * MAX_PROOF_AGE_SHARE
+
+    def watch_wait_s(self, now_s: float) -> float:
+        """Returns how long the next watch waits for changes.
+
+        Of the daemons that watch for the same followers, the one with the
+        smallest id proves the revision. The others ask for a proof if it fails.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+
+        Returns:
+            The wait, in seconds.
+        """
+        share = PROOF_SHARE
+        if not self.has_followers(now_s):
+            share = LONE_PROOF_SHARE
+        elif self._peer_id < self._own_id and (
+            now_s - self._confirmed_s < self._apply_s * MAX_PROOF_AGE_SHARE
+        ):
+            return self._apply_s * RESERVE_WAIT_SHARE
+        due_s = self._proved_s + self._apply_s * share
+        return max(due_s - now_s, self._apply_s * MIN_WAIT_SHARE)
+
+    def batch_s(self, is_start: bool) -> float:
+        """Returns how long to wait for further changes, in seconds.
+
+        Args:
+            is_start: Whether the fleet may be starting.
+        """
+        share = STARTUP_BATCH_SHARE if is_start else BATCH_SHARE
+        return self._apply_s * share
 
     def record_query(self, now_s: float) -> None:
         """Records a query from a peer.
@@ -106,22 +234,31 @@
             now_s: The current time on the monotonic clock, in seconds.
         """
         self._reported_s = max(self._reported_s, now_s)
-        self._confirmed_s = max(self._confirmed_s, now_s)
+        self._proved_s = max(self._proved_s, now_s)
 
     def record_report(
-        self, revision: int, confirmed_s: float, now_s: float
+        self,
+        revision: int,
+        confirmed_s: float,
+        now_s: float,
+        peer_id: str = "",
     ) -> None:
         """Records a report from a peer that watches the store.
 
         Args:
             revision: The revision of the store that the peer knows.
-            confirmed_s: When the store confirmed to the peer that it has no
+            confirmed_s: When the store last proved to the peer that it has no
                 later changes, on this daemon's monotonic clock, in seconds.
             now_s: The time of the report on the monotonic clock, in seconds.
+            peer_id: The id of the peer.
         """
         self._reported_s = max(self._reported_s, now_s)
-        self._confirmed_s = max(self._confirmed_s, confirmed_s)
-        self._reported_revision = max(self._reported_revision, revision)
+        if confirmed_s > self._confirmed_s:
+            self._confirmed_s = confirmed_s
+            self._peer_id = peer_id
+        if revision > self._reported_revision:
+            self._reported_revision = revision
+            self._newer_reported_s = now_s
 
     def next_step(self, revision: int, now_s: float) -> Step:
         """Decides on the next step.
@@ -131,7 +268,7 @@
                 0 before the first read.
             now_s: The current time on the monotonic clock, in seconds.
         """
-        is_silent = self.silence_left_s(now_s) <= 0.0
+        is_silent = self.silence_left_s(now_s) <= TIMER_RESOLUTION_S
         if self.has_followers(now_s) or not revision or is_silent:
             return Step.WATCH
         if self._reported_revision > revision:
@@ -152,16 +289,17 @@
         Args:
             now_s: The current time on the monotonic clock, in seconds.
         """
+        known_s = max(self._confirmed_s, self._proved_s)
         return (
             min(
-                self._reported_s + self._max_silence_s,
-                self._confirmed_s + self._max_confirmed_age_s,
+                self._reported_s + self._apply_s * MAX_SILENCE_SHARE,
+                known_s + self._apply_s * MAX_PROOF_AGE_SHARE,
             )
             - now_s
         )
 
     def confirmed_age_s(self, now_s: float) -> float:
-        """Returns the age of the newest confirmation by the store, in seconds.
+        """Returns the age of the newest proof that a peer reported, in seconds.
 
         Args:
             now_s: The current time on the monotonic clock, in seconds.
--- a/src/dotterelpath/gateway_daemon.py
+++ b/src/dotterelpath/gateway_daemon.py
@@ -371,6 +371,7 @@
             inboxes.neighbourhood,
             bounds.store_apply_s,
             bounds.is_revocation_strict,
+            self._deployment.daemon_id,
         )
         start("store reader", reader.run())
         daemon = self._deployment.daemon
--- a/src/dotterelpath/ports/store.py
+++ b/src/dotterelpath/ports/store.py
@@ -148,6 +148,7 @@
         after_revision: int,
         wait_s: float,
         may_be_stale: bool = False,
+        response_s: float | None = None,
     ) -> Changes:
         """Waits for changes under a prefix.
 
@@ -159,6 +160,8 @@
             may_be_stale: Whether a response that is seconds old is
                 acceptable; it costs the store less. All keys are always
                 returned as they were after the call was made.
+            response_s: How long the response may take beyond the wait, in
+                seconds; None for the store's usual time.
 
         Raises:
             HistoryLostError: The store no longer has the changes since
--- a/src/dotterelpath/tasks/mailbox.py
+++ b/src/dotterelpath/tasks/mailbox.py
@@ -81,10 +81,14 @@
         Returns:
             The oldest message.
         """
+        await self.wait()
+        return self._messages.popleft()
+
+    async def wait(self) -> None:
+        """Waits until there is a message, and leaves it in the mailbox."""
         while not self._messages:
             self._waiter = asyncio.get_running_loop().create_future()
             try:
                 await self._waiter
             finally:
                 self._waiter = None
-        return self._messages.popleft()
--- a/src/dotterelpath/tasks/store_reader.py
+++ b/src/dotterelpath/tasks/store_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import typing
 
 import structlog
@@ -16,35 +17,58 @@
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import store_events
 
-# The timeout of a watch without changes, in seconds. A daemon sees no changes
-# for this long if the response is lost, so it must stay below the time within
-# which a daemon must notice that the store is back.
-WATCH_TIMEOUT_S = 4.0
-# The timeout of a watch while the store is unavailable, in seconds. It is
-# short, so that the daemon does not wait in a hung call while the store is
-# back.
-RECOVERY_WATCH_TIMEOUT_S = 0.3
-# The first timeout of a watch by a daemon without followers, in seconds, which
-# doubles with each further watch. Such a daemon watches only until it gets
-# revisions from other daemons.
-MIN_FALLBACK_WATCH_S = 0.5
+# The longest time for which the store may be silent without being unavailable,
+# in seconds.
+MAX_SILENCE_S = 4.0
+# The wait of a watch while the store is unavailable, in seconds. It is short,
+# so that the daemon does not wait in a hung call while the store is back.
+RECOVERY_WAIT_S = 0.3
 # How often the registrar is notified that the store is available while nothing
 # changes, in seconds.
 IDLE_REPORT_INTERVAL_S = 1.0
-# How long to wait for further changes, as a fraction of the time within which a
-# change must be in force. One call then reads these changes together.
-BATCH_FRACTION = 0.25
-# The same fraction while a fleet starts.
-STARTUP_BATCH_FRACTION = 0.5
 # How long a fleet takes to start, in seconds; it writes many keys meanwhile.
 STARTUP_S = 8.0
-# The mean pause after a failed call, in seconds. It limits the cost of refused
-# calls.
+# The longest pause after the first failed call, in seconds. The failure of one
+# connection does not show that the store is unavailable.
+FIRST_RETRY_S = 0.1
+# The mean pause after each further failed call, in seconds. It limits the cost
+# of refused calls.
 RETRY_INTERVAL_S = 0.5
+# How long after a report of a newer revision the watch may still return it, in
+# seconds.
+REPORT_GRACE_S = 0.05
 
 _log = structlog.get_logger()
 
 
+class _Answer:
+    """The changes that a call returned, and what they prove."""
+
+    __slots__ = ("changes", "complete_at_s", "is_exact", "proved_at_s")
+
+    def __init__(
+        self,
+        changes: store_port.Changes,
+        complete_at_s: float,
+        is_exact: bool,
+        proved_at_s: float | None = None,
+    ) -> None:
+        """Creates an answer.
+
+        Args:
+            changes: The changes.
+            complete_at_s: The time for which they are complete for sure if the
+                answer is exact, on the monotonic clock, in seconds.
+            is_exact: Whether the answer cannot be older than the call.
+            proved_at_s: The time for which they are complete if the response
+                was not delayed on its way; complete_at_s if None.
+        """
+        self.changes = changes
+        self.complete_at_s = complete_at_s
+        self.is_exact = is_exact
+        self.proved_at_s = complete_at_s if proved_at_s is None else proved_at_s
+
+
 class StoreReader:
     """Reads all keys, and then their changes.
 
@@ -52,10 +76,10 @@
     reports revisions. Otherwise reads the store when another daemon reports a
     newer revision.
 
-    A watch that waits does not show whether the store still responds. While
-    other daemons follow this one, it also makes stale reads, which cost little:
-    each response confirms the watched revision, unless it has later changes or
-    is older than that revision.
+    A watch that waits does not show whether the store still responds. While it
+    waits, the store is asked by another call if a peer reports a newer
+    revision, or if other daemons or requests rely on a revision that has not
+    been proved for long.
 
     The known revision never decreases: a response that is older than what is
     known is an error of the store, and nothing of it is passed on.
@@ -64,8 +88,6 @@
     __slots__ = (
         "_apply_s",
         "_clock",
-        "_confirmed_s",
-        "_fallback_watch_s",
         "_follower",
         "_is_store_lost",
         "_is_strict",
@@ -74,7 +96,6 @@
         "_newest_revision",
         "_peer_monitor",
         "_prefix",
-        "_proved_s",
         "_published_revision",
         "_random",
         "_reported_s",
@@ -95,6 +116,7 @@
         peer_monitor: mailbox.Mailbox[typing.Any],
         apply_s: float,
         is_strict: bool = False,
+        daemon_id: str = "",
     ) -> None:
         """Creates the task's state.
 
@@ -109,6 +131,7 @@
             apply_s: The time in which a change must be in force, in seconds.
             is_strict: Whether requests are refused unless the store has
                 confirmed lately what is known.
+            daemon_id: The id of this daemon.
         """
         self._is_strict = is_strict
         self._apply_s = apply_s
@@ -120,18 +143,14 @@
         self._mailbox = inbox
         self._subscriber = subscriber
         self._peer_monitor = peer_monitor
-        self._follower = store_following.StoreFollower(apply_s)
+        self._follower = store_following.StoreFollower(apply_s, daemon_id)
         # The revision to read changes from; 0 if all keys must be read.
         self._revision = 0
         self._newest_revision = 0
         self._may_list_stale = True
         self._is_store_lost = False
         self._published_revision: int | None = None
-        self._fallback_watch_s = MIN_FALLBACK_WATCH_S
         self._reported_s = self._started_s
-        self._confirmed_s = self._started_s
-        # When the last answer that cannot be stale was requested.
-        self._proved_s = self._started_s
 
     @property
     def follower(self) -> store_following.StoreFollower:
@@ -150,7 +169,6 @@
             step = self._follower.next_step(self._revision, self._clock.now_s())
             if step is not store_following.Step.WATCH:
                 self._publish_revision(None)
-                self._fallback_watch_s = MIN_FALLBACK_WATCH_S
             try:
                 await steps[step]()
             except errors.HistoryLostError:
@@ -158,9 +176,12 @@
                 self._revision = 0
                 self._may_list_stale = False
             except errors.StoreError as error:
+                is_first = not self._is_store_lost
                 self._on_failed(error)
                 await asyncio.sleep(
-                    RETRY_INTERVAL_S * (0.5 + self._random.random())
+                    FIRST_RETRY_S * self._random.random()
+                    if is_first
+                    else RETRY_INTERVAL_S * (0.5 + self._random.random())
                 )
 
     def handle(self, message: typing.Any) -> None:
@@ -194,7 +215,10 @@
                 known_revision=self._revision,
             )
         self._follower.record_report(
-            message.revision, message.confirmed_s, message.at_s
+            message.revision,
+            message.confirmed_s,
+            message.at_s,
+            message.daemon_id,
         )
 
     def _handle_messages(self) -> None:
@@ -207,61 +231,126 @@
         if not self._revision:
             await self._read_all()
             return
-        sent_s = self._clock.now_s()
-        watch = self._store.watch(
-            self._prefix, self._revision, self._watch_timeout_s()
-        )
-        if self._must_confirm(sent_s):
-            changes = await _first_result(watch, self._confirm_until_changed())
-        else:
-            changes = await watch
-        self._on_changes(changes, sent_s)
+        answer = await self._watch_and_check(self._watch_wait_s())
+        self._on_answer(answer)
         self._publish_revision(self._revision)
-        await self._wait_for_batch(changes)
+        await self._wait_for_batch(answer.changes)
 
-    def _must_confirm(self, now_s: float) -> bool:
-        """Whether followers or requests rely on the watched revision."""
-        return self._published_revision is not None and (
-            self._is_strict or self._follower.has_followers(now_s)
-        )
+    async def _watch_and_check(self, wait_s: float) -> _Answer:
+        """Watches the store, and asks it by other calls while it must.
 
-    async def _confirm_until_changed(self) -> store_port.Changes:
-        """Confirms the watched revision until the store has later changes."""
-        while True:
-            await asyncio.sleep(self._confirmation_due_s())
-            changes = await self._confirm()
-            if changes.entries:
-                return changes
+        Args:
+            wait_s: How long the watch waits for changes, in seconds.
 
-    async def _confirm(self) -> store_port.Changes:
-        """Lets the store confirm the watched revision.
+        Raises:
+            StoreError: A call failed.
+        """
+        sent_s = self._clock.now_s()
+        watch = asyncio.create_task(
+            self._store.watch(
+                self._prefix,
+                self._revision,
+                wait_s,
+                response_s=self._follower.response_s,
+            )
+        )
+        arrival = asyncio.create_task(self._mailbox.wait())
+        try:
+            while True:
+                left_s = self._check_due_s(sent_s) - self._clock.now_s()
+                await asyncio.wait(
+                    (watch, arrival),
+                    timeout=max(0.0, left_s) if left_s < math.inf else None,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if arrival.done():
+                    self._handle_messages()
+                    arrival = asyncio.create_task(self._mailbox.wait())
+                if watch.done():
+                    return self._to_answer(watch.result(), sent_s, wait_s)
+                if self._check_due_s(sent_s) <= self._clock.now_s():
+                    answer = await self._check()
+                    if answer.changes.entries:
+                        return answer
+        finally:
+            for task in (watch, arrival):
+                task.cancel()
+            await asyncio.gather(watch, arrival, return_exceptions=True)
+
+    def _to_answer(
+        self, changes: store_port.Changes, sent_s: float, wait_s: float
+    ) -> _Answer:
+        """Records the response to a watch.
+
+        The store responds to a watch when it has changes, or when the wait is
+        over: what the response says was true then.
+        """
+        now_s = self._clock.now_s()
+        if changes.entries:
+            return _Answer(changes, sent_s, True, now_s)
+        took_s = now_s - sent_s
+        self._follower.record_response(max(0.0, took_s - wait_s))
+        return _Answer(changes, sent_s + min(took_s, wait_s), True)
+
+    def _check_due_s(self, sent_s: float) -> float:
+        """Returns when the store must be asked by a call besides the watch.
 
-        A stale response that does not know the revision yet proves nothing;
-        another read, which is not stale, replaces it. If requests rely on it,
-        only the latter proves enough.
+        Args:
+            sent_s: When the watch was sent, on the monotonic clock, in seconds.
 
         Returns:
-            The later changes. If there are none, the revision is confirmed.
+            The time on the monotonic clock, in seconds; infinite if only a
+            message may change it.
+        """
+        due_s = math.inf
+        if self._follower.reported_revision > self._revision:
+            reported_s = self._follower.newer_reported_s
+            due_s = max(reported_s, sent_s) + REPORT_GRACE_S
+        if not self._is_store_lost:
+            # The watch itself may prove the revision meanwhile.
+            answered_s = sent_s + self._follower.response_s
+            due_s = min(due_s, max(self._proof_due_s(), answered_s))
+        return due_s
+
+    def _proof_due_s(self) -> float:
+        is_strict = self._is_strict and self._published_revision is not None
+        return self._follower.proof_due_s(self._revision, is_strict)
+
+    async def _check(self) -> _Answer:
+        """Asks the store for later changes while a watch is pending.
+
+        If there are none, the watched revision is proved.
         """
+        if self._follower.reported_revision > self._revision:
+            answer = await self._read_reported()
+        else:
+            answer = await self._read(may_be_stale=False)
+        if answer.is_exact and not answer.changes.entries:
+            self._record_proof(answer)
+            self._report_read(answer)
+            self._publish_revision(self._revision)
+        return answer
+
+    async def _read(self, may_be_stale: bool) -> _Answer:
+        """Reads the changes since the known revision, without waiting."""
         sent_s = self._clock.now_s()
-        is_exact = self._is_strict
         changes = await self._store.watch(
-            self._prefix, self._revision, 0.0, may_be_stale=not is_exact
+            self._prefix,
+            self._revision,
+            0.0,
+            may_be_stale,
+            self._follower.response_s,
         )
-        if changes.revision < self._revision:
-            sent_s = self._clock.now_s()
-            is_exact = True
-            changes = await self._store.watch(self._prefix, self._revision, 0.0)
-        if not changes.entries:
-            self._confirmed_s = max(self._confirmed_s, sent_s)
-            self._report_read(sent_s, is_exact)
-            self._publish_revision(self._revision)
-        return changes
+        self._follower.record_response(self._clock.now_s() - sent_s)
+        return _Answer(changes, sent_s, not may_be_stale)
 
-    def _confirmation_due_s(self) -> float:
-        """Returns the time until the next confirmation, in seconds."""
-        due_s = self._confirmed_s + self._follower.confirmation_interval_s
-        return max(0.0, due_s - self._clock.now_s())
+    async def _read_reported(self) -> _Answer:
+        """Reads the changes up to the revision that another daemon reported."""
+        target_revision = self._follower.reported_revision
+        answer = await self._read(may_be_stale=True)
+        if answer.changes.revision >= target_revision:
+            return answer
+        return await self._read(may_be_stale=False)
 
     async def _read_all(self) -> None:
         """Reads all keys.
@@ -273,30 +362,23 @@
         changes = await self._store.watch(
             self._prefix, 0, 0.0, self._may_list_stale
         )
-        self._on_changes(changes, sent_s)
+        self._on_answer(_Answer(changes, sent_s, True))
         if self._may_list_stale:
             self._follower.record_first_read(sent_s)
         self._may_list_stale = False
 
     async def _catch_up(self) -> None:
         """Reads the changes up to the revision that another daemon reported."""
-        target_revision = self._follower.reported_revision
-        sent_s = self._clock.now_s()
-        changes = await self._store.watch(
-            self._prefix, self._revision, 0.0, may_be_stale=True
-        )
-        is_exact = changes.revision < target_revision
-        if is_exact:
-            changes = await self._store.watch(self._prefix, self._revision, 0.0)
-        self._on_changes(changes, sent_s, is_exact)
-        await self._wait_for_batch(changes)
+        answer = await self._read_reported()
+        self._on_answer(answer)
+        await self._wait_for_batch(answer.changes)
 
     async def _follow(self) -> None:
         """Waits for a message of another daemon."""
         now_s = self._clock.now_s()
         if now_s - self._reported_s > IDLE_REPORT_INTERVAL_S:
             self._report_changes(
-                store_port.Changes([], self._revision), WATCH_TIMEOUT_S
+                store_port.Changes([], self._revision), MAX_SILENCE_S
             )
         try:
             async with asyncio.timeout(self._follower.silence_left_s(now_s)):
@@ -311,34 +393,26 @@
                 ),
             )
 
-    def _watch_timeout_s(self) -> float:
-        """Returns the timeout of the next watch, in seconds."""
+    def _watch_wait_s(self) -> float:
+        """Returns the wait of the next watch, in seconds."""
         if self._is_store_lost:
-            return RECOVERY_WATCH_TIMEOUT_S
-        if not self._follower.has_followers(self._clock.now_s()):
-            wait_s = self._fallback_watch_s
-            self._fallback_watch_s = min(WATCH_TIMEOUT_S, 2.0 * wait_s)
-            return wait_s
-        # The first watch returns at once, since followers wait for the
-        # revision that it publishes.
-        return WATCH_TIMEOUT_S if self._published_revision is not None else 0.0
-
-    def _on_changes(
-        self,
-        changes: store_port.Changes,
-        sent_s: float,
-        is_exact: bool = True,
-    ) -> None:
-        """Passes the response to a call on.
+            return RECOVERY_WAIT_S
+        # The first watch returns at once: followers wait for the revision that
+        # it publishes, and what is known is old if there were no reports.
+        if self._published_revision is None:
+            return 0.0
+        return self._follower.watch_wait_s(self._clock.now_s())
+
+    def _on_answer(self, answer: _Answer) -> None:
+        """Passes the answer to a call on.
 
         Args:
-            changes: The response.
-            sent_s: When the call was sent, on the monotonic clock, in seconds.
-            is_exact: Whether the response cannot be older than the call.
+            answer: The answer.
 
         Raises:
-            StoreError: The response is older than what is known already.
+            StoreError: The answer is older than what is known already.
         """
+        changes = answer.changes
         if changes.revision < self._newest_revision:
             raise errors.StoreError(
                 f"the response has revision {changes.revision}, older than the"
@@ -346,47 +420,46 @@
             )
         # The store was available before this call, which may have been a watch
         # that waited for up to its timeout.
-        max_silence_s = WATCH_TIMEOUT_S
-        self._log_changes(changes, sent_s, is_exact)
+        max_silence_s = MAX_SILENCE_S
+        self._log_changes(answer)
         if self._is_store_lost:
             _log.info("store available again", revision=changes.revision)
             self._is_store_lost = False
             max_silence_s = 0.0
         self._revision = self._newest_revision = changes.revision
-        self._confirmed_s = max(self._confirmed_s, sent_s)
+        self._record_proof(answer)
         self._report_changes(changes, max_silence_s)
-        self._report_read(sent_s, is_exact)
+        self._report_read(answer)
 
-    def _log_changes(
-        self, changes: store_port.Changes, sent_s: float, is_exact: bool
-    ) -> None:
-        """Logs changes with the age of what was known before them.
+    def _record_proof(self, answer: _Answer) -> None:
+        if answer.is_exact:
+            self._follower.record_proof(
+                self._revision, answer.proved_at_s, answer.complete_at_s
+            )
 
-        The age of the last confirmation may be younger than that of the last
-        proof, since a stale read confirms only what its replica knows.
-        """
-        if not changes.entries or changes.is_full:
+    def _log_changes(self, answer: _Answer) -> None:
+        """Logs changes with the age of what was known before them."""
+        if not answer.changes.entries or answer.changes.is_full:
             return
         now_s = self._clock.now_s()
         _log.info(
             "store changes read",
-            revision=changes.revision,
+            revision=answer.changes.revision,
             known_revision=self._revision,
-            exact=is_exact,
-            took_s=round(now_s - sent_s, 3),
-            proved_age_s=round(now_s - self._proved_s, 3),
-            confirmed_age_s=round(now_s - self._confirmed_s, 3),
+            exact=answer.is_exact,
+            proved_age_s=round(now_s - self._follower.proved_s, 3),
+            reported_age_s=round(self._follower.confirmed_age_s(now_s), 3),
         )
 
-    def _report_read(self, sent_s: float, is_exact: bool) -> None:
+    def _report_read(self, answer: _Answer) -> None:
         """Reports up to which revision this daemon has read the store.
 
         The report takes the way of the changes, which are in force first.
         """
-        if is_exact:
-            self._proved_s = max(self._proved_s, sent_s)
         self._subscriber.force(
-            fleet_events.StoreRead(self._revision, sent_s, is_exact)
+            fleet_events.StoreRead(
+                self._revision, answer.complete_at_s, answer.is_exact
+            )
         )
 
     def _report_changes(
@@ -400,32 +473,17 @@
     async def _wait_for_batch(self, changes: store_port.Changes) -> None:
         """Waits for further changes, to read them in one call.
 
-        A daemon that follows others waits no longer than it trusts them.
+        A daemon that follows others waits no longer than it trusts them, and
+        one that others follow no longer than until the next proof is due.
         """
         if not changes.entries:
             return
         now_s = self._clock.now_s()
-        is_start = now_s - self._started_s < STARTUP_S
-        fraction = STARTUP_BATCH_FRACTION if is_start else BATCH_FRACTION
-        wait_s = self._apply_s * fraction
-        if self._must_confirm(now_s):
-            await self._confirm_for(now_s + wait_s)
-        elif (left_s := self._follower.silence_left_s(now_s)) > 0.0:
-            await asyncio.sleep(min(wait_s, left_s))
-        else:
-            await asyncio.sleep(wait_s)
-
-    async def _confirm_for(self, until_s: float) -> None:
-        """Confirms the watched revision until a time or until it is old.
-
-        Args:
-            until_s: The time on the monotonic clock, in seconds.
-        """
-        while (left_s := until_s - self._clock.now_s()) > 0.0:
-            due_s = self._confirmation_due_s()
-            await asyncio.sleep(min(due_s, left_s))
-            if due_s < left_s and (await self._confirm()).entries:
-                await asyncio.sleep(until_s - self._clock.now_s())
+        wait_s = self._follower.batch_s(now_s - self._started_s < STARTUP_S)
+        left_s = self._follower.silence_left_s(now_s)
+        if self._published_revision is not None:
+            left_s = self._proof_due_s() - now_s
+        await asyncio.sleep(min(wait_s, left_s) if left_s > 0.0 else wait_s)
 
     def _publish_revision(self, revision: int | None) -> None:
         """Publishes the watched revision, or None if the watch ends."""
@@ -436,42 +494,22 @@
             _log.info("store watch changed", revision=revision)
         self._published_revision = revision
         self._peer_monitor.force(
-            fleet_events.WatchedRevisionChanged(revision, self._confirmed_s)
+            fleet_events.WatchedRevisionChanged(
+                revision, self._follower.proved_s
+            )
         )
 
     def _on_failed(self, error: errors.StoreError) -> None:
         self._publish_revision(None)
+        self._follower.record_lost_response()
         if not self._is_store_lost:
             _log.warning(
                 "store unavailable",
                 error=str(error),
                 revision=self._revision,
-                silent_s=round(self._clock.now_s() - self._confirmed_s, 3),
-                proved_age_s=round(self._clock.now_s() - self._proved_s, 3),
+                silent_s=round(
+                    self._clock.now_s() - self._follower.proved_s, 3
+                ),
             )
             self._is_store_lost = True
             self._subscriber.force(store_events.StoreLost())
-
-
-async def _first_result(
-    *calls: typing.Coroutine[typing.Any, typing.Any, store_port.Changes],
-) -> store_port.Changes:
-    """Runs calls until one of them ends, and cancels the others.
-
-    Args:
-        *calls: The calls, the most important one first.
-
-    Returns:
-        The result of the first call that has ended.
-
-    Raises:
-        StoreError: That call failed.
-    """
-    tasks = [asyncio.create_task(call) for call in calls]
-    try:
-        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-        return next(task for task in tasks if task.done()).result()
-    finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
