Bound the answer to a call to the store by the memory of the process

A faulty store, or another daemon, could answer one call with up to 64 MiB, which were copied once more when the call failed: most of a VM with 200 MB, beside two or three calls at once. The limit is now 8 % of the memory that the settings name, and 64 MiB without it. A scenario sends an answer without end to a client with the limit of a 200 MB VM; there was no such limit before.

The readers of instances are tried on both interfaces now: a status line, headers, one header, 1xx responses, a chunk size, a chunk extension, trailers, bytes behind an answer and bytes while no request is open. All of these were bounded before.

--- a/features/hostile.feature
+++ b/features/hostile.feature
@@ -21,17 +21,43 @@
     Then the connection is not kept
 
   Scenario Outline: Bytes without end, that are no answer, end the attempt
-    When a server sends <bytes> without end
+    When a server of the <interface> sends <bytes> without end
     Then the attempt fails after at most 1 MB and holds no memory
 
     Examples:
-      | bytes                   |
-      | a status line           |
-      | headers                 |
-      | one header              |
-      | informational responses |
-      | a chunk extension       |
-      | trailers                |
+      | interface | bytes                   |
+      | platform  | a status line           |
+      | platform  | headers                 |
+      | platform  | one header              |
+      | platform  | informational responses |
+      | platform  | a chunk size            |
+      | platform  | a chunk extension       |
+      | platform  | trailers                |
+      | fleet     | a status line           |
+      | fleet     | headers                 |
+      | fleet     | one header              |
+      | fleet     | informational responses |
+      | fleet     | a chunk size            |
+      | fleet     | a chunk extension       |
+      | fleet     | trailers                |
+
+  Scenario Outline: Bytes that belong to no answer close the connection
+    Given a kept connection to a server of the <interface>
+    When the server sends bytes without end <when>
+    Then the connection is closed after at most 1 MB and holds no memory
+
+    Examples:
+      | interface | when                      |
+      | platform  | behind a whole answer     |
+      | platform  | while no request is open  |
+      | fleet     | behind a whole answer     |
+      | fleet     | while no request is open  |
+
+  # The answer to one call could take up most of a small VM's memory.
+  Scenario: An answer of the store without end takes up little memory
+    Given a daemon on a VM with 200 MB of memory
+    When the store, or another daemon, answers a call without end
+    Then the call fails, and at most 20 MB of the answer were held
 
   # A refusal with a long body was not cancelled. Each one kept a connection to
   # the instance, until none was left and the service was never served again.
--- a/src/dotterelpath/adapters/http_client.py
+++ b/src/dotterelpath/adapters/http_client.py
@@ -11,7 +11,7 @@
 from dotterelpath.ports import backend
 from dotterelpath.ports import clock as clock_port
 
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+DEFAULT_MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 # The most idle connections that are kept for each server.
 MAX_IDLE_PER_SERVER = 4
 IDLE_TIMEOUT_S = 5.0
@@ -29,14 +29,27 @@
 class HttpClient:
     """Sends calls over reused connections, one call at a time on each."""
 
-    __slots__ = ("_clock", "_connector", "_idle", "_ids", "_pending")
+    __slots__ = (
+        "_clock",
+        "_connector",
+        "_idle",
+        "_ids",
+        "_max_response_bytes",
+        "_pending",
+    )
 
-    def __init__(self, clock: clock_port.Clock) -> None:
+    def __init__(
+        self,
+        clock: clock_port.Clock,
+        max_response_bytes: int = DEFAULT_MAX_RESPONSE_BYTES,
+    ) -> None:
         """Creates a client without connections.
 
         Args:
             clock: Gives the time for the idle timeout of connections.
+            max_response_bytes: The longest body of a response.
         """
+        self._max_response_bytes = max_response_bytes
         self._clock = clock
         self._connector = h11_backend.H11Connector(
             clock, native_server_codec.TrustedServerCodec()
@@ -74,7 +87,7 @@
             asyncio.get_running_loop().create_future()
         )
         self._pending[call_id] = future
-        connection.send(call_id, request, timeout_s, MAX_RESPONSE_BYTES)
+        connection.send(call_id, request, timeout_s, self._max_response_bytes)
         try:
             async with asyncio.timeout(timeout_s):
                 response = await future
@@ -111,7 +124,8 @@
         else:
             future.set_exception(
                 NoResponseError(
-                    f"the response is longer than {MAX_RESPONSE_BYTES} bytes"
+                    "the response is longer than"
+                    f" {self._max_response_bytes} bytes"
                 )
             )
 
--- a/src/dotterelpath/gateway_daemon.py
+++ b/src/dotterelpath/gateway_daemon.py
@@ -76,6 +76,10 @@
 # this time.
 MAX_FRESH_AGE_S = 3.0
 
+# The fraction of the process's memory that a response of the store may take up.
+# It is copied once, and further calls may be in progress.
+RESPONSE_MEMORY_FRACTION = 0.08
+
 _log = structlog.get_logger()
 
 
@@ -162,7 +166,9 @@
         self._inboxes = Inboxes()
         self._is_stopping = False
         self._supervisor = supervisor.Supervisor()
-        self._client = http_client.HttpClient(self._clock)
+        self._client = http_client.HttpClient(
+            self._clock, max_response_bytes(local_deployment.memory_bytes)
+        )
         self._store = store_client.StoreClient(
             local_deployment.store_endpoint.host,
             local_deployment.store_endpoint.port,
@@ -471,3 +477,17 @@
         )
         return 2
     return run(pathlib.Path(path))
+
+
+def max_response_bytes(memory_bytes: float) -> int:
+    """Returns the longest response of the store that is accepted, in bytes.
+
+    Args:
+        memory_bytes: The most memory that this process may use, in bytes.
+    """
+    return int(
+        min(
+            http_client.DEFAULT_MAX_RESPONSE_BYTES,
+            memory_bytes * RESPONSE_MEMORY_FRACTION,
+        )
+    )
