End an attempt behind endless copies of earlier responses

An instance that writes a copy of an earlier response without end, or copies one after the other, kept the attempt and its connection until the request's deadline: the bytes were skipped and not counted. They are skipped up to 16 responses and 1 MiB now; then the outcome is unknown.

--- a/features/hostile.feature
+++ b/features/hostile.feature
@@ -41,6 +41,20 @@
       | fleet     | a chunk extension       |
       | fleet     | trailers                |
 
+  # A copy of an earlier response whose body has no end kept the attempt until
+  # its deadline, since its bytes were skipped without being counted.
+  Scenario Outline: A copy of an earlier response without end ends the attempt
+    Given a kept connection to a server of the <interface>
+    When the next request is written, and then <copies> without end
+    Then the attempt fails after at most 2 MB and holds no memory
+
+    Examples:
+      | interface | copies                           |
+      | platform  | a copy of the earlier answer     |
+      | platform  | copies of the earlier answer     |
+      | fleet     | a copy of the earlier answer     |
+      | fleet     | copies of the earlier answer     |
+
   Scenario Outline: Bytes that belong to no answer close the connection
     Given a kept connection to a server of the <interface>
     When the server sends bytes without end <when>
--- a/src/dotterelpath/adapters/h11_backend.py
+++ b/src/dotterelpath/adapters/h11_backend.py
@@ -22,6 +22,10 @@
 # Servers send at most a few responses with a status below 200 before the final
 # one.
 MAX_INFORMATIONAL_RESPONSES = 16
+# The most responses to earlier requests, and the most bytes of their bodies,
+# that are skipped before the response to a request.
+MAX_LATE_RESPONSES = 16
+MAX_LATE_BYTES = 1024 * 1024
 _BODILESS_STATUSES = frozenset({204, 304})
 
 
@@ -46,6 +50,8 @@
         "_is_paused",
         "_is_streaming",
         "_last_received_s",
+        "_late_count",
+        "_late_size",
         "_listener",
         "_max_buffered_bytes",
         "_memory",
@@ -93,6 +99,8 @@
         self._response: exchange.Response | None = None
         self._body: list[bytes] = []
         self._body_size = 0
+        self._late_count = 0
+        self._late_size = 0
         self._max_buffered_bytes = 0
         self._is_streaming = False
         self._is_late_response = False
@@ -181,6 +189,8 @@
         self._request = request
         self._instance_id = instance_id
         self._timeout_s = timeout_s
+        self._late_count = 0
+        self._late_size = 0
         self._expect_response()
         try:
             chunks = self._encode_request()
@@ -321,6 +331,9 @@
         attempt_id = self._attempt_id
         assert attempt_id is not None
         if self._is_late_response:
+            self._late_size += len(data)
+            if self._late_size > MAX_LATE_BYTES:
+                self._fail("too long a response to an earlier request", True)
             return
         if self._is_streaming:
             self._listener.on_body_chunk(attempt_id, data)
@@ -385,6 +398,10 @@
         A new h11 connection parses the response that follows. The request is
         encoded again without being sent, so that h11 expects a response.
         """
+        self._late_count += 1
+        if self._late_count > MAX_LATE_RESPONSES:
+            self._fail("too many responses to earlier requests", True)
+            return
         unparsed, is_closed = self._conn.trailing_data
         if self._conn.their_state is not h11.DONE or is_closed:
             self._fail(
