End a watch when a check brings a newer revision without changes

A stale answer may have the reported revision and no changes under the reader's prefix. The check was then repeated at once, and again, until the watch ended. No store does so today, since the only prefix is empty; found by reading the code.

--- a/src/dotterelpath/tasks/store_reader.py
+++ b/src/dotterelpath/tasks/store_reader.py
@@ -78,8 +78,7 @@
 
     A watch that waits does not show whether the store still responds. While it
     waits, the store is asked by another call if a peer reports a newer
-    revision, or if other daemons or requests rely on a revision that has not
-    been proved for long.
+    revision, or if the known one has not been proved for long.
 
     The known revision never decreases: a response that is older than what is
     known is an error of the store, and nothing of it is passed on.
@@ -270,7 +269,10 @@
                     return self._to_answer(watch.result(), sent_s, wait_s)
                 if self._check_due_s(sent_s) <= self._clock.now_s():
                     answer = await self._check()
-                    if answer.changes.entries:
+                    if (
+                        answer.changes.entries
+                        or answer.changes.revision > self._revision
+                    ):
                         return answer
         finally:
             for task in (watch, arrival):
