Count the proofs between two changes by the time between them

It now allows one for each 0.55 s that have passed between the same two changes; at 1 s apart that is the same number as before.

--- a/features/steps/following_steps.py
+++ b/features/steps/following_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 import signal
 import time
@@ -65,7 +66,9 @@
     )
     context.watcher_count = 2 * len(data_centres)
     context.counts = counts(context)
+    context.changed_s = []
     for _ in range(5):
+        context.changed_s.append(time.monotonic())
         context.fleet.configure(*environment.ROUTES)
         time.sleep(1.0)
 
@@ -89,8 +92,18 @@
     followers = len(context.fleet.gateways) - context.watcher_count
     assert followers > 0
     # A change ends each watch. Of the daemons of a data centre that watch, one
-    # proves the revision once more between two changes.
-    allowed = context.watcher_count * 6 + context.watcher_count // 2 * 5
+    # proves the revision each so often between two changes.
+    interval_s = gateway_fleet.BOUNDS["config_apply_s"] * (
+        store_following.PROOF_SHARE
+    )
+    times_s = [*context.changed_s, time.monotonic()]
+    proof_count = sum(
+        int((end_s - start_s) / interval_s)
+        for start_s, end_s in itertools.pairwise(times_s)
+    )
+    allowed = context.watcher_count * 6 + context.watcher_count // 2 * (
+        proof_count
+    )
     assert increase["kv-watch"] <= allowed, increase
     assert followers * 4 <= increase["kv-watch stale"] <= followers * 7, (
         increase
