Log how many bytes of the store's responses arrived

Callers were sent to services of an older version while daemons took the store for lost. The store's lost calls now log the bytes that had arrived, and each read of changes its bytes and its time. No decision changes; the scenarios on following and on late changes pass.

--- a/src/dotterelpath/adapters/h11_backend.py
+++ b/src/dotterelpath/adapters/h11_backend.py
@@ -56,6 +56,7 @@
         "_memory",
         "_part",
         "_poller",
+        "_received_bytes",
         "_request",
         "_response",
         "_timeout_s",
@@ -114,6 +115,7 @@
         self._timeout_s = 0.0
         self._idle_timeout_s: float | None = None
         self._last_received_s = clock.now_s()
+        self._received_bytes = 0
         self._poller = select.poll()
 
     @property
@@ -121,6 +123,11 @@
         """When bytes last arrived; see backend.Connection."""
         return self._last_received_s
 
+    @property
+    def received_bytes(self) -> int:
+        """The bytes of the response so far; see backend.Connection."""
+        return self._received_bytes
+
     @property
     def idle_timeout_s(self) -> float | None:
         """The server's own idle timeout; see backend.Connection."""
@@ -157,6 +164,7 @@
     def data_received(self, data: bytes) -> None:
         """Parses the server's bytes; closes if no request is in flight."""
         self._last_received_s = self._clock.now_s()
+        self._received_bytes += len(data)
         self._gate.record_read(len(data))
         if self._attempt_id is None:
             self.close()
@@ -192,6 +200,7 @@
         self._request = request
         self._instance_id = instance_id
         self._timeout_s = timeout_s
+        self._received_bytes = 0
         self._late_count = 0
         self._late_size = 0
         self._expect_response()
--- a/src/dotterelpath/adapters/http_client.py
+++ b/src/dotterelpath/adapters/http_client.py
@@ -94,7 +94,10 @@
         except TimeoutError:
             # What swallowed the response may have hit the others as well.
             self._close_idle(host, port)
-            raise NoResponseError(f"no response within {timeout_s} s") from None
+            raise NoResponseError(
+                f"no complete response within {timeout_s:g} s,"
+                f" {connection.received_bytes} bytes received"
+            ) from None
         finally:
             del self._pending[call_id]
             if not future.done() or future.cancelled() or future.exception():
--- a/src/dotterelpath/adapters/store_client.py
+++ b/src/dotterelpath/adapters/store_client.py
@@ -338,7 +338,9 @@
         response = await self._read(
             "watch", call, wait_s + margin_s, may_be_stale
         )
-        return _decode_read(self._codec.decode_watch, response)
+        changes = _decode_read(self._codec.decode_watch, response)
+        changes.encoded_bytes = len(response.body)
+        return changes
 
     async def _read(
         self,
--- a/src/dotterelpath/ports/backend.py
+++ b/src/dotterelpath/ports/backend.py
@@ -133,6 +133,10 @@
         On the monotonic clock.
         """
 
+    @property
+    def received_bytes(self) -> int:
+        """The bytes that arrived since the last request was written."""
+
     @property
     def idle_timeout_s(self) -> float | None:
         """The server's own idle timeout, in seconds, if it stated one."""
--- a/src/dotterelpath/ports/store.py
+++ b/src/dotterelpath/ports/store.py
@@ -48,13 +48,14 @@
 class Changes:
     """The changes of the keys under a prefix."""
 
-    __slots__ = ("entries", "is_full", "revision")
+    __slots__ = ("encoded_bytes", "entries", "is_full", "revision")
 
     def __init__(
         self,
         entries: list[VersionedValue],
         revision: int,
         is_full: bool = False,
+        encoded_bytes: int = 0,
     ) -> None:
         """Creates the changes.
 
@@ -63,7 +64,9 @@
             revision: The revision up to which the entries are complete.
             is_full: Whether entries holds every key under the prefix, so
                 that other keys do not exist.
+            encoded_bytes: The length of the response body that they came in.
         """
+        self.encoded_bytes = encoded_bytes
         self.is_full = is_full
         self.entries = entries
         self.revision = revision
--- a/src/dotterelpath/tasks/store_reader.py
+++ b/src/dotterelpath/tasks/store_reader.py
@@ -44,7 +44,13 @@
 class _Answer:
     """The changes that a call returned, and what they prove."""
 
-    __slots__ = ("changes", "complete_at_s", "is_exact", "proved_at_s")
+    __slots__ = (
+        "changes",
+        "complete_at_s",
+        "is_exact",
+        "proved_at_s",
+        "sent_s",
+    )
 
     def __init__(
         self,
@@ -52,6 +58,7 @@
         complete_at_s: float,
         is_exact: bool,
         proved_at_s: float | None = None,
+        sent_s: float | None = None,
     ) -> None:
         """Creates an answer.
 
@@ -62,7 +69,10 @@
             is_exact: Whether the answer cannot be older than the call.
             proved_at_s: The time for which they are complete if the response
                 was not delayed on its way; complete_at_s if None.
+            sent_s: When the call was sent, on the monotonic clock, in seconds;
+                complete_at_s if None.
         """
+        self.sent_s = complete_at_s if sent_s is None else sent_s
         self.changes = changes
         self.complete_at_s = complete_at_s
         self.is_exact = is_exact
@@ -292,7 +302,9 @@
             return _Answer(changes, sent_s, True, now_s)
         took_s = now_s - sent_s
         self._follower.record_response(max(0.0, took_s - wait_s))
-        return _Answer(changes, sent_s + min(took_s, wait_s), True)
+        return _Answer(
+            changes, sent_s + min(took_s, wait_s), True, None, sent_s
+        )
 
     def _check_due_s(self, sent_s: float) -> float:
         """Returns when the store must be asked by a call besides the watch.
@@ -449,6 +461,8 @@
             revision=answer.changes.revision,
             known_revision=self._revision,
             exact=answer.is_exact,
+            bytes=answer.changes.encoded_bytes,
+            took_s=round(now_s - answer.sent_s, 3),
             proved_age_s=round(now_s - self._follower.proved_s, 3),
             reported_age_s=round(self._follower.confirmed_age_s(now_s), 3),
         )
