Show that daemons never catch up with a large configuration (red)

The fleet in simulated time gets what it lacked: sizes of responses, the links of the daemons and of the store, and the time of decoding.

--- a/features/late_changes.feature
+++ b/features/late_changes.feature
@@ -30,3 +30,28 @@
     Given fleets with data centres of 1 to 16 daemons and 0.2 s old stale reads
     When paths to the store and between daemons fail at random, from seed 98
     Then each daemon in touch knew each change within 2 seconds
+
+  # Each daemon read each version of the document from the store, and took a
+  # response that was still arriving for lost.
+  Scenario: Daemons with slow links know a large configuration in time
+    Given a fleet of 103 daemons with links of 5 to 100 Mbit/s
+    When a configuration of 364 kB changes once
+    Then each daemon in touch knew each change within 2.5 seconds
+    And no daemon took the store for unavailable
+
+  # Whoever was behind had to read more, and more daemons were behind each time.
+  Scenario: Daemons with slow links keep up with changes of a large configuration
+    Given a fleet of 103 daemons with links of 5 to 100 Mbit/s
+    When a configuration of 364 kB changes each 0.33 seconds for 4 seconds
+    Then each daemon in touch knew each change within 2.5 seconds
+
+  # The leaving of an instance came behind the documents, in one response.
+  Scenario: An instance that leaves beside large changes is known in time
+    Given a fleet of 103 daemons with links of 5 to 100 Mbit/s
+    When instances leave while a configuration of 364 kB changes each second
+    Then each daemon in touch knew each change within 2.5 seconds
+
+  Scenario: All daemons in touch know a large configuration in time
+    Given fleets of daemons with links of 5 to 100 Mbit/s
+    When large changes come and paths fail at random, from 20 seeds
+    Then each daemon in touch knew each change within 2.5 seconds
--- a/features/steps/late_change_steps.py
+++ b/features/steps/late_change_steps.py
@@ -7,6 +7,7 @@
 
 import behave
 
+from dotterelpath.domain import steering
 from dotterelpath.tasks import fleet_events
 from features.support import following_fleet
 from features.support import simulated_time
@@ -15,6 +16,10 @@
 # A daemon without reports has reached its longest wait by then, in seconds.
 SETTLED_S = 1012.0
 SIZES = (1, 2, 3, 6, 16)
+LARGE_APPLY_S = 2.5
+LARGE_CHANGE_S = 1010.0
+LARGE_BYTES = 364_000
+STORE_MBPS = 1000.0
 
 
 @behave.given("a daemon that watches the store for itself while it changes")
@@ -53,6 +58,7 @@
 
 @behave.then("it knew each change within 2 seconds once it was in touch")
 @behave.then("each daemon in touch knew each change within 2 seconds")
+@behave.then("each daemon in touch knew each change within 2.5 seconds")
 def step_in_time(context):
     oldest = {
         seed: max((round(age_s, 2), daemon.id) for _, daemon, age_s in found)
@@ -150,3 +156,111 @@
         return await fleet.play(40.0, (0.3, 4.0))
 
     return simulated_time.run(play)
+
+
+@behave.given("a fleet of 103 daemons with links of {low:g} to {high:g} Mbit/s")
+@behave.given("fleets of daemons with links of {low:g} to {high:g} Mbit/s")
+def step_slow_links(context, low, high):
+    context.link_mbps = (low, high)
+
+
+@behave.when("a configuration of {size_kb:d} kB changes once")
+def step_one_large_change(context, size_kb):
+    play_large_changes(context, [(LARGE_CHANGE_S, size_kb * 1000)])
+
+
+@behave.when(
+    "a configuration of {size_kb:d} kB changes each {gap_s:g} seconds for"
+    " {duration_s:g} seconds"
+)
+def step_large_changes(context, size_kb, gap_s, duration_s):
+    changes = [
+        (LARGE_CHANGE_S + number * gap_s, size_kb * 1000)
+        for number in range(int(duration_s / gap_s))
+    ]
+    play_large_changes(context, changes)
+
+
+@behave.when(
+    "instances leave while a configuration of {size_kb:d} kB changes each"
+    " second"
+)
+def step_leave_beside(context, size_kb):
+    changes = []
+    for number in range(8):
+        at_s = LARGE_CHANGE_S + number
+        changes.append((at_s, size_kb * 1000))
+        changes += [
+            (at_s + tenths / 10.0, following_fleet.SMALL_BYTES)
+            for tenths in (1, 3, 5, 7)
+        ]
+    play_large_changes(context, changes)
+
+
+def play_large_changes(context, changes):
+    """Plays changes of a large configuration without any fault."""
+
+    async def play(loop):
+        fleet = slow_fleet(loop, 1, [35, 34, 34], context.link_mbps)
+        late = await fleet.play_changes(25.0, iter(changes))
+        context.lost = {m.id: m.lost_count for m in fleet.members}
+        return late
+
+    late = simulated_time.run(play)
+    context.late = {1: late} if late else {}
+
+
+def slow_fleet(loop, seed, sizes, link_mbps):
+    """Creates a fleet of daemons that differ in processor and link."""
+    source = random.Random(f"resources {seed}")
+    low, high = link_mbps
+
+    def draw_resources():
+        return steering.Resources(
+            source.uniform(0.43, 2.15), low * (high / low) ** source.random()
+        )
+
+    fleet = following_fleet.FollowingFleet(
+        loop, seed, sizes, 0.2, LARGE_APPLY_S, draw_resources
+    )
+    fleet.store.link = following_fleet.Link(
+        loop, STORE_MBPS * following_fleet.MBIT_BYTES
+    )
+    return fleet
+
+
+@behave.when(
+    "large changes come and paths fail at random, from {seeds:d} seeds"
+)
+def step_large_and_faults(context, seeds):
+    context.late = {
+        seed: late
+        for seed in range(seeds)
+        if (late := play_large_and_faults(seed, context.link_mbps))
+    }
+
+
+def play_large_and_faults(seed, link_mbps):
+    """Plays random faults while a large configuration changes."""
+    source = random.Random(f"large {seed}")
+    sizes = [source.choice(SIZES) for _ in range(source.choice((1, 2, 3)))]
+
+    def draw_changes():
+        at_s = LARGE_CHANGE_S
+        while True:
+            size = source.choice((LARGE_BYTES, following_fleet.SMALL_BYTES))
+            yield at_s, size
+            at_s += source.uniform(0.3, 4.0)
+
+    async def play(loop):
+        fleet = slow_fleet(loop, seed, sizes, link_mbps)
+        following_fleet.add_faults(fleet, source, 1005.0, 1035.0)
+        return await fleet.play_changes(40.0, draw_changes())
+
+    return simulated_time.run(play)
+
+
+@behave.then("no daemon took the store for unavailable")
+def step_no_loss(context):
+    lost = {id: count for id, count in context.lost.items() if count}
+    assert not lost, lost
--- a/features/support/following_fleet.py
+++ b/features/support/following_fleet.py
@@ -29,6 +29,14 @@
 PEER_LATENCY_S = (0.0005, 0.005)
 # How often it is checked what the daemons know, in seconds.
 CHECK_S = 0.05
+# The bytes of a change of one instance, as the store sends it.
+SMALL_BYTES = 400
+# The longest part of a response that a link carries at once, in bytes.
+PART_BYTES = 32 * 1024
+# What a processor core decodes in a second, in bytes of the store's responses.
+DECODED_BYTES_PER_S = 9e6
+MBIT_BYTES = 1e6 / 8.0
+USUAL_RESOURCES = steering.Resources(1.0, 5.0)
 
 
 class Fault:
@@ -45,11 +53,31 @@
         self.kind = kind
 
 
+class Link:
+    """Carries bytes one after the other, at a rate."""
+
+    def __init__(self, loop, bytes_per_s=math.inf):
+        self._loop = loop
+        self._bytes_per_s = bytes_per_s
+        self._free_s = 0.0
+
+    async def carry(self, size):
+        now_s = self._loop.time()
+        self._free_s = max(now_s, self._free_s) + size / self._bytes_per_s
+        await asyncio.sleep(self._free_s - now_s)
+
+
 class SimulatedStore:
-    """The revisions of a store, and when each was acknowledged."""
+    """The revisions of a store, and when each was acknowledged.
+
+    Attributes:
+        sizes: The bytes of the change of each revision.
+    """
 
     def __init__(self, loop, source, max_stale_s):
         self.acknowledged_s = [0.0]
+        self.sizes = [SMALL_BYTES]
+        self.link = Link(loop)
         self._loop = loop
         self._random = source
         self._max_stale_s = max_stale_s
@@ -59,8 +87,9 @@
     def revision(self):
         return len(self.acknowledged_s)
 
-    def change(self):
+    def change(self, size=SMALL_BYTES):
         self.acknowledged_s.append(self._loop.time())
+        self.sizes.append(size)
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -78,6 +107,15 @@
         ]
         return store_port.Changes(entries[-1:], known, not revision)
 
+    def size_of(self, revision, changes):
+        """Returns the bytes of the response with the changes.
+
+        It has each change since a revision, or each key once.
+        """
+        if not revision:
+            return max(self.sizes[: changes.revision])
+        return sum(self.sizes[revision : changes.revision])
+
     async def wait_for_change(self, revision, wait_s):
         """Waits for a change after a revision, or until the wait ends."""
         until_s = self._loop.time() + wait_s
@@ -137,7 +175,13 @@
         if not may_be_stale:
             await self._store.wait_for_change(after_revision, wait_s)
         changes = self._store.changes_after(after_revision, may_be_stale)
+        size = self._store.size_of(after_revision, changes)
+        for start in range(0, size, PART_BYTES):
+            part_size = min(PART_BYTES, size - start)
+            await self._store.link.carry(part_size)
+            await self._member.link.carry(part_size)
         await self._cross()
+        await self._member.processor.carry(size)
         return changes
 
     async def _cross(self):
@@ -153,8 +197,17 @@
 class Member:
     """A daemon: its store reader and its peer monitor."""
 
-    def __init__(self, fleet, number, data_centre):
+    def __init__(self, fleet, number, data_centre, resources):
         self.id = f"d{number}"
+        self.resources = resources or USUAL_RESOURCES
+        self.link = Link(fleet.loop)
+        self.processor = Link(fleet.loop)
+        if resources is not None:
+            self.link = Link(fleet.loop, resources.link_mbps * MBIT_BYTES)
+            self.processor = Link(
+                fleet.loop, resources.cores * DECODED_BYTES_PER_S
+            )
+        self.lost_count = 0
         self.number = number
         self.data_centre = data_centre
         self.faults = []
@@ -167,9 +220,7 @@
         self.reader_inbox = mailbox.Mailbox("reader", 10**6)
         self.monitor_inbox = mailbox.Mailbox("monitor", 10**6)
         self.monitor = peer_monitor.PeerMonitor(
-            deployments.make(
-                self.id, data_centre, number, steering.Resources(1.0, 5.0)
-            ),
+            deployments.make(self.id, data_centre, number, self.resources),
             clock,
             lambda: 0.0,
             lambda: 0,
@@ -228,6 +279,8 @@
         while (message := self.known.poll()) is not None:
             if isinstance(message, store_events.StoreChanged):
                 self.known_revision = message.changes.revision
+            elif isinstance(message, store_events.StoreLost):
+                self.lost_count += 1
             elif isinstance(message, fleet_events.StoreRead):
                 self.monitor_inbox.force(message)
 
@@ -235,7 +288,9 @@
 class FollowingFleet:
     """Daemons that follow the store, whose paths to it and links fail."""
 
-    def __init__(self, loop, seed, sizes, max_stale_s, apply_s=2.0):
+    def __init__(
+        self, loop, seed, sizes, max_stale_s, apply_s=2.0, draw_resources=None
+    ):
         """Creates a fleet.
 
         Args:
@@ -245,33 +300,29 @@
             max_stale_s: The highest age of stale reads, in seconds.
             apply_s: The time within which a change must be in force, in
                 seconds.
+            draw_resources: Draws the processor and the link of a daemon; by
+                default they take no time.
         """
+        self.loop = loop
         self.seed = seed
         self.apply_s = apply_s
         self.clock = simulated_time.SimulatedClock(loop)
         self.random = random.Random(f"fleet {seed}")
         self.store = SimulatedStore(loop, self.random, max_stale_s)
-        self._loop = loop
         places = [f"dc{n}" for n, size in enumerate(sizes) for _ in range(size)]
         self.members = [
-            Member(self, number, place) for number, place in enumerate(places)
+            Member(
+                self,
+                number,
+                place,
+                draw_resources() if draw_resources else None,
+            )
+            for number, place in enumerate(places)
         ]
 
     def start(self):
         """Starts the daemons' tasks, and returns them."""
-        daemons = {
-            m.id: steering.Daemon(
-                m.id,
-                m.data_centre,
-                deployments.REGION,
-                "h",
-                m.number,
-                "h",
-                m.number,
-                steering.Resources(1.0, 5.0),
-            )
-            for m in self.members
-        }
+        daemons = {m.id: _description(m) for m in self.members}
         in_force = configuration.Configuration(1, {}, [], gateway_world.LIMITS)
         tasks = []
         for member in self.members:
@@ -285,7 +336,7 @@
     def send(self, sender, port, datagram):
         """Delivers a datagram later, unless a fault cuts off either daemon."""
         receiver = self.members[port]
-        self._loop.call_later(
+        self.loop.call_later(
             self.random.uniform(*PEER_LATENCY_S),
             self._deliver,
             sender,
@@ -299,24 +350,45 @@
             receiver.monitor.on_datagram("h", sender.number, datagram)
 
     async def play(self, duration_s, change_gaps_s):
-        """Plays a time with changes, and notes each late daemon.
+        """Plays a time with small changes, and notes each late daemon.
 
         Args:
             duration_s: The time, in seconds.
             change_gaps_s: The shortest and the longest time between changes.
 
+        Returns:
+            See play_changes.
+        """
+        return await self.play_changes(
+            duration_s, self._random_changes(change_gaps_s)
+        )
+
+    def _random_changes(self, change_gaps_s):
+        at_s = self.loop.time() + 5.0
+        while True:
+            yield at_s, SMALL_BYTES
+            at_s = self.loop.time() + self.random.uniform(*change_gaps_s)
+
+    async def play_changes(self, duration_s, changes):
+        """Plays a time with changes, and notes each late daemon.
+
+        Args:
+            duration_s: The time, in seconds.
+            changes: Iterates over the times and the sizes of the changes, in
+                bytes.
+
         Returns:
             The late daemons: the time, the daemon, and the age of the oldest
             change that it does not know, in seconds.
         """
         tasks = self.start()
-        end_s = self._loop.time() + duration_s
-        change_s = self._loop.time() + 5.0
+        end_s = self.loop.time() + duration_s
+        change_s, size = next(changes)
         late = []
-        while (now_s := self._loop.time()) < end_s:
+        while (now_s := self.loop.time()) < end_s:
             if now_s >= change_s:
-                self.store.change()
-                change_s = now_s + self.random.uniform(*change_gaps_s)
+                self.store.change(size)
+                change_s, size = next(changes, (math.inf, 0))
             for member in self.members:
                 member.note_known()
                 age_s = self.age_of_unknown_s(member, now_s)
@@ -367,5 +439,5 @@
         member.number,
         "h",
         member.number,
-        steering.Resources(1.0, 5.0),
+        member.resources,
     )
