Move the calls of the store reader to a part of its own

The store reader decides when to ask the store; how an answer is read, and what it proves, is now in _store_calls, so that answers from elsewhere than the store can be added there.

--- /dev/null
+++ b/src/dotterelpath/tasks/_store_calls.py
@@ -0,0 +1,135 @@
+"""The part of the store reader that calls the store."""
+
+from __future__ import annotations
+
+from dotterelpath.domain import store_following
+from dotterelpath.ports import clock as clock_port
+from dotterelpath.ports import store as store_port
+
+
+class Answer:
+    """The changes that a call returned, and what they prove."""
+
+    __slots__ = (
+        "changes",
+        "complete_at_s",
+        "is_exact",
+        "proved_at_s",
+        "sent_s",
+    )
+
+    def __init__(
+        self,
+        changes: store_port.Changes,
+        complete_at_s: float,
+        is_exact: bool,
+        proved_at_s: float | None = None,
+        sent_s: float | None = None,
+    ) -> None:
+        """Creates an answer.
+
+        Args:
+            changes: The changes.
+            complete_at_s: The time for which they are complete for sure if the
+                answer is exact, on the monotonic clock, in seconds.
+            is_exact: Whether the answer cannot be older than the call.
+            proved_at_s: The time for which they are complete if the response
+                was not delayed on its way; complete_at_s if None.
+            sent_s: When the call was sent, on the monotonic clock, in seconds;
+                complete_at_s if None.
+        """
+        self.sent_s = complete_at_s if sent_s is None else sent_s
+        self.changes = changes
+        self.complete_at_s = complete_at_s
+        self.is_exact = is_exact
+        self.proved_at_s = complete_at_s if proved_at_s is None else proved_at_s
+
+
+class StoreCalls:
+    """Reads changes of the store, and records how long the responses took.
+
+    All calls raise StoreError if the store did not respond.
+    """
+
+    __slots__ = ("_clock", "_follower", "_prefix", "_store")
+
+    def __init__(
+        self,
+        prefix: str,
+        store: store_port.Store,
+        clock: clock_port.Clock,
+        follower: store_following.StoreFollower,
+    ) -> None:
+        """Creates the calls.
+
+        Args:
+            prefix: The prefix of the keys.
+            store: The store.
+            clock: Tells the time.
+            follower: Knows how long a response may take.
+        """
+        self._prefix = prefix
+        self._store = store
+        self._clock = clock
+        self._follower = follower
+
+    def set_daemon_count(self, count: int) -> None:
+        """Sets how many daemons call the store; see store.Store."""
+        self._store.set_daemon_count(count)
+
+    async def watch(self, revision: int, wait_s: float) -> Answer:
+        """Waits for changes.
+
+        The store responds to a watch when it has changes, or when the wait is
+        over: what the response says was true then.
+
+        Args:
+            revision: The revision after which changes are returned.
+            wait_s: How long to wait for a change, in seconds.
+        """
+        sent_s = self._clock.now_s()
+        changes = await self._store.watch(
+            self._prefix, revision, wait_s, response_s=self._follower.response_s
+        )
+        now_s = self._clock.now_s()
+        if changes.entries:
+            return Answer(changes, sent_s, True, now_s)
+        took_s = now_s - sent_s
+        self._follower.record_response(max(0.0, took_s - wait_s))
+        return Answer(changes, sent_s + min(took_s, wait_s), True, None, sent_s)
+
+    async def read(self, revision: int, may_be_stale: bool) -> Answer:
+        """Reads changes without waiting.
+
+        Args:
+            revision: The revision after which changes are returned.
+            may_be_stale: Whether the answer may be seconds old.
+        """
+        sent_s = self._clock.now_s()
+        changes = await self._store.watch(
+            self._prefix, revision, 0.0, may_be_stale, self._follower.response_s
+        )
+        self._follower.record_response(self._clock.now_s() - sent_s)
+        return Answer(changes, sent_s, not may_be_stale)
+
+    async def read_reported(self, revision: int) -> Answer:
+        """Reads the changes up to the revision that another daemon reported.
+
+        Args:
+            revision: The revision after which changes are returned.
+        """
+        target_revision = self._follower.reported_revision
+        answer = await self.read(revision, may_be_stale=True)
+        if answer.changes.revision >= target_revision:
+            return answer
+        return await self.read(revision, may_be_stale=False)
+
+    async def read_all(self, may_list_stale: bool) -> Answer:
+        """Reads all keys.
+
+        Args:
+            may_list_stale: Whether to begin with stale pages, which cost less.
+        """
+        sent_s = self._clock.now_s()
+        changes = await self._store.watch(self._prefix, 0, 0.0, may_list_stale)
+        return Answer(changes, sent_s, True)
--- a/src/dotterelpath/tasks/store_reader.py
+++ b/src/dotterelpath/tasks/store_reader.py
@@ -13,6 +13,7 @@
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import randomness
 from dotterelpath.ports import store as store_port
+from dotterelpath.tasks import _store_calls
 from dotterelpath.tasks import fleet_events
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import store_events
@@ -41,44 +42,6 @@
 _log = structlog.get_logger()
 
 
-class _Answer:
-    """The changes that a call returned, and what they prove."""
-
-    __slots__ = (
-        "changes",
-        "complete_at_s",
-        "is_exact",
-        "proved_at_s",
-        "sent_s",
-    )
-
-    def __init__(
-        self,
-        changes: store_port.Changes,
-        complete_at_s: float,
-        is_exact: bool,
-        proved_at_s: float | None = None,
-        sent_s: float | None = None,
-    ) -> None:
-        """Creates an answer.
-
-        Args:
-            changes: The changes.
-            complete_at_s: The time for which they are complete for sure if the
-                answer is exact, on the monotonic clock, in seconds.
-            is_exact: Whether the answer cannot be older than the call.
-            proved_at_s: The time for which they are complete if the response
-                was not delayed on its way; complete_at_s if None.
-            sent_s: When the call was sent, on the monotonic clock, in seconds;
-                complete_at_s if None.
-        """
-        self.sent_s = complete_at_s if sent_s is None else sent_s
-        self.changes = changes
-        self.complete_at_s = complete_at_s
-        self.is_exact = is_exact
-        self.proved_at_s = complete_at_s if proved_at_s is None else proved_at_s
-
-
 class StoreReader:
     """Reads all keys, and then their changes.
 
@@ -96,6 +59,7 @@
 
     __slots__ = (
         "_apply_s",
+        "_calls",
         "_clock",
         "_follower",
         "_is_store_lost",
@@ -104,13 +68,11 @@
         "_may_list_stale",
         "_newest_revision",
         "_peer_monitor",
-        "_prefix",
         "_published_revision",
         "_random",
         "_reported_s",
         "_revision",
         "_started_s",
-        "_store",
         "_subscriber",
     )
 
@@ -145,14 +107,15 @@
         self._is_strict = is_strict
         self._apply_s = apply_s
         self._started_s = clock.now_s()
-        self._prefix = prefix
-        self._store = store
         self._clock = clock
         self._random = random
         self._mailbox = inbox
         self._subscriber = subscriber
         self._peer_monitor = peer_monitor
         self._follower = store_following.StoreFollower(apply_s, daemon_id)
+        self._calls = _store_calls.StoreCalls(
+            prefix, store, clock, self._follower
+        )
         # The revision to read changes from; 0 if all keys must be read.
         self._revision = 0
         self._newest_revision = 0
@@ -205,7 +168,7 @@
         elif isinstance(message, fleet_events.PeerPinged):
             self._follower.record_query(message.at_s)
         elif isinstance(message, fleet_events.DaemonsChanged):
-            self._store.set_daemon_count(len(message.daemons))
+            self._calls.set_daemon_count(len(message.daemons))
         elif isinstance(message, fleet_events.BoundsChanged):
             self._is_strict = message.bounds.is_revocation_strict
             self._apply_s = message.bounds.store_apply_s
@@ -245,7 +208,7 @@
         self._publish_revision(self._revision)
         await self._wait_for_batch(answer.changes)
 
-    async def _watch_and_check(self, wait_s: float) -> _Answer:
+    async def _watch_and_check(self, wait_s: float) -> _store_calls.Answer:
         """Watches the store, and asks it by other calls while it must.
 
         Args:
@@ -255,14 +218,7 @@
             StoreError: A call failed.
         """
         sent_s = self._clock.now_s()
-        watch = asyncio.create_task(
-            self._store.watch(
-                self._prefix,
-                self._revision,
-                wait_s,
-                response_s=self._follower.response_s,
-            )
-        )
+        watch = asyncio.create_task(self._calls.watch(self._revision, wait_s))
         arrival = asyncio.create_task(self._mailbox.wait())
         try:
             while True:
@@ -276,7 +232,7 @@
                     self._handle_messages()
                     arrival = asyncio.create_task(self._mailbox.wait())
                 if watch.done():
-                    return self._to_answer(watch.result(), sent_s, wait_s)
+                    return watch.result()
                 if self._check_due_s(sent_s) <= self._clock.now_s():
                     answer = await self._check()
                     if (
@@ -289,23 +245,6 @@
                 task.cancel()
             await asyncio.gather(watch, arrival, return_exceptions=True)
 
-    def _to_answer(
-        self, changes: store_port.Changes, sent_s: float, wait_s: float
-    ) -> _Answer:
-        """Records the response to a watch.
-
-        The store responds to a watch when it has changes, or when the wait is
-        over: what the response says was true then.
-        """
-        now_s = self._clock.now_s()
-        if changes.entries:
-            return _Answer(changes, sent_s, True, now_s)
-        took_s = now_s - sent_s
-        self._follower.record_response(max(0.0, took_s - wait_s))
-        return _Answer(
-            changes, sent_s + min(took_s, wait_s), True, None, sent_s
-        )
-
     def _check_due_s(self, sent_s: float) -> float:
         """Returns when the store must be asked by a call besides the watch.
 
@@ -330,60 +269,36 @@
         is_strict = self._is_strict and self._published_revision is not None
         return self._follower.proof_due_s(self._revision, is_strict)
 
-    async def _check(self) -> _Answer:
+    async def _check(self) -> _store_calls.Answer:
         """Asks the store for later changes while a watch is pending.
 
         If there are none, the watched revision is proved.
         """
         if self._follower.reported_revision > self._revision:
-            answer = await self._read_reported()
+            answer = await self._calls.read_reported(self._revision)
         else:
-            answer = await self._read(may_be_stale=False)
+            answer = await self._calls.read(self._revision, may_be_stale=False)
         if answer.is_exact and not answer.changes.entries:
             self._record_proof(answer)
             self._report_read(answer)
             self._publish_revision(self._revision)
         return answer
 
-    async def _read(self, may_be_stale: bool) -> _Answer:
-        """Reads the changes since the known revision, without waiting."""
-        sent_s = self._clock.now_s()
-        changes = await self._store.watch(
-            self._prefix,
-            self._revision,
-            0.0,
-            may_be_stale,
-            self._follower.response_s,
-        )
-        self._follower.record_response(self._clock.now_s() - sent_s)
-        return _Answer(changes, sent_s, not may_be_stale)
-
-    async def _read_reported(self) -> _Answer:
-        """Reads the changes up to the revision that another daemon reported."""
-        target_revision = self._follower.reported_revision
-        answer = await self._read(may_be_stale=True)
-        if answer.changes.revision >= target_revision:
-            return answer
-        return await self._read(may_be_stale=False)
-
     async def _read_all(self) -> None:
         """Reads all keys.
 
         The first read begins with stale pages, which cost little while a fleet
         starts.
         """
-        sent_s = self._clock.now_s()
-        changes = await self._store.watch(
-            self._prefix, 0, 0.0, self._may_list_stale
-        )
-        self._on_answer(_Answer(changes, sent_s, True))
+        answer = await self._calls.read_all(self._may_list_stale)
+        self._on_answer(answer)
         if self._may_list_stale:
-            self._follower.record_first_read(sent_s)
+            self._follower.record_first_read(answer.sent_s)
         self._may_list_stale = False
 
     async def _catch_up(self) -> None:
         """Reads the changes up to the revision that another daemon reported."""
-        answer = await self._read_reported()
+        answer = await self._calls.read_reported(self._revision)
         self._on_answer(answer)
         await self._wait_for_batch(answer.changes)
 
@@ -417,7 +332,7 @@
             return 0.0
         return self._follower.watch_wait_s(self._clock.now_s())
 
-    def _on_answer(self, answer: _Answer) -> None:
+    def _on_answer(self, answer: _store_calls.Answer) -> None:
         """Passes the answer to a call on.
 
         Args:
@@ -445,13 +360,13 @@
         self._report_changes(changes, max_silence_s)
         self._report_read(answer)
 
-    def _record_proof(self, answer: _Answer) -> None:
+    def _record_proof(self, answer: _store_calls.Answer) -> None:
         if answer.is_exact:
             self._follower.record_proof(
                 self._revision, answer.proved_at_s, answer.complete_at_s
             )
 
-    def _log_changes(self, answer: _Answer) -> None:
+    def _log_changes(self, answer: _store_calls.Answer) -> None:
         """Logs changes with the age of what was known before them."""
         if not answer.changes.entries or answer.changes.is_full:
             return
@@ -467,7 +382,7 @@
             reported_age_s=round(self._follower.confirmed_age_s(now_s), 3),
         )
 
-    def _report_read(self, answer: _Answer) -> None:
+    def _report_read(self, answer: _store_calls.Answer) -> None:
         """Reports up to which revision this daemon has read the store.
 
         The report takes the way of the changes, which are in force first.
