Do not take a response that keeps arriving for lost

What callers saw: daemons decided by versions that were seconds old, and sent requests to instances that had left (CONFIG, DRAIN), after a change of a large configuration.

Cause: a call's time-out covered the whole response, whatever its size. A document of 341 kB, read by 97 daemons at once, takes longer than 0.375 s. What had arrived was thrown away, and the whole was sent once more.

Change: a call to the store is lost if the response does not begin in time, or pauses for as long; a limit ends one that trickles. A response of all keys may take 30 s, one of changes half of the bound: all keys, each of which comes once, may be shorter, and are read next. A pending watch whose response arrives is not checked by another call, and a check runs beside the watch.

--- a/features/late_changes.feature
+++ b/features/late_changes.feature
@@ -55,3 +55,19 @@
     Given fleets of daemons with links of 5 to 100 Mbit/s
     When large changes come and paths fail at random, from 20 seeds
     Then each daemon in touch knew each change within 2.5 seconds
+
+  # The time-out of a call covered the whole response.
+  Scenario: A response that keeps arriving is not lost
+    Given a store whose response comes in parts, one each 0.1 seconds
+    When a daemon reads changes, and allows pauses of 0.5 seconds
+    Then it has the changes
+
+  Scenario: A response that stops in the middle is lost
+    Given a store whose response stops in the middle
+    When a daemon reads changes, and allows pauses of 0.5 seconds
+    Then the response is lost, and it is known that a part came
+
+  Scenario: A response that goes on without end is lost
+    Given a store whose response goes on without end
+    When a daemon reads changes, and allows pauses of 0.5 seconds
+    Then the response is lost, and it is known that a part came
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -60,7 +60,7 @@
 class AnsweringClient:
     """Answers each call of the store client with no changes."""
 
-    async def call(self, host, port, request, timeout_s):
+    async def call(self, host, port, request, timeout_s, transfer=None):
         body = b'{"events": [], "store_revision": 7}'
         return exchange.Response(200, [], body)
 
--- a/features/steps/following_steps.py
+++ b/features/steps/following_steps.py
@@ -272,7 +272,7 @@
         after_revision,
         wait_s,
         may_be_stale=False,
-        response_s=None,
+        transfer=None,
     ):
         if after_revision:
             self.count += 1
--- a/features/steps/invalid_input_steps.py
+++ b/features/steps/invalid_input_steps.py
@@ -48,7 +48,7 @@
     def __init__(self):
         self.body = b""
 
-    async def call(self, host, port, request, timeout_s):
+    async def call(self, host, port, request, timeout_s, transfer=None):
         return exchange.Response(200, [], self.body)
 
 
--- a/features/steps/store_age_steps.py
+++ b/features/steps/store_age_steps.py
@@ -36,7 +36,7 @@
     def __init__(self):
         self.kv = kv_store.KvStore()
 
-    async def call(self, host, port, request, timeout_s):
+    async def call(self, host, port, request, timeout_s, transfer=None):
         return await self.kv.handle(port, request, None)
 
     async def control(self, path, data):
@@ -235,7 +235,7 @@
         after_revision,
         wait_s,
         may_be_stale=False,
-        response_s=None,
+        transfer=None,
     ):
         if not after_revision:
             entry = store_port.VersionedValue("k", "new", 9)
--- /dev/null
+++ b/features/steps/transfer_steps.py
@@ -0,0 +1,107 @@
+"""Steps on responses of the store that take long to arrive."""
+
+from __future__ import annotations
+
+import asyncio
+import types
+
+import behave
+import orjson
+
+from dotterelpath import errors
+from dotterelpath.adapters import clock
+from dotterelpath.adapters import http_client
+from dotterelpath.adapters import store_client
+from dotterelpath.domain import exchange
+from dotterelpath.platform import store_codec
+
+# The longest pause and the longest transfer of the calls, in seconds.
+PAUSE_S = 0.5
+LIMIT_S = 3.0
+PART_COUNT = 12
+PART_BYTES = 100
+
+
+class SlowStore:
+    """A store whose responses arrive in parts."""
+
+    def __init__(self, part_gaps_s):
+        self._part_gaps_s = part_gaps_s
+
+    async def serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        body = orjson.dumps({"events": [], "store_revision": 9})
+        body = body.ljust(PART_BYTES * len(self._part_gaps_s))
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+        writer.write(head.encode())
+        for number, gap_s in enumerate(self._part_gaps_s):
+            if await is_closed_within(reader, gap_s):
+                break
+            start = number * PART_BYTES
+            writer.write(body[start : start + PART_BYTES])
+        writer.close()
+
+
+async def is_closed_within(reader, duration_s):
+    """Waits, unless the caller closes its connection before."""
+    try:
+        async with asyncio.timeout(duration_s):
+            return not await reader.read(1)
+    except TimeoutError:
+        return False
+    except ConnectionError:
+        return True
+
+
+@behave.given("a store whose response comes in parts, one each 0.1 seconds")
+def step_parts(context):
+    context.slow_store = SlowStore([0.1] * PART_COUNT)
+
+
+@behave.given("a store whose response stops in the middle")
+def step_stops(context):
+    context.slow_store = SlowStore([0.0] * 6 + [60.0] * 6)
+
+
+@behave.given("a store whose response goes on without end")
+def step_trickles(context):
+    context.slow_store = SlowStore([0.2] * 60)
+
+
+@behave.when("a daemon reads changes, and allows pauses of 0.5 seconds")
+def step_read(context):
+    async def read():
+        server = await asyncio.start_server(
+            context.slow_store.serve, "127.0.0.1", 0
+        )
+        system_clock = clock.SystemClock()
+        client = http_client.HttpClient(system_clock)
+        store = store_client.StoreClient(
+            *server.sockets[0].getsockname(),
+            client,
+            system_clock,
+            types.SimpleNamespace(record_store_call=lambda call, ok: None),
+            store_codec.StoreCodec(),
+        )
+        try:
+            return await store.watch(
+                "", 5, 0.0, True, exchange.Transfer(PAUSE_S, LIMIT_S)
+            )
+        except errors.StoreError as error:
+            return error
+        finally:
+            client.close()
+            server.close()
+
+    context.result = asyncio.run(read())
+
+
+@behave.then("it has the changes")
+def step_has_changes(context):
+    assert getattr(context.result, "revision", None) == 9, context.result
+
+
+@behave.then("the response is lost, and it is known that a part came")
+def step_incomplete(context):
+    found = context.result
+    assert isinstance(found, errors.IncompleteResponseError), repr(found)
--- a/features/support/edges.py
+++ b/features/support/edges.py
@@ -259,7 +259,7 @@
     """Lets the store answer each kind of call with the given bytes."""
 
     class Client:
-        async def call(self, host, port, request, timeout_s):
+        async def call(self, host, port, request, timeout_s, transfer=None):
             return exchange.Response(status, [], body)
 
     async def run():
--- a/features/support/following_fleet.py
+++ b/features/support/following_fleet.py
@@ -10,6 +10,7 @@
 from dotterelpath import errors
 from dotterelpath.adapters import store_client
 from dotterelpath.domain import configuration
+from dotterelpath.domain import exchange
 from dotterelpath.domain import steering
 from dotterelpath.ports import store as store_port
 from dotterelpath.tasks import fleet_events
@@ -127,6 +128,20 @@
                 return
 
 
+class ArrivingResponse:
+    """When the parts of a response arrived; see exchange.ResponseSource."""
+
+    def __init__(self, loop):
+        self.last_received_s = loop.time()
+        self.response_began_s = None
+        self._loop = loop
+
+    def note_part(self):
+        self.last_received_s = self._loop.time()
+        if self.response_began_s is None:
+            self.response_began_s = self.last_received_s
+
+
 class StorePath:
     """The calls of one daemon to the store; see ports.store.Store."""
 
@@ -146,31 +161,51 @@
         after_revision,
         wait_s,
         may_be_stale=False,
-        response_s=None,
+        transfer=None,
     ):
         if may_be_stale:
             self.stale_calls += 1
         else:
             self.calls += 1
+        transfer = transfer or exchange.Transfer(
+            store_client.MAX_PAUSE_S, store_client.MAX_TRANSFER_S
+        )
+        response = ArrivingResponse(self._member.loop)
+        transfer.follow(response)
         call = asyncio.create_task(
-            self._call(after_revision, wait_s, may_be_stale)
+            self._call(after_revision, wait_s, may_be_stale, response)
         )
         reset = asyncio.create_task(self._member.wait_for_reset())
         try:
-            done, _ = await asyncio.wait(
-                (call, reset),
-                timeout=wait_s + (response_s or store_client.WATCH_MARGIN_S),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            if call in done:
+            await self._receive(call, reset, wait_s, transfer)
+            if call.done():
                 return call.result()
-            raise errors.StoreError("reset" if done else "no response")
+            raise errors.StoreError("reset")
         finally:
             call.cancel()
             reset.cancel()
             await asyncio.gather(call, reset, return_exceptions=True)
 
-    async def _call(self, after_revision, wait_s, may_be_stale):
+    async def _receive(self, call, reset, wait_s, transfer):
+        """Waits for a response as adapters.http_client does."""
+        loop = self._member.loop
+        lost_from_s = loop.time() + wait_s + transfer.pause_s
+        while not call.done() and not reset.done():
+            await asyncio.wait(
+                (call, reset),
+                timeout=max(0.0, lost_from_s - loop.time()),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if call.done() or reset.done():
+                return
+            lost_from_s = transfer.lost_from_s or lost_from_s
+            if lost_from_s > loop.time():
+                continue
+            if transfer.began_s is None:
+                raise errors.StoreError("no response")
+            raise errors.IncompleteResponseError("no complete response")
+
+    async def _call(self, after_revision, wait_s, may_be_stale, response):
         await self._cross()
         if not may_be_stale:
             await self._store.wait_for_change(after_revision, wait_s)
@@ -180,6 +215,7 @@
             part_size = min(PART_BYTES, size - start)
             await self._store.link.carry(part_size)
             await self._member.link.carry(part_size)
+            response.note_part()
         await self._cross()
         await self._member.processor.carry(size)
         return changes
@@ -199,6 +235,7 @@
 
     def __init__(self, fleet, number, data_centre, resources):
         self.id = f"d{number}"
+        self.loop = fleet.loop
         self.resources = resources or USUAL_RESOURCES
         self.link = Link(fleet.loop)
         self.processor = Link(fleet.loop)
--- a/src/dotterelpath/adapters/h11_backend.py
+++ b/src/dotterelpath/adapters/h11_backend.py
@@ -59,6 +59,7 @@
         "_received_bytes",
         "_request",
         "_response",
+        "_response_began_s",
         "_timeout_s",
         "_traffic_counter",
         "_transport",
@@ -116,6 +117,7 @@
         self._idle_timeout_s: float | None = None
         self._last_received_s = clock.now_s()
         self._received_bytes = 0
+        self._response_began_s: float | None = None
         self._poller = select.poll()
 
     @property
@@ -123,6 +125,11 @@
         """When bytes last arrived; see backend.Connection."""
         return self._last_received_s
 
+    @property
+    def response_began_s(self) -> float | None:
+        """When the response began; see backend.Connection."""
+        return self._response_began_s
+
     @property
     def received_bytes(self) -> int:
         """The bytes of the response so far; see backend.Connection."""
@@ -165,6 +172,8 @@
         """Parses the server's bytes; closes if no request is in flight."""
         self._last_received_s = self._clock.now_s()
         self._received_bytes += len(data)
+        if self._response_began_s is None:
+            self._response_began_s = self._last_received_s
         self._gate.record_read(len(data))
         if self._attempt_id is None:
             self.close()
@@ -201,6 +210,7 @@
         self._instance_id = instance_id
         self._timeout_s = timeout_s
         self._received_bytes = 0
+        self._response_began_s = None
         self._late_count = 0
         self._late_size = 0
         self._expect_response()
--- a/src/dotterelpath/adapters/http_client.py
+++ b/src/dotterelpath/adapters/http_client.py
@@ -26,6 +26,10 @@
     """The request was written, but no complete response arrived."""
 
 
+class IncompleteResponseError(NoResponseError):
+    """A response began, but did not end in time."""
+
+
 class HttpClient:
     """Sends calls over reused connections, one call at a time on each."""
 
@@ -64,6 +68,7 @@
         port: int,
         request: exchange.Request,
         timeout_s: float,
+        transfer: exchange.Transfer | None = None,
     ) -> exchange.Response:
         """Sends a request and waits for the response.
 
@@ -71,15 +76,18 @@
             host: The server's IP address.
             port: The server's port.
             request: The request.
-            timeout_s: How long to wait for the complete response, in
-                seconds, once connected.
+            timeout_s: How long to wait for the response, in seconds, once
+                connected.
+            transfer: How the response may arrive once it has begun; without it,
+                the timeout is that of the complete response.
 
         Returns:
             The response.
 
         Raises:
             NotSentError: The server could not be reached.
-            NoResponseError: No complete response arrived in time.
+            NoResponseError: No complete response arrived in time. It is an
+                IncompleteResponseError if a part did.
         """
         connection = await self._acquire(host, port)
         call_id = next(self._ids)
@@ -89,15 +97,13 @@
         self._pending[call_id] = future
         connection.send(call_id, request, timeout_s, self._max_response_bytes)
         try:
-            async with asyncio.timeout(timeout_s):
-                response = await future
+            response = await self._receive(
+                future, connection, timeout_s, transfer
+            )
         except TimeoutError:
             # What swallowed the response may have hit the others as well.
             self._close_idle(host, port)
-            raise NoResponseError(
-                f"no complete response within {timeout_s:g} s,"
-                f" {connection.received_bytes} bytes received"
-            ) from None
+            raise _to_timeout_error(connection, timeout_s) from None
         finally:
             del self._pending[call_id]
             if not future.done() or future.cancelled() or future.exception():
@@ -106,6 +112,33 @@
             self._release(host, port, connection)
         return response
 
+    async def _receive(
+        self,
+        future: asyncio.Future[exchange.Response],
+        connection: backend.Connection,
+        timeout_s: float,
+        transfer: exchange.Transfer | None,
+    ) -> exchange.Response:
+        """Waits for a response.
+
+        Raises:
+            TimeoutError: It did not begin, or did not end, in time.
+        """
+        if transfer is None:
+            async with asyncio.timeout(timeout_s):
+                return await future
+        transfer.follow(connection)
+        lost_from_s = self._clock.now_s() + timeout_s
+        while not future.done():
+            left_s = lost_from_s - self._clock.now_s()
+            await asyncio.wait((future,), timeout=max(0.0, left_s))
+            if future.done():
+                break
+            lost_from_s = transfer.lost_from_s or lost_from_s
+            if lost_from_s <= self._clock.now_s():
+                raise TimeoutError
+        return future.result()
+
     def close(self) -> None:
         """Closes the idle connections."""
         for host, port in list(self._idle):
@@ -193,6 +226,17 @@
             connection.close()
 
 
+def _to_timeout_error(
+    connection: backend.Connection, timeout_s: float
+) -> NoResponseError:
+    size = connection.received_bytes
+    if not size:
+        return NoResponseError(f"no response within {timeout_s:g} s")
+    return IncompleteResponseError(
+        f"the response did not end in time, {size} bytes received"
+    )
+
+
 def build_post(
     target: str, body: bytes, headers: exchange.Headers | None = None
 ) -> exchange.Request:
--- a/src/dotterelpath/adapters/store_client.py
+++ b/src/dotterelpath/adapters/store_client.py
@@ -25,9 +25,12 @@
 # The calls that a daemon may make at once after a time without calls.
 BURST_READS = 200.0
 BURST_WRITES = 50.0
-# Added to the wait that a call requests, unless the call says how long its
-# response may take; the sum is the call's timeout.
-WATCH_MARGIN_S = 1.0
+# The longest pause in the response to a read, unless the call states one, in
+# seconds.
+MAX_PAUSE_S = 1.0
+# The longest time from the first to the last byte of such a response, in
+# seconds.
+MAX_TRANSFER_S = 30.0
 
 
 _Decoded = typing.TypeVar("_Decoded")
@@ -281,13 +284,13 @@
         after_revision: int,
         wait_s: float,
         may_be_stale: bool = False,
-        response_s: float | None = None,
+        transfer: exchange.Transfer | None = None,
     ) -> store.Changes:
         """Waits for changes; see store.Store."""
         if not after_revision:
             return await self._read_all(prefix, wait_s, may_be_stale)
         return await self._read_changes(
-            prefix, after_revision, wait_s, may_be_stale, response_s
+            prefix, after_revision, wait_s, may_be_stale, transfer
         )
 
     async def renew(self, lease: int) -> bool:
@@ -310,7 +313,7 @@
         while after is not None:
             call = self._codec.encode_page(prefix, after, wait_s, may_be_stale)
             response = await self._read(
-                "list", call, wait_s + WATCH_MARGIN_S, may_be_stale
+                "list", call, wait_s, may_be_stale, _usual_transfer()
             )
             page = _decode_read(self._codec.decode_page, response)
             listing.add_page(page)
@@ -329,14 +332,13 @@
         after_revision: int,
         wait_s: float,
         may_be_stale: bool,
-        response_s: float | None = None,
+        transfer: exchange.Transfer | None = None,
     ) -> store.Changes:
         call = self._codec.encode_watch(
             prefix, after_revision, wait_s, may_be_stale
         )
-        margin_s = WATCH_MARGIN_S if response_s is None else response_s
         response = await self._read(
-            "watch", call, wait_s + margin_s, may_be_stale
+            "watch", call, wait_s, may_be_stale, transfer or _usual_transfer()
         )
         changes = _decode_read(self._codec.decode_watch, response)
         changes.encoded_bytes = len(response.body)
@@ -346,15 +348,36 @@
         self,
         call: str,
         request: exchange.Request,
-        timeout_s: float,
+        wait_s: float,
         may_be_stale: bool = False,
+        transfer: exchange.Transfer | None = None,
     ) -> exchange.Response:
+        """Sends a read.
+
+        Args:
+            call: The name of the call in metrics.
+            request: The call.
+            wait_s: How long the store may wait before it responds, in seconds;
+                without a transfer, the timeout of the complete response.
+            may_be_stale: Whether the response may be seconds old.
+            transfer: How the response may arrive.
+
+        Raises:
+            StoreError: The store did not respond.
+        """
         budget = self._stale_reads if may_be_stale else self._reads
         budget.spend()
         try:
             response = await self._client.call(
-                self._host, self._port, request, timeout_s
+                self._host,
+                self._port,
+                request,
+                wait_s + (transfer.pause_s if transfer else 0.0),
+                transfer,
             )
+        except http_client.IncompleteResponseError as error:
+            self._metrics.record_store_call(call, False)
+            raise errors.IncompleteResponseError(str(error)) from error
         except (
             http_client.NotSentError,
             http_client.NoResponseError,
@@ -398,6 +421,10 @@
         )
 
 
+def _usual_transfer() -> exchange.Transfer:
+    return exchange.Transfer(MAX_PAUSE_S, MAX_TRANSFER_S)
+
+
 def _decode_read(
     decode: typing.Callable[..., _Decoded], *args: typing.Any
 ) -> _Decoded:
--- a/src/dotterelpath/domain/exchange.py
+++ b/src/dotterelpath/domain/exchange.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing
+
 from dotterelpath import errors
 
 Headers = list[tuple[bytes, bytes]]
@@ -125,6 +127,69 @@
         return None
 
 
+class ResponseSource(typing.Protocol):
+    """Tells when the bytes of a response arrived."""
+
+    @property
+    def last_received_s(self) -> float:
+        """When bytes last arrived, on the monotonic clock, in seconds."""
+
+    @property
+    def response_began_s(self) -> float | None:
+        """When the first bytes of the response arrived; None if none did.
+
+        On the monotonic clock, in seconds.
+        """
+
+
+class Transfer:
+    """The arrival of a response whose length is not known beforehand.
+
+    A response that keeps arriving is not lost, however long it takes. The limit
+    only ends one that trickles.
+    """
+
+    __slots__ = ("_source", "limit_s", "pause_s")
+
+    def __init__(self, pause_s: float, limit_s: float) -> None:
+        """Creates a transfer that has not begun.
+
+        Args:
+            pause_s: The longest time without any byte of the response, in
+                seconds.
+            limit_s: The longest time from its first byte to its end, in
+                seconds.
+        """
+        self.pause_s = pause_s
+        self.limit_s = limit_s
+        self._source: ResponseSource | None = None
+
+    def follow(self, source: ResponseSource) -> None:
+        """Sets where the response arrives, once the call is sent."""
+        self._source = source
+
+    @property
+    def began_s(self) -> float | None:
+        """When the first bytes arrived; None before.
+
+        On the monotonic clock, in seconds.
+        """
+        return None if self._source is None else self._source.response_began_s
+
+    @property
+    def lost_from_s(self) -> float | None:
+        """From when the response is lost, unless more of it arrives.
+
+        On the monotonic clock, in seconds; None if nothing has arrived.
+        """
+        began_s = self.began_s
+        if began_s is None or self._source is None:
+            return None
+        return min(
+            self._source.last_received_s + self.pause_s, began_s + self.limit_s
+        )
+
+
 class Outcome:
     """The result of a request, as reported to the caller."""
 
--- a/src/dotterelpath/domain/store_following.py
+++ b/src/dotterelpath/domain/store_following.py
@@ -33,8 +33,12 @@
 RESERVE_WAIT_SHARE = 2.0
 # The shortest wait of a watch that is to prove the revision.
 MIN_WAIT_SHARE = 0.05
-# A response is lost if it takes longer than this share, apart from the wait.
+# A response is lost if it does not begin within this share, apart from the
+# wait, or pauses for as long.
 RESPONSE_SHARE = 0.15
+# The changes since a revision are given up if they take longer than this share
+# to arrive. All keys, of which each comes once, may be shorter.
+TRANSFER_SHARE = 0.5
 # How long to wait for further changes after a change, to read them in one call.
 BATCH_SHARE = 0.25
 # The same while a fleet starts, which writes many keys meanwhile.
@@ -128,9 +132,14 @@
         """
         return self._proved_s
 
+    @property
+    def transfer_s(self) -> float:
+        """How long changes may take to arrive once they begin, in seconds."""
+        return self._apply_s * TRANSFER_SHARE
+
     @property
     def response_s(self) -> float:
-        """How long the next response may take, apart from its wait.
+        """How long the next response may take to begin, apart from its wait.
 
         In seconds. Longer than usual while the store is slow.
         """
@@ -156,7 +165,7 @@
         self._apply_s = apply_s
 
     def record_response(self, took_s: float) -> None:
-        """Records how long a response took, apart from its wait.
+        """Records how long a response took to begin, apart from its wait.
 
         Args:
             took_s: The time, in seconds.
--- a/src/dotterelpath/errors.py
+++ b/src/dotterelpath/errors.py
@@ -190,5 +190,9 @@
     """No response to a store write arrived; it may have taken effect."""
 
 
+class IncompleteResponseError(StoreError):
+    """The store's response to a read began, but did not end in time."""
+
+
 class HistoryLostError(StoreError):
     """The store no longer has the changes that a watch requested."""
--- a/src/dotterelpath/ports/backend.py
+++ b/src/dotterelpath/ports/backend.py
@@ -133,6 +133,13 @@
         On the monotonic clock.
         """
 
+    @property
+    def response_began_s(self) -> float | None:
+        """When bytes first arrived after the last request was written.
+
+        On the monotonic clock, in seconds; None if none did.
+        """
+
     @property
     def received_bytes(self) -> int:
         """The bytes that arrived since the last request was written."""
--- a/src/dotterelpath/ports/store.py
+++ b/src/dotterelpath/ports/store.py
@@ -151,7 +151,7 @@
         after_revision: int,
         wait_s: float,
         may_be_stale: bool = False,
-        response_s: float | None = None,
+        transfer: exchange.Transfer | None = None,
     ) -> Changes:
         """Waits for changes under a prefix.
 
@@ -163,13 +163,14 @@
             may_be_stale: Whether a response that is seconds old is
                 acceptable; it costs the store less. All keys are always
                 returned as they were after the call was made.
-            response_s: How long the response may take beyond the wait, in
-                seconds; None for the store's usual time.
+            transfer: How the response may arrive; it begins within the wait
+                and the longest pause. None for the store's usual times.
 
         Raises:
             HistoryLostError: The store no longer has the changes since
                 after_revision, or since a stale part of all keys; read all
                 keys instead, none of them stale.
+            IncompleteResponseError: The response did not end in time.
             StoreError: The store did not respond.
         """
 
--- a/src/dotterelpath/tasks/_store_calls.py
+++ b/src/dotterelpath/tasks/_store_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dotterelpath.domain import exchange
 from dotterelpath.domain import store_following
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import store as store_port
@@ -77,7 +78,15 @@
         """Sets how many daemons call the store; see store.Store."""
         self._store.set_daemon_count(count)
 
-    async def watch(self, revision: int, wait_s: float) -> Answer:
+    def new_transfer(self) -> exchange.Transfer:
+        """Creates the transfer of a response with changes."""
+        return exchange.Transfer(
+            self._follower.response_s, self._follower.transfer_s
+        )
+
+    async def watch(
+        self, revision: int, wait_s: float, transfer: exchange.Transfer
+    ) -> Answer:
         """Waits for changes.
 
         The store responds to a watch when it has changes, or when the wait is
@@ -86,10 +95,11 @@
         Args:
             revision: The revision after which changes are returned.
             wait_s: How long to wait for a change, in seconds.
+            transfer: How the response may arrive.
         """
         sent_s = self._clock.now_s()
         changes = await self._store.watch(
-            self._prefix, revision, wait_s, response_s=self._follower.response_s
+            self._prefix, revision, wait_s, False, transfer
         )
         now_s = self._clock.now_s()
         if changes.entries:
@@ -106,10 +116,12 @@
             may_be_stale: Whether the answer may be seconds old.
         """
         sent_s = self._clock.now_s()
+        transfer = self.new_transfer()
         changes = await self._store.watch(
-            self._prefix, revision, 0.0, may_be_stale, self._follower.response_s
+            self._prefix, revision, 0.0, may_be_stale, transfer
         )
-        self._follower.record_response(self._clock.now_s() - sent_s)
+        began_s = transfer.began_s or self._clock.now_s()
+        self._follower.record_response(began_s - sent_s)
         return Answer(changes, sent_s, not may_be_stale)
 
     async def read_reported(self, revision: int) -> Answer:
--- a/src/dotterelpath/tasks/store_reader.py
+++ b/src/dotterelpath/tasks/store_reader.py
@@ -9,6 +9,7 @@
 import structlog
 
 from dotterelpath import errors
+from dotterelpath.domain import exchange
 from dotterelpath.domain import store_following
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import randomness
@@ -145,17 +146,24 @@
                 await steps[step]()
             except errors.HistoryLostError:
                 _log.info("store history lost", revision=self._revision)
-                self._revision = 0
-                self._may_list_stale = False
+                self._forget_revision()
             except errors.StoreError as error:
                 is_first = not self._is_store_lost
                 self._on_failed(error)
+                if isinstance(error, errors.IncompleteResponseError):
+                    # All keys may be shorter than their changes.
+                    self._forget_revision()
                 await asyncio.sleep(
                     FIRST_RETRY_S * self._random.random()
                     if is_first
                     else RETRY_INTERVAL_S * (0.5 + self._random.random())
                 )
 
+    def _forget_revision(self) -> None:
+        """Makes the next read one of all keys."""
+        self._revision = 0
+        self._may_list_stale = False
+
     def handle(self, message: typing.Any) -> None:
         """Handles one message.
 
@@ -218,38 +226,51 @@
             StoreError: A call failed.
         """
         sent_s = self._clock.now_s()
-        watch = asyncio.create_task(self._calls.watch(self._revision, wait_s))
-        arrival = asyncio.create_task(self._mailbox.wait())
+        transfer = self._calls.new_transfer()
+        watch = asyncio.create_task(
+            self._calls.watch(self._revision, wait_s, transfer)
+        )
+        message = asyncio.create_task(self._mailbox.wait())
+        check: asyncio.Task[_store_calls.Answer] | None = None
         try:
             while True:
-                left_s = self._check_due_s(sent_s) - self._clock.now_s()
+                due_s = math.inf
+                if check is None:
+                    due_s = self._check_due_s(sent_s, transfer)
+                left_s = due_s - self._clock.now_s()
                 await asyncio.wait(
-                    (watch, arrival),
+                    [task for task in (watch, message, check) if task],
                     timeout=max(0.0, left_s) if left_s < math.inf else None,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
-                if arrival.done():
+                if message.done():
                     self._handle_messages()
-                    arrival = asyncio.create_task(self._mailbox.wait())
+                    message = asyncio.create_task(self._mailbox.wait())
                 if watch.done():
                     return watch.result()
-                if self._check_due_s(sent_s) <= self._clock.now_s():
-                    answer = await self._check()
-                    if (
-                        answer.changes.entries
-                        or answer.changes.revision > self._revision
-                    ):
+                if check is not None and check.done():
+                    answer = check.result()
+                    check = None
+                    if self._has_news(answer):
                         return answer
+                    self._on_checked(answer)
+                elif check is None and (
+                    self._check_due_s(sent_s, transfer) <= self._clock.now_s()
+                ):
+                    check = asyncio.create_task(self._check())
         finally:
-            for task in (watch, arrival):
+            tasks = [task for task in (watch, message, check) if task]
+            for task in tasks:
                 task.cancel()
-            await asyncio.gather(watch, arrival, return_exceptions=True)
+            await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _check_due_s(self, sent_s: float) -> float:
+    def _check_due_s(self, sent_s: float, transfer: exchange.Transfer) -> float:
         """Returns when the store must be asked by a call besides the watch.
 
         Args:
             sent_s: When the watch was sent, on the monotonic clock, in seconds.
+            transfer: The response to the watch, which brings the changes
+                unless it is lost.
 
         Returns:
             The time on the monotonic clock, in seconds; infinite if only a
@@ -263,26 +284,28 @@
             # The watch itself may prove the revision meanwhile.
             answered_s = sent_s + self._follower.response_s
             due_s = min(due_s, max(self._proof_due_s(), answered_s))
-        return due_s
+        return max(due_s, transfer.lost_from_s or due_s)
 
     def _proof_due_s(self) -> float:
         is_strict = self._is_strict and self._published_revision is not None
         return self._follower.proof_due_s(self._revision, is_strict)
 
     async def _check(self) -> _store_calls.Answer:
-        """Asks the store for later changes while a watch is pending.
-
-        If there are none, the watched revision is proved.
-        """
+        """Asks the store for later changes while a watch is pending."""
         if self._follower.reported_revision > self._revision:
-            answer = await self._calls.read_reported(self._revision)
-        else:
-            answer = await self._calls.read(self._revision, may_be_stale=False)
-        if answer.is_exact and not answer.changes.entries:
+            return await self._calls.read_reported(self._revision)
+        return await self._calls.read(self._revision, may_be_stale=False)
+
+    def _has_news(self, answer: _store_calls.Answer) -> bool:
+        changes = answer.changes
+        return bool(changes.entries) or changes.revision > self._revision
+
+    def _on_checked(self, answer: _store_calls.Answer) -> None:
+        """Takes an answer without changes as a proof of what is known."""
+        if answer.is_exact:
             self._record_proof(answer)
             self._report_read(answer)
             self._publish_revision(self._revision)
-        return answer
 
     async def _read_all(self) -> None:
         """Reads all keys.
