Read large changes from the copies of the daemons that watch the store

Cause: a metastable failure. All daemons read the whole document from the store at the same moment, and its history has the document once for each change. Whoever was late had more to read, which made the others late; the load that kept this up was that of the recovery itself.

Lost calls had received up to 311 kB within 1.0 s, where two changes are 682 kB. The writes of the operator were acknowledged after 1.1 s.

Change: each daemon keeps a copy of the store, each key once. The daemons that watch the store tell with each pong at which revision a large value was written last; their followers read the changes since their own revision from the copy of the one that reported first, compressed, and from the store if it does not respond. A daemon that only the store refuses follows its peers in the same way. The copy proves nothing: what is exact still comes from the store. Changes that take longer than 0.3 of the bound to arrive are replaced by all keys at once.

--- a/features/steps/following_steps.py
+++ b/features/steps/following_steps.py
@@ -55,16 +55,19 @@
     return fleet_harness.call(context.fleet.store, "GET", "/_counts").json()
 
 
-@behave.when("the operator changes the configuration 5 times, once a second")
-def step_change_five_times(context):
-    data_centres = {n.data_centre for n in context.fleet.gateways.values()}
+def wait_for_two_watching(fleet):
+    """Waits until two daemons of each data centre watch; returns how many."""
+    data_centres = {n.data_centre for n in fleet.gateways.values()}
     fleet_harness.wait_until(
-        lambda: all(
-            len(find_watching(context.fleet, d)) == 2 for d in data_centres
-        ),
+        lambda: all(len(find_watching(fleet, d)) == 2 for d in data_centres),
         "two watching daemons in each data centre",
     )
-    context.watcher_count = 2 * len(data_centres)
+    return 2 * len(data_centres)
+
+
+@behave.when("the operator changes the configuration 5 times, once a second")
+def step_change_five_times(context):
+    context.watcher_count = wait_for_two_watching(context.fleet)
     context.counts = counts(context)
     context.changed_s = []
     for _ in range(5):
--- a/features/support/following_fleet.py
+++ b/features/support/following_fleet.py
@@ -37,6 +37,8 @@
 # What a processor core decodes in a second, in bytes of the store's responses.
 DECODED_BYTES_PER_S = 9e6
 MBIT_BYTES = 1e6 / 8.0
+# The bytes of a peer's response, as a share of those of the store's.
+COMPRESSED_SHARE = 0.1
 USUAL_RESOURCES = steering.Resources(1.0, 5.0)
 
 
@@ -68,16 +70,23 @@
         await asyncio.sleep(self._free_s - now_s)
 
 
-class SimulatedStore:
-    """The revisions of a store, and when each was acknowledged.
+def create_entry(revision, size):
+    """Creates the entry of an instance, or a large configuration."""
+    key = "configuration" if size > SMALL_BYTES else "instance"
+    return store_port.VersionedValue(key, str(revision).ljust(size), revision)
 
-    Attributes:
-        sizes: The bytes of the change of each revision.
-    """
+
+def encoded_size(changes):
+    """Returns the bytes of a response of the store with changes."""
+    return sum(len(entry.value) for entry in changes.entries)
+
+
+class SimulatedStore:
+    """The changes of a store, and when each was acknowledged."""
 
     def __init__(self, loop, source, max_stale_s):
         self.acknowledged_s = [0.0]
-        self.sizes = [SMALL_BYTES]
+        self._entries = [create_entry(1, SMALL_BYTES)]
         self.link = Link(loop)
         self._loop = loop
         self._random = source
@@ -90,7 +99,7 @@
 
     def change(self, size=SMALL_BYTES):
         self.acknowledged_s.append(self._loop.time())
-        self.sizes.append(size)
+        self._entries.append(create_entry(self.revision, size))
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -102,20 +111,10 @@
                 self._max_stale_s
             )
             known = max(1, bisect.bisect(self.acknowledged_s, oldest_s))
-        entries = [
-            store_port.VersionedValue("k", str(n), n)
-            for n in range(revision + 1, known + 1)
-        ]
-        return store_port.Changes(entries[-1:], known, not revision)
-
-    def size_of(self, revision, changes):
-        """Returns the bytes of the response with the changes.
-
-        It has each change since a revision, or each key once.
-        """
+        entries = self._entries[revision:known]
         if not revision:
-            return max(self.sizes[: changes.revision])
-        return sum(self.sizes[revision : changes.revision])
+            entries = list({entry.key: entry for entry in entries}.values())
+        return store_port.Changes(entries, known, not revision)
 
     async def wait_for_change(self, revision, wait_s):
         """Waits for a change after a revision, or until the wait ends."""
@@ -210,7 +209,7 @@
         if not may_be_stale:
             await self._store.wait_for_change(after_revision, wait_s)
         changes = self._store.changes_after(after_revision, may_be_stale)
-        size = self._store.size_of(after_revision, changes)
+        size = encoded_size(changes)
         for start in range(0, size, PART_BYTES):
             part_size = min(PART_BYTES, size - start)
             await self._store.link.carry(part_size)
@@ -230,6 +229,37 @@
             await asyncio.sleep(math.inf)
 
 
+class PeerCopies:
+    """Reads other daemons' copies; see ports.store_copies.StoreCopies."""
+
+    def __init__(self, member, fleet):
+        self.read_count = 0
+        self._member = member
+        self._fleet = fleet
+
+    async def changes_after(self, daemon, revision, transfer):
+        holder = self._fleet.members[daemon.peer_port]
+        try:
+            async with asyncio.timeout(transfer.pause_s):
+                await self._cross(holder)
+        except TimeoutError:
+            raise errors.StoreError("no response") from None
+        changes = holder.reader.changes_after(revision)
+        size = encoded_size(changes)
+        for link in (holder.link, self._member.link):
+            await link.carry(size * COMPRESSED_SHARE)
+        await self._member.processor.carry(size)
+        self.read_count += 1
+        return changes
+
+    async def _cross(self, holder):
+        """Takes the way between two daemons, or loses the call."""
+        await asyncio.sleep(self._fleet.random.uniform(*PEER_LATENCY_S))
+        faults = (self._member.fault(), holder.fault())
+        if any(f is not None and f.kind == "cut" for f in faults):
+            await asyncio.sleep(math.inf)
+
+
 class Member:
     """A daemon: its store reader and its peer monitor."""
 
@@ -253,6 +283,7 @@
         clock = fleet.clock
         source = random.Random(f"{fleet.seed} {number}")
         self.path = StorePath(self, fleet.store, source)
+        self.copies = PeerCopies(self, fleet)
         self.known = mailbox.Mailbox("known", 10**6)
         self.reader_inbox = mailbox.Mailbox("reader", 10**6)
         self.monitor_inbox = mailbox.Mailbox("monitor", 10**6)
@@ -276,8 +307,13 @@
             self.monitor_inbox,
             fleet.apply_s,
             daemon_id=self.id,
+            copies=self.copies,
         )
 
+    @property
+    def is_watching(self):
+        return self.monitor.store_revision is not None
+
     def fault(self):
         """Returns the fault that holds now."""
         now_s = self._fleet.clock.now_s()
--- a/src/dotterelpath/adapters/datagrams.py
+++ b/src/dotterelpath/adapters/datagrams.py
@@ -106,6 +106,7 @@
             "revision_age_s": round(datagram.revision_age_s, 3)
             if datagram.revision is not None
             else None,
+            "large_revision": datagram.large_revision,
         }
     if isinstance(datagram, datagrams.QuotaReportDatagram):
         return _encode_quota_report(datagram)
@@ -209,6 +210,7 @@
     if data["revision"] is not None and data.get("revision_age_s") is not None:
         pong.revision = _decode_integer(data["revision"])
         pong.revision_age_s = max(0.0, _decode_number(data["revision_age_s"]))
+        pong.large_revision = _decode_integer(data.get("large_revision") or 0)
     return pong
 
 
--- a/src/dotterelpath/adapters/metrics.py
+++ b/src/dotterelpath/adapters/metrics.py
@@ -38,6 +38,7 @@
     __slots__ = (
         "_avoided",
         "_closed_connections",
+        "_copy_reads",
         "_duration",
         "_ejected",
         "_outcomes",
@@ -82,6 +83,9 @@
             "quota_refusals", "Requests beyond their tenant's quota."
         )
         self._refused_tenants: set[str] = set()
+        self._copy_reads = self._counter(
+            "store_copy_reads", "Reads of other daemons' copies of the store."
+        )
         self._closed_connections = self._counter(
             "closed_connections", "Callers' connections that limits closed."
         )
@@ -161,6 +165,10 @@
         """Records a closed connection; see metrics.Metrics."""
         self._closed_connections.inc({"reason": reason})
 
+    def record_copy_read(self, ok: bool) -> None:
+        """Records a read of another daemon's copy; see metrics.Metrics."""
+        self._copy_reads.inc({"ok": str(ok).lower()})
+
     def record_store_call(self, call: str, ok: bool) -> None:
         """Records a call to the store; see metrics.Metrics."""
         self._store_calls.inc({"call": call, "ok": str(ok).lower()})
--- a/src/dotterelpath/domain/connection_limits.py
+++ b/src/dotterelpath/domain/connection_limits.py
@@ -9,8 +9,8 @@
 
 # Descriptors for files, listening sockets, logs and the event loop.
 FILE_DESCRIPTORS = 200
-# How the other descriptors are divided. The rest, a third, is for connections
-# to instances, the store and other daemons.
+# How the other descriptors are divided. The rest, at least a quarter, is for
+# connections to instances, the store and other daemons.
 CALLER_FRACTION = 0.55
 DIRECTORY_FRACTION = 0.08
 STATUS_FRACTION = 0.02
--- a/src/dotterelpath/domain/store_following.py
+++ b/src/dotterelpath/domain/store_following.py
@@ -38,7 +38,7 @@
 RESPONSE_SHARE = 0.15
 # The changes since a revision are given up if they take longer than this share
 # to arrive. All keys, of which each comes once, may be shorter.
-TRANSFER_SHARE = 0.5
+TRANSFER_SHARE = 0.3
 # How long to wait for further changes after a change, to read them in one call.
 BATCH_SHARE = 0.25
 # The same while a fleet starts, which writes many keys meanwhile.
@@ -82,6 +82,9 @@
     __slots__ = (
         "_apply_s",
         "_confirmed_s",
+        "_copy_holder_id",
+        "_large_revision",
+        "_lost_copy_revision",
         "_newer_reported_s",
         "_own_id",
         "_peer_id",
@@ -108,6 +111,12 @@
         self._reported_revision = 0
         # The peer that last reported a newer proof.
         self._peer_id = ""
+        # The peer that first reported the newest revision.
+        self._copy_holder_id: str | None = None
+        # The newest revision of a large value that a peer has reported.
+        self._large_revision = 0
+        # The newest revision reported when a copy could not be read.
+        self._lost_copy_revision = 0
         # When the newest revision was reported first.
         self._newer_reported_s = -math.inf
         self._proved_s = -math.inf
@@ -156,6 +165,31 @@
         oldest_s = self._apply_s * MAX_PROOF_AGE_SHARE
         return min(self._apply_s * PROOF_SHARE, oldest_s - REPORT_DELAY_S)
 
+    def copy_holder_id(self, revision: int, is_store_lost: bool) -> str | None:
+        """Returns the peer whose copy of the store to read.
+
+        Large values are read from peers: the store's link does not carry them
+        to all daemons at once. So are all changes while only this daemon does
+        not reach the store.
+
+        Args:
+            revision: The revision up to which changes are known; 0 if all keys
+                must be read.
+            is_store_lost: Whether the last call to the store failed.
+
+        Returns:
+            The id of the peer; None if the store is to be read.
+        """
+        if self._reported_revision <= max(revision, self._lost_copy_revision):
+            return None
+        if self._large_revision > revision or is_store_lost:
+            return self._copy_holder_id
+        return None
+
+    def record_lost_copy(self) -> None:
+        """Records that the peer gave no copy of the reported revision."""
+        self._lost_copy_revision = self._reported_revision
+
     def set_apply_s(self, apply_s: float) -> None:
         """Sets the time within which a change must be in force.
 
@@ -264,6 +298,7 @@
         confirmed_s: float,
         now_s: float,
         peer_id: str = "",
+        large_revision: int = 0,
     ) -> None:
         """Records a report from a peer that watches the store.
 
@@ -273,7 +308,10 @@
                 later changes, on this daemon's monotonic clock, in seconds.
             now_s: The time of the report on the monotonic clock, in seconds.
             peer_id: The id of the peer.
+            large_revision: The newest revision at which a large value was
+                written.
         """
+        self._large_revision = max(self._large_revision, large_revision)
         self._reported_s = max(self._reported_s, now_s)
         if confirmed_s > self._confirmed_s:
             self._confirmed_s = confirmed_s
@@ -281,6 +319,7 @@
         if revision > self._reported_revision:
             self._reported_revision = revision
             self._newer_reported_s = now_s
+            self._copy_holder_id = peer_id
 
     def next_step(self, revision: int, now_s: float) -> Step:
         """Decides on the next step.
--- a/src/dotterelpath/gateway_daemon.py
+++ b/src/dotterelpath/gateway_daemon.py
@@ -27,6 +27,7 @@
 from dotterelpath.adapters import metrics as metrics_adapter
 from dotterelpath.adapters import process_limits
 from dotterelpath.adapters import store_client
+from dotterelpath.adapters import store_copies
 from dotterelpath.adapters import traffic
 from dotterelpath.domain import caller_memory
 from dotterelpath.domain import connection_limits
@@ -42,8 +43,8 @@
 from dotterelpath.tasks import backend_pool
 from dotterelpath.tasks import front_end
 from dotterelpath.tasks import gateway
+from dotterelpath.tasks import gateway_inboxes
 from dotterelpath.tasks import gateway_shutdown
-from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import peer_monitor
 from dotterelpath.tasks import registrar
 from dotterelpath.tasks import self_registration
@@ -83,36 +84,6 @@
 _log = structlog.get_logger()
 
 
-class Inboxes:
-    """The mailboxes of the tasks, one for each attribute.
-
-    Errors and log lines show the attribute as the name of the mailbox or of its
-    task. Two attributes differ from the class of the task: back_ends belongs to
-    BackendPool, and neighbourhood to PeerMonitor.
-    """
-
-    __slots__ = (
-        "back_ends",
-        "front_end",
-        "gateway",
-        "neighbourhood",
-        "registrar",
-        "store_reader",
-    )
-
-    back_ends: mailbox.Mailbox[typing.Any]
-    front_end: mailbox.Mailbox[typing.Any]
-    gateway: mailbox.Mailbox[typing.Any]
-    neighbourhood: mailbox.Mailbox[typing.Any]
-    registrar: mailbox.Mailbox[typing.Any]
-    store_reader: mailbox.Mailbox[typing.Any]
-
-    def __init__(self) -> None:
-        """Creates empty mailboxes, which are named after the attributes."""
-        for name in self.__slots__:
-            setattr(self, name, mailbox.Mailbox(name))
-
-
 class GatewayDaemon:
     """One gateway daemon with its adapters and tasks."""
 
@@ -135,6 +106,7 @@
         "_registrar",
         "_settings_watcher",
         "_store",
+        "_store_reader",
         "_supervisor",
         "_traffic",
     )
@@ -163,7 +135,7 @@
             caller_memory.for_process(local_deployment.memory_bytes),
             self._metrics,
         )
-        self._inboxes = Inboxes()
+        self._inboxes = gateway_inboxes.Inboxes()
         self._is_stopping = False
         self._supervisor = supervisor.Supervisor()
         self._client = http_client.HttpClient(
@@ -270,6 +242,7 @@
             inboxes.store_reader,
         )
         self._registrar = self._create_registrar()
+        self._store_reader = self._create_store_reader()
         self._settings_watcher = settings_watcher.SettingsWatcher(
             self._settings_path,
             self._settings_content,
@@ -305,6 +278,11 @@
                 status.handlers,
                 status_fraction,
             ),
+            (
+                local_deployment.peer_endpoint,
+                store_copies.StoreCopyApi(self._store_reader).handlers,
+                connection_limits.PEER_FRACTION,
+            ),
         ]
         if local_deployment.directory_endpoint is not None:
             servers.append(
@@ -365,21 +343,8 @@
         )
         start("back ends", pool.run())
         item_codec = store_item_codec.StoreItemCodec()
-        bounds = self._deployment.bounds
         start("registrar", self._registrar.run())
-        reader = store_reader.StoreReader(
-            item_codec.prefix,
-            self._store,
-            self._clock,
-            self._random,
-            inboxes.store_reader,
-            inboxes.registrar,
-            inboxes.neighbourhood,
-            bounds.store_apply_s,
-            bounds.is_revocation_strict,
-            self._deployment.daemon_id,
-        )
-        start("store reader", reader.run())
+        start("store reader", self._store_reader.run())
         daemon = self._deployment.daemon
         registration = self_registration.SelfRegistration(
             item_codec.daemon_key(daemon.id),
@@ -390,6 +355,27 @@
         # Log lines call this task "enroller".
         start("enroller", registration.run())
 
+    def _create_store_reader(self) -> store_reader.StoreReader:
+        inboxes = self._inboxes
+        local_deployment = self._deployment
+        return store_reader.StoreReader(
+            store_item_codec.StoreItemCodec().prefix,
+            self._store,
+            self._clock,
+            self._random,
+            inboxes.store_reader,
+            inboxes.registrar,
+            inboxes.neighbourhood,
+            local_deployment.bounds.store_apply_s,
+            local_deployment.bounds.is_revocation_strict,
+            local_deployment.daemon_id,
+            store_copies.StoreCopyClient(
+                self._client,
+                max_response_bytes(local_deployment.memory_bytes),
+                self._metrics,
+            ),
+        )
+
     def _create_registrar(self) -> registrar.Registrar:
         inboxes = self._inboxes
         return registrar.Registrar(
--- a/src/dotterelpath/ports/datagrams.py
+++ b/src/dotterelpath/ports/datagrams.py
@@ -30,6 +30,7 @@
     """Reports a daemon's state in response to a ping."""
 
     __slots__ = (
+        "large_revision",
         "revision",
         "revision_age_s",
         "sender_id",
@@ -46,6 +47,7 @@
         usage: steering.Resources,
         revision: int | None,
         revision_age_s: float = math.inf,
+        large_revision: int = 0,
     ) -> None:
         """Creates a pong.
 
@@ -57,7 +59,10 @@
             revision: The revision of the store up to which the daemon knows
                 all changes; None if it does not watch the store.
             revision_age_s: How long ago the store confirmed this, in seconds.
+            large_revision: The newest revision at which a large value was
+                written.
         """
+        self.large_revision = large_revision
         self.sender_id = sender_id
         self.sequence = sequence
         self.state = state
--- a/src/dotterelpath/ports/metrics.py
+++ b/src/dotterelpath/ports/metrics.py
@@ -87,6 +87,13 @@
                 invalid, or a request kind that is unknown.
         """
 
+    def record_copy_read(self, ok: bool) -> None:
+        """Records a read of another daemon's copy of the store.
+
+        Args:
+            ok: Whether the daemon responded with changes.
+        """
+
     def record_quota_refusal(self, tenant: str) -> None:
         """Records a request that is beyond its tenant's quota.
 
--- a/src/dotterelpath/tasks/_store_calls.py
+++ b/src/dotterelpath/tasks/_store_calls.py
@@ -1,11 +1,18 @@
-"""The part of the store reader that calls the store."""
+"""The part of the store reader that calls the store and peers."""
 
 from __future__ import annotations
 
+import structlog
+
+from dotterelpath import errors
 from dotterelpath.domain import exchange
+from dotterelpath.domain import steering
 from dotterelpath.domain import store_following
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import store as store_port
+from dotterelpath.ports import store_copies
+
+_log = structlog.get_logger()
 
 
 class Answer:
@@ -14,6 +21,7 @@
     __slots__ = (
         "changes",
         "complete_at_s",
+        "copied_from",
         "is_exact",
         "proved_at_s",
         "sent_s",
@@ -26,6 +34,7 @@
         is_exact: bool,
         proved_at_s: float | None = None,
         sent_s: float | None = None,
+        copied_from: str | None = None,
     ) -> None:
         """Creates an answer.
 
@@ -38,7 +47,10 @@
                 was not delayed on its way; complete_at_s if None.
             sent_s: When the call was sent, on the monotonic clock, in seconds;
                 complete_at_s if None.
+            copied_from: The id of the daemon whose copy was read; None if the
+                store itself was.
         """
+        self.copied_from = copied_from
         self.sent_s = complete_at_s if sent_s is None else sent_s
         self.changes = changes
         self.complete_at_s = complete_at_s
@@ -49,10 +61,18 @@
 class StoreCalls:
     """Reads changes of the store, and records how long the responses took.
 
-    All calls raise StoreError if the store did not respond.
+    All calls raise StoreError if the store did not respond. Large changes are
+    read from the copies of other daemons, if one of them has reported them.
     """
 
-    __slots__ = ("_clock", "_follower", "_prefix", "_store")
+    __slots__ = (
+        "_clock",
+        "_copies",
+        "_daemons",
+        "_follower",
+        "_prefix",
+        "_store",
+    )
 
     def __init__(
         self,
@@ -60,6 +80,7 @@
         store: store_port.Store,
         clock: clock_port.Clock,
         follower: store_following.StoreFollower,
+        copies: store_copies.StoreCopies | None = None,
     ) -> None:
         """Creates the calls.
 
@@ -67,16 +88,25 @@
             prefix: The prefix of the keys.
             store: The store.
             clock: Tells the time.
-            follower: Knows how long a response may take.
+            follower: Knows how long a response may take, and who has a copy.
+            copies: Reads copies of other daemons; without it, only the store
+                is read.
         """
+        self._copies = copies
+        self._daemons: dict[str, steering.Daemon] = {}
         self._prefix = prefix
         self._store = store
         self._clock = clock
         self._follower = follower
 
-    def set_daemon_count(self, count: int) -> None:
-        """Sets how many daemons call the store; see store.Store."""
-        self._store.set_daemon_count(count)
+    def set_daemons(self, daemons: dict[str, steering.Daemon]) -> None:
+        """Sets the daemons that call the store and may have copies.
+
+        Args:
+            daemons: The daemons by id.
+        """
+        self._daemons = daemons
+        self._store.set_daemon_count(len(daemons))
 
     def new_transfer(self) -> exchange.Transfer:
         """Creates the transfer of a response with changes."""
@@ -124,24 +154,63 @@
         self._follower.record_response(began_s - sent_s)
         return Answer(changes, sent_s, not may_be_stale)
 
-    async def read_reported(self, revision: int) -> Answer:
+    async def read_reported(self, revision: int, is_store_lost: bool) -> Answer:
         """Reads the changes up to the revision that another daemon reported.
 
         Args:
             revision: The revision after which changes are returned.
+            is_store_lost: Whether the last call to the store failed.
         """
         target_revision = self._follower.reported_revision
+        copied = await self._read_copy(revision, target_revision, is_store_lost)
+        if copied is not None:
+            return copied
         answer = await self.read(revision, may_be_stale=True)
         if answer.changes.revision >= target_revision:
             return answer
         return await self.read(revision, may_be_stale=False)
 
-    async def read_all(self, may_list_stale: bool) -> Answer:
+    async def read_all(
+        self, may_list_stale: bool, known_revision: int, is_store_lost: bool
+    ) -> Answer:
         """Reads all keys.
 
         Args:
             may_list_stale: Whether to begin with stale pages, which cost less.
+            known_revision: The revision that the answer must have reached.
+            is_store_lost: Whether the last call to the store failed.
         """
+        copied = await self._read_copy(0, known_revision, is_store_lost)
+        if copied is not None:
+            return copied
         sent_s = self._clock.now_s()
         changes = await self._store.watch(self._prefix, 0, 0.0, may_list_stale)
         return Answer(changes, sent_s, True)
+
+    async def _read_copy(
+        self, revision: int, target_revision: int, is_store_lost: bool
+    ) -> Answer | None:
+        """Reads the copy of another daemon, if that is better than the store.
+
+        Returns:
+            The answer; None if the store is to be read.
+        """
+        holder_id = self._follower.copy_holder_id(revision, is_store_lost)
+        holder = self._daemons.get(holder_id or "")
+        if holder is None or self._copies is None:
+            return None
+        sent_s = self._clock.now_s()
+        try:
+            changes = await self._copies.changes_after(
+                holder, revision, self.new_transfer()
+            )
+            if changes.revision < target_revision:
+                raise errors.StoreError(
+                    f"copy of {holder.id}: revision {changes.revision}, not"
+                    f" {target_revision}"
+                )
+        except errors.StoreError as error:
+            _log.info("copy of the store not read", error=str(error))
+            self._follower.record_lost_copy()
+            return None
+        return Answer(changes, sent_s, False, copied_from=holder.id)
--- a/src/dotterelpath/tasks/fleet_events.py
+++ b/src/dotterelpath/tasks/fleet_events.py
@@ -47,10 +47,21 @@
 class RevisionReceived:
     """Another daemon that watches the store reported its revision."""
 
-    __slots__ = ("at_s", "confirmed_s", "daemon_id", "revision")
+    __slots__ = (
+        "at_s",
+        "confirmed_s",
+        "daemon_id",
+        "large_revision",
+        "revision",
+    )
 
     def __init__(
-        self, daemon_id: str, revision: int, confirmed_s: float, at_s: float
+        self,
+        daemon_id: str,
+        revision: int,
+        confirmed_s: float,
+        at_s: float,
+        large_revision: int = 0,
     ) -> None:
         """Creates the message.
 
@@ -60,7 +71,10 @@
             confirmed_s: When the store confirmed this to it at the latest, on
                 the monotonic clock, in seconds.
             at_s: When it arrived, on the monotonic clock, in seconds.
+            large_revision: The newest revision at which a large value was
+                written.
         """
+        self.large_revision = large_revision
         self.daemon_id = daemon_id
         self.revision = revision
         self.confirmed_s = confirmed_s
@@ -84,10 +98,13 @@
 class WatchedRevisionChanged:
     """The watched store revision has changed or was confirmed by the store."""
 
-    __slots__ = ("confirmed_s", "revision")
+    __slots__ = ("confirmed_s", "large_revision", "revision")
 
     def __init__(
-        self, revision: int | None, confirmed_s: float = -math.inf
+        self,
+        revision: int | None,
+        confirmed_s: float = -math.inf,
+        large_revision: int = 0,
     ) -> None:
         """Creates the message.
 
@@ -96,7 +113,10 @@
                 changes; None if it does not watch the store.
             confirmed_s: The time for which the store confirmed this, on the
                 monotonic clock, in seconds.
+            large_revision: The newest revision at which a large value was
+                written.
         """
+        self.large_revision = large_revision
         self.revision = revision
         self.confirmed_s = confirmed_s
 
--- a/src/dotterelpath/tasks/peer_monitor.py
+++ b/src/dotterelpath/tasks/peer_monitor.py
@@ -53,6 +53,7 @@
         "_gateway",
         "_has_instance_list",
         "_is_leaving",
+        "_large_revision",
         "_last_cpu_time_s",
         "_last_sent_bytes",
         "_mailbox",
@@ -105,6 +106,7 @@
         )
         self._store_revision: int | None = None
         self._store_confirmed_s = -math.inf
+        self._large_revision = 0
         self._ping_reported_s = -math.inf
         self._datagrams: datagrams.Datagrams | None = None
         self._fleet_view = fleet_view.FleetView(
@@ -243,6 +245,7 @@
         elif isinstance(message, fleet_events.WatchedRevisionChanged):
             self._store_revision = message.revision
             self._store_confirmed_s = message.confirmed_s
+            self._large_revision = message.large_revision
         elif isinstance(message, fleet_events.StoreRead):
             self._freshness.on_store_read(message, self._clock.now_s())
         elif isinstance(message, fleet_events.BoundsChanged):
@@ -481,7 +484,11 @@
         self._freshness.record_report(pong.revision, confirmed_s, now_s)
         self._store_reader.force(
             fleet_events.RevisionReceived(
-                pong.sender_id, pong.revision, confirmed_s, now_s
+                pong.sender_id,
+                pong.revision,
+                confirmed_s,
+                now_s,
+                pong.large_revision,
             )
         )
 
@@ -497,6 +504,7 @@
             self._usage,
             self._store_revision,
             now_s - self._store_confirmed_s,
+            self._large_revision,
         )
         self._datagrams.send(host, port, pong)
 
--- a/src/dotterelpath/tasks/store_reader.py
+++ b/src/dotterelpath/tasks/store_reader.py
@@ -10,10 +10,12 @@
 
 from dotterelpath import errors
 from dotterelpath.domain import exchange
+from dotterelpath.domain import store_copy
 from dotterelpath.domain import store_following
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import randomness
 from dotterelpath.ports import store as store_port
+from dotterelpath.ports import store_copies
 from dotterelpath.tasks import _store_calls
 from dotterelpath.tasks import fleet_events
 from dotterelpath.tasks import mailbox
@@ -62,6 +64,7 @@
         "_apply_s",
         "_calls",
         "_clock",
+        "_copy",
         "_follower",
         "_is_store_lost",
         "_is_strict",
@@ -89,6 +92,7 @@
         apply_s: float,
         is_strict: bool = False,
         daemon_id: str = "",
+        copies: store_copies.StoreCopies | None = None,
     ) -> None:
         """Creates the task's state.
 
@@ -104,6 +108,7 @@
             is_strict: Whether requests are refused unless the store has
                 confirmed lately what is known.
             daemon_id: The id of this daemon.
+            copies: Reads the copies of the store that other daemons have.
         """
         self._is_strict = is_strict
         self._apply_s = apply_s
@@ -115,8 +120,9 @@
         self._peer_monitor = peer_monitor
         self._follower = store_following.StoreFollower(apply_s, daemon_id)
         self._calls = _store_calls.StoreCalls(
-            prefix, store, clock, self._follower
+            prefix, store, clock, self._follower, copies
         )
+        self._copy = store_copy.StoreCopy()
         # The revision to read changes from; 0 if all keys must be read.
         self._revision = 0
         self._newest_revision = 0
@@ -130,6 +136,10 @@
         """Decides whether this daemon watches the store."""
         return self._follower
 
+    def changes_after(self, revision: int) -> store_port.Changes:
+        """Returns changed keys; see store_copies.CopyHolder."""
+        return self._copy.changes_after(revision)
+
     async def run(self) -> None:
         """Reads until cancelled."""
         steps = {
@@ -150,9 +160,12 @@
             except errors.StoreError as error:
                 is_first = not self._is_store_lost
                 self._on_failed(error)
-                if isinstance(error, errors.IncompleteResponseError):
+                if self._revision and isinstance(
+                    error, errors.IncompleteResponseError
+                ):
                     # All keys may be shorter than their changes.
                     self._forget_revision()
+                    continue
                 await asyncio.sleep(
                     FIRST_RETRY_S * self._random.random()
                     if is_first
@@ -176,7 +189,7 @@
         elif isinstance(message, fleet_events.PeerPinged):
             self._follower.record_query(message.at_s)
         elif isinstance(message, fleet_events.DaemonsChanged):
-            self._calls.set_daemon_count(len(message.daemons))
+            self._calls.set_daemons(message.daemons)
         elif isinstance(message, fleet_events.BoundsChanged):
             self._is_strict = message.bounds.is_revocation_strict
             self._apply_s = message.bounds.store_apply_s
@@ -199,6 +212,7 @@
             message.confirmed_s,
             message.at_s,
             message.daemon_id,
+            message.large_revision,
         )
 
     def _handle_messages(self) -> None:
@@ -213,7 +227,8 @@
             return
         answer = await self._watch_and_check(self._watch_wait_s())
         self._on_answer(answer)
-        self._publish_revision(self._revision)
+        if not self._is_store_lost:
+            self._publish_revision(self._revision)
         await self._wait_for_batch(answer.changes)
 
     async def _watch_and_check(self, wait_s: float) -> _store_calls.Answer:
@@ -280,6 +295,10 @@
         if self._follower.reported_revision > self._revision:
             reported_s = self._follower.newer_reported_s
             due_s = max(reported_s, sent_s) + REPORT_GRACE_S
+            if self._follower.copy_holder_id(
+                self._revision, self._is_store_lost
+            ):
+                return due_s
         if not self._is_store_lost:
             # The watch itself may prove the revision meanwhile.
             answered_s = sent_s + self._follower.response_s
@@ -291,9 +310,11 @@
         return self._follower.proof_due_s(self._revision, is_strict)
 
     async def _check(self) -> _store_calls.Answer:
-        """Asks the store for later changes while a watch is pending."""
+        """Asks for later changes while a watch is pending."""
         if self._follower.reported_revision > self._revision:
-            return await self._calls.read_reported(self._revision)
+            return await self._calls.read_reported(
+                self._revision, self._is_store_lost
+            )
         return await self._calls.read(self._revision, may_be_stale=False)
 
     def _has_news(self, answer: _store_calls.Answer) -> bool:
@@ -313,7 +334,9 @@
         The first read begins with stale pages, which cost little while a fleet
         starts.
         """
-        answer = await self._calls.read_all(self._may_list_stale)
+        answer = await self._calls.read_all(
+            self._may_list_stale, self._newest_revision, self._is_store_lost
+        )
         self._on_answer(answer)
         if self._may_list_stale:
             self._follower.record_first_read(answer.sent_s)
@@ -321,7 +344,9 @@
 
     async def _catch_up(self) -> None:
         """Reads the changes up to the revision that another daemon reported."""
-        answer = await self._calls.read_reported(self._revision)
+        answer = await self._calls.read_reported(
+            self._revision, self._is_store_lost
+        )
         self._on_answer(answer)
         await self._wait_for_batch(answer.changes)
 
@@ -375,9 +400,11 @@
         max_silence_s = MAX_SILENCE_S
         self._log_changes(answer)
         if self._is_store_lost:
-            _log.info("store available again", revision=changes.revision)
-            self._is_store_lost = False
             max_silence_s = 0.0
+            if answer.copied_from is None:
+                _log.info("store available again", revision=changes.revision)
+                self._is_store_lost = False
+        self._copy.apply(changes)
         self._revision = self._newest_revision = changes.revision
         self._record_proof(answer)
         self._report_changes(changes, max_silence_s)
@@ -399,6 +426,7 @@
             revision=answer.changes.revision,
             known_revision=self._revision,
             exact=answer.is_exact,
+            copied_from=answer.copied_from,
             bytes=answer.changes.encoded_bytes,
             took_s=round(now_s - answer.sent_s, 3),
             proved_age_s=round(now_s - self._follower.proved_s, 3),
@@ -449,7 +477,7 @@
         self._published_revision = revision
         self._peer_monitor.force(
             fleet_events.WatchedRevisionChanged(
-                revision, self._follower.proved_s
+                revision, self._follower.proved_s, self._copy.large_revision
             )
         )
 
