Refuse responses whose status is above 599

Cause: h11 refuses a status below 100 with an error, which takes the way of a broken response, but takes 600 to 999 for final responses, and so did the connection to instances.

Evidence: a scenario with ten statuses on both interfaces. 000, 099, 101, 199 and texts that are no status were no answer before; 600 and 999 were passed on in four of 20 rows.

Change: such a head fails the attempt as a protocol error, like any other bytes that are no answer: the outcome is unknown, a request that must not run twice is not sent again, and the connection is closed. Calls to the store and to peers use the same code. All 20 rows pass.

--- a/features/hostile.feature
+++ b/features/hostile.feature
@@ -16,6 +16,35 @@
       | fleet     | refusal  | without an id | fails with an unknown outcome  |
       | fleet     | answer   | without an id | fails with an unknown outcome  |
 
+  # Statuses from 600 on were passed on as responses.
+  Scenario Outline: A response without a valid status is no answer
+    Given a kept connection to a server of the <interface>
+    When a request is written, and a response with the status <status> comes
+    Then the request gets no answer, and the connection is closed
+
+    Examples:
+      | interface | status |
+      | platform  | 000    |
+      | platform  | 099    |
+      | platform  | 101    |
+      | platform  | 199    |
+      | platform  | 600    |
+      | platform  | 999    |
+      | platform  | 20     |
+      | platform  | 2000   |
+      | platform  | -20    |
+      | platform  | 2O0    |
+      | fleet     | 000    |
+      | fleet     | 099    |
+      | fleet     | 101    |
+      | fleet     | 199    |
+      | fleet     | 600    |
+      | fleet     | 999    |
+      | fleet     | 20     |
+      | fleet     | 2000   |
+      | fleet     | -20    |
+      | fleet     | 2O0    |
+
   Scenario: A server that names no request gets a new connection for each
     Given a connection to a server that names no request in its answer
     Then the connection is not kept
--- a/features/steps/hostile_steps.py
+++ b/features/steps/hostile_steps.py
@@ -171,6 +171,26 @@
     assert context.result == "the response names no request", context.result
 
 
+@behave.when(
+    "a request is written, and a response with the status {status} comes"
+)
+def step_status(context, status):
+    server = context.server
+    server.request(1)
+    response = server.response(1, b"first\r\n\r\n")
+    server.accepted.sendall(
+        response.replace(b" 200 ", b" %b " % status.encode())
+    )
+    context.result = server.result()
+
+
+@behave.then("the request gets no answer, and the connection is closed")
+def step_no_answer(context):
+    # A failed attempt has a text that says why, a response is an object.
+    assert isinstance(context.result, str), context.result.status
+    assert not context.server.connection.is_reusable
+
+
 @behave.given("a connection to a server that names no request in its answer")
 def step_unnamed(context):
     context.server = Server(context)
--- a/src/dotterelpath/adapters/h11_backend.py
+++ b/src/dotterelpath/adapters/h11_backend.py
@@ -19,6 +19,8 @@
 from dotterelpath.ports import clock as clock_port
 
 MAX_HEAD_BYTES = 64 * 1024
+# The highest valid status (RFC 9110, section 15); h11 refuses those below 100.
+MAX_STATUS = 599
 # Servers send at most a few responses with a status below 200 before the final
 # one.
 MAX_INFORMATIONAL_RESPONSES = 16
@@ -308,6 +310,9 @@
 
     def _on_head(self, head: h11.Response) -> bool:
         assert self._request is not None
+        if head.status_code > MAX_STATUS:
+            self._fail(f"the status {head.status_code} is invalid", True)
+            return False
         self._response = exchange.Response(
             head.status_code, list(head.headers), b""
         )
