Read a copy only if it is newer than what is known

Cause: after changes that were too long, all keys were read from the copy of a peer that had been cut off as well. Its revision was no newer than the known one, the next changes were too long again, and so on. Besides, the limit of a transfer was looked at only once the response had to begin, and a peer was given the time of a slow store.

Change: all keys are read from a copy only if a newer revision than the known one was reported. A transfer is looked at again after its limit, and a peer's response must begin within the usual time.

--- a/features/late_changes.feature
+++ b/features/late_changes.feature
@@ -56,6 +56,19 @@
     When large changes come and paths fail at random, from 20 seeds
     Then each daemon in touch knew each change within 2.5 seconds
 
+  # Instead of all keys of the store, the copy of a peer that knew no more was
+  # read again and again.
+  Scenario: A copy without news does not replace a read of the store
+    Given fleets of daemons with links of 5 to 100 Mbit/s
+    When large changes come and paths fail at random, from seed 92
+    Then each daemon in touch knew each change within 2.5 seconds
+
+  # The changes since long ago do not arrive in time, and all keys come after.
+  Scenario: A lone daemon on a slow link is back in time after an outage
+    Given fleets of daemons with links of 5 to 100 Mbit/s
+    When large changes come and paths fail at random, from seeds 152, 198, 226
+    Then each daemon in touch knew each change within 2.5 seconds
+
   # The time-out of a call covered the whole response.
   Scenario: A response that keeps arriving is not lost
     Given a store whose response comes in parts, one each 0.1 seconds
--- a/features/steps/late_change_steps.py
+++ b/features/steps/late_change_steps.py
@@ -240,6 +240,16 @@
     }
 
 
+@behave.when("large changes come and paths fail at random, from seed {seeds}")
+@behave.when("large changes come and paths fail at random, from seeds {seeds}")
+def step_large_and_fault_seeds(context, seeds):
+    context.late = {
+        seed: late
+        for seed in map(int, seeds.split(", "))
+        if (late := play_large_and_faults(seed, context.link_mbps))
+    }
+
+
 def play_large_and_faults(seed, link_mbps):
     """Plays random faults while a large configuration changes."""
     source = random.Random(f"large {seed}")
--- a/features/support/following_fleet.py
+++ b/features/support/following_fleet.py
@@ -188,21 +188,19 @@
     async def _receive(self, call, reset, wait_s, transfer):
         """Waits for a response as adapters.http_client does."""
         loop = self._member.loop
-        lost_from_s = loop.time() + wait_s + transfer.pause_s
+        begin_by_s = loop.time() + wait_s + transfer.pause_s
         while not call.done() and not reset.done():
+            left_s = transfer.wait_until_s(begin_by_s, loop.time())
+            left_s -= loop.time()
+            if left_s <= 0.0 and transfer.began_s is None:
+                raise errors.StoreError("no response")
+            if left_s <= 0.0:
+                raise errors.IncompleteResponseError("no complete response")
             await asyncio.wait(
                 (call, reset),
-                timeout=max(0.0, lost_from_s - loop.time()),
+                timeout=left_s,
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if call.done() or reset.done():
-                return
-            lost_from_s = transfer.lost_from_s or lost_from_s
-            if lost_from_s > loop.time():
-                continue
-            if transfer.began_s is None:
-                raise errors.StoreError("no response")
-            raise errors.IncompleteResponseError("no complete response")
 
     async def _call(self, after_revision, wait_s, may_be_stale, response):
         await self._cross()
@@ -210,18 +208,22 @@
             await self._store.wait_for_change(after_revision, wait_s)
         changes = self._store.changes_after(after_revision, may_be_stale)
         size = encoded_size(changes)
+        await self._cross()
         for start in range(0, size, PART_BYTES):
             part_size = min(PART_BYTES, size - start)
             await self._store.link.carry(part_size)
             await self._member.link.carry(part_size)
+            await self._fail_in_fault()
             response.note_part()
-        await self._cross()
         await self._member.processor.carry(size)
         return changes
 
     async def _cross(self):
         """Takes one way between the daemon and the store, or loses the call."""
         await asyncio.sleep(self._random.uniform(*STORE_LATENCY_S))
+        await self._fail_in_fault()
+
+    async def _fail_in_fault(self):
         fault = self._member.fault()
         if fault is not None and fault.kind == "reset":
             raise errors.StoreError("reset")
--- a/src/dotterelpath/adapters/http_client.py
+++ b/src/dotterelpath/adapters/http_client.py
@@ -128,15 +128,13 @@
             async with asyncio.timeout(timeout_s):
                 return await future
         transfer.follow(connection)
-        lost_from_s = self._clock.now_s() + timeout_s
+        begin_by_s = self._clock.now_s() + timeout_s
         while not future.done():
-            left_s = lost_from_s - self._clock.now_s()
-            await asyncio.wait((future,), timeout=max(0.0, left_s))
-            if future.done():
-                break
-            lost_from_s = transfer.lost_from_s or lost_from_s
-            if lost_from_s <= self._clock.now_s():
+            now_s = self._clock.now_s()
+            left_s = transfer.wait_until_s(begin_by_s, now_s) - now_s
+            if left_s <= 0.0:
                 raise TimeoutError
+            await asyncio.wait((future,), timeout=left_s)
         return future.result()
 
     def close(self) -> None:
--- a/src/dotterelpath/domain/exchange.py
+++ b/src/dotterelpath/domain/exchange.py
@@ -189,6 +189,24 @@
             self._source.last_received_s + self.pause_s, began_s + self.limit_s
         )
 
+    def wait_until_s(self, begin_by_s: float, now_s: float) -> float:
+        """Returns until when to wait before this is asked again.
+
+        Args:
+            begin_by_s: When the response must begin, on the monotonic clock,
+                in seconds.
+            now_s: The current time on the same clock.
+
+        Returns:
+            The time on the same clock; the response is lost if it has passed.
+        """
+        lost_from_s = self.lost_from_s
+        if lost_from_s is not None:
+            return lost_from_s
+        # The response may begin at once, and reach its limit before it had to
+        # begin.
+        return min(begin_by_s, now_s + self.limit_s)
+
 
 class Outcome:
     """The result of a request, as reported to the caller."""
--- a/src/dotterelpath/domain/store_following.py
+++ b/src/dotterelpath/domain/store_following.py
@@ -152,8 +152,12 @@
 
         In seconds. Longer than usual while the store is slow.
         """
-        usual_s = self._apply_s * RESPONSE_SHARE
-        return min(MAX_RESPONSE_S, max(usual_s, self._response_s))
+        return min(MAX_RESPONSE_S, max(self.copy_response_s, self._response_s))
+
+    @property
+    def copy_response_s(self) -> float:
+        """How long a peer's response may take to begin, in seconds."""
+        return self._apply_s * RESPONSE_SHARE
 
     @property
     def proof_interval_s(self) -> float:
--- a/src/dotterelpath/tasks/_store_calls.py
+++ b/src/dotterelpath/tasks/_store_calls.py
@@ -177,12 +177,15 @@
 
         Args:
             may_list_stale: Whether to begin with stale pages, which cost less.
-            known_revision: The revision that the answer must have reached.
+            known_revision: The newest revision that was known; only a copy of
+                a newer one is read.
             is_store_lost: Whether the last call to the store failed.
         """
-        copied = await self._read_copy(0, known_revision, is_store_lost)
-        if copied is not None:
-            return copied
+        target_revision = self._follower.reported_revision
+        if target_revision > known_revision:
+            copied = await self._read_copy(0, target_revision, is_store_lost)
+            if copied is not None:
+                return copied
         sent_s = self._clock.now_s()
         changes = await self._store.watch(self._prefix, 0, 0.0, may_list_stale)
         return Answer(changes, sent_s, True)
@@ -202,7 +205,11 @@
         sent_s = self._clock.now_s()
         try:
             changes = await self._copies.changes_after(
-                holder, revision, self.new_transfer()
+                holder,
+                revision,
+                exchange.Transfer(
+                    self._follower.copy_response_s, self._follower.transfer_s
+                ),
             )
             if changes.revision < target_revision:
                 raise errors.StoreError(
