--- a/soak/fault_injection.py
+++ b/soak/fault_injection.py
@@ -19,6 +19,8 @@
     "lose": {"lose": 3},
     "stale": {"stale_s": 3.0},
 }
+# Routes that make a configuration large enough to be read from peers.
+LARGE_ROUTE_COUNT = 200
 # Answers that may be stale have different ages at all times, and so have the
 # pages of one list.
 USUAL_STORE_MODE: dict[str, typing.Any] = {
@@ -51,6 +53,7 @@
             clock, by the id of the instance.
         route_moves: Time and service of each change of the route /moving/.
         key_ring: The keys of the tenants; None if there are none.
+        is_configuration_large: Whether configurations have many routes.
         outages: Start and end of each fault of the store that may delay
             changes, in seconds of the monotonic clock.
     """
@@ -60,6 +63,7 @@
         "_relay_ports",
         "_stop_faults",
         "drain_started_s",
+        "is_configuration_large",
         "key_ring",
         "outages",
         "route_moves",
@@ -80,6 +84,7 @@
         self.drain_started_s: dict[str, float] = {}
         self.route_moves: list[tuple[float, str]] = []
         self.key_ring: keys.KeyRing | None = None
+        self.is_configuration_large = False
         self.outages: list[tuple[float, float]] = []
 
     def start(self, daemon_count: int) -> None:
@@ -115,10 +120,15 @@
 
     def _write_routes(self, service: str) -> None:
         non_idempotent = {"route_type": "non_idempotent", "max_attempts": 2}
+        others = [
+            gateway_fleet.route(f"/other-{number}/", "presses")
+            for number in range(LARGE_ROUTE_COUNT)
+        ]
         self.configure(
             gateway_fleet.route("/presses/", "presses"),
             gateway_fleet.route("/deposits/", "deposits", **non_idempotent),
             gateway_fleet.route("/moving/", service),
+            *(others if self.is_configuration_large else ()),
             tenants=self.key_ring.to_json() if self.key_ring else None,
         )
         if self.key_ring is not None:
--- a/soak/main.py
+++ b/soak/main.py
@@ -54,6 +54,7 @@
         self._fleet = fault_injection.FaultInjectingFleet(
             folder / "processes.log", folder
         )
+        self._fleet.is_configuration_large = seed % 2 == 1
         if has_tenants:
             self._fleet.key_ring = keys.KeyRing(seed)
         # Every second caller of a data centre pipelines.
