Bound the pauses of all large reads, and replace those that are too long

What callers could see: a daemon that never learns of changes again, if those since its revision are longer than its memory allows; and on the fleet's own interface a document or a list of VMs that takes more than 2 or 3 s to arrive and is never read.

Evidence: read in the code; a scenario shows that the error of a response that is too long was not told from silence (red before).

Change: a response that is too long counts as incomplete, and all keys are read next. These calls must begin and go on within the time that the whole had, and end within 30 s. Not changed: hand-offs of records and heartbeats, which are sent, not read.

--- a/features/late_changes.feature
+++ b/features/late_changes.feature
@@ -80,6 +80,17 @@
     When a daemon reads changes, and allows pauses of 0.5 seconds
     Then the response is lost, and it is known that a part came
 
+  # Changes longer than the memory allows were asked for again and again.
+  Scenario: A response that is too long is known to be incomplete
+    Given a store whose response comes in parts, one each 0.1 seconds
+    When a daemon reads changes, and allows 500 bytes
+    Then the response is lost, and it is known that a part came
+
+  Scenario: A daemon reads all keys instead of changes that are too long
+    Given a store whose changes are too long, and whose keys are not
+    When a daemon follows it
+    Then it knows the store's newest revision
+
   Scenario: A response that goes on without end is lost
     Given a store whose response goes on without end
     When a daemon reads changes, and allows pauses of 0.5 seconds
--- a/features/steps/transfer_steps.py
+++ b/features/steps/transfer_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import types
 
 import behave
@@ -14,6 +15,11 @@
 from dotterelpath.adapters import store_client
 from dotterelpath.domain import exchange
 from dotterelpath.platform import store_codec
+from dotterelpath.ports import store as store_port
+from dotterelpath.tasks import mailbox
+from dotterelpath.tasks import store_events
+from dotterelpath.tasks import store_reader
+from features.support import simulated_time
 
 # The longest pause and the longest transfer of the calls, in seconds.
 PAUSE_S = 0.5
@@ -70,12 +76,21 @@
 
 @behave.when("a daemon reads changes, and allows pauses of 0.5 seconds")
 def step_read(context):
+    context.result = read_changes(context.slow_store)
+
+
+@behave.when("a daemon reads changes, and allows {size:d} bytes")
+def step_read_short(context, size):
+    context.result = read_changes(context.slow_store, size)
+
+
+def read_changes(slow_store, max_bytes=http_client.DEFAULT_MAX_RESPONSE_BYTES):
+    """Reads changes; returns them, or the error."""
+
     async def read():
-        server = await asyncio.start_server(
-            context.slow_store.serve, "127.0.0.1", 0
-        )
+        server = await asyncio.start_server(slow_store.serve, "127.0.0.1", 0)
         system_clock = clock.SystemClock()
-        client = http_client.HttpClient(system_clock)
+        client = http_client.HttpClient(system_clock, max_bytes)
         store = store_client.StoreClient(
             *server.sockets[0].getsockname(),
             client,
@@ -93,7 +108,72 @@
             client.close()
             server.close()
 
-    context.result = asyncio.run(read())
+    return asyncio.run(read())
+
+
+class LongHistoryStore:
+    """A store whose changes are too long to read; see ports.store.Store."""
+
+    def __init__(self):
+        self.revision = 1
+
+    def set_daemon_count(self, count):
+        pass
+
+    async def watch(
+        self,
+        prefix,
+        after_revision,
+        wait_s,
+        may_be_stale=False,
+        transfer=None,
+    ):
+        await asyncio.sleep(0.01)
+        if not after_revision:
+            return store_port.Changes([], self.revision, True)
+        if self.revision > after_revision:
+            raise errors.IncompleteResponseError("too long")
+        await asyncio.sleep(wait_s)
+        return store_port.Changes([], after_revision)
+
+
+@behave.given("a store whose changes are too long, and whose keys are not")
+def step_long_history(context):
+    context.long_store = LongHistoryStore()
+
+
+@behave.when("a daemon follows it")
+def step_follow(context):
+    async def play(loop):
+        subscriber = mailbox.Mailbox("subscriber", 1000)
+        reader = store_reader.StoreReader(
+            "",
+            context.long_store,
+            simulated_time.SimulatedClock(loop),
+            random.Random(1),
+            mailbox.Mailbox("reader", 1000),
+            subscriber,
+            mailbox.Mailbox("peers", 1000),
+            2.0,
+        )
+        task = asyncio.create_task(reader.run())
+        await asyncio.sleep(0.5)
+        context.long_store.revision = 5
+        await asyncio.sleep(3.0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return subscriber
+
+    context.subscriber = simulated_time.run(play)
+
+
+@behave.then("it knows the store's newest revision")
+def step_newest(context):
+    revision = 0
+    while (message := context.subscriber.poll()) is not None:
+        if isinstance(message, store_events.StoreChanged):
+            revision = message.changes.revision
+    assert revision == context.long_store.revision, revision
 
 
 @behave.then("it has the changes")
--- a/features/support/following_fleet.py
+++ b/features/support/following_fleet.py
@@ -8,6 +8,7 @@
 import random
 
 from dotterelpath import errors
+from dotterelpath.adapters import http_client
 from dotterelpath.adapters import store_client
 from dotterelpath.domain import configuration
 from dotterelpath.domain import exchange
@@ -167,7 +168,7 @@
         else:
             self.calls += 1
         transfer = transfer or exchange.Transfer(
-            store_client.MAX_PAUSE_S, store_client.MAX_TRANSFER_S
+            store_client.MAX_PAUSE_S, http_client.MAX_TRANSFER_S
         )
         response = ArrivingResponse(self._member.loop)
         transfer.follow(response)
--- a/src/dotterelpath/adapters/http_client.py
+++ b/src/dotterelpath/adapters/http_client.py
@@ -16,6 +16,9 @@
 MAX_IDLE_PER_SERVER = 4
 IDLE_TIMEOUT_S = 5.0
 CONNECT_TIMEOUT_S = 1.0
+# The longest time from the first to the last byte of a response that keeps
+# arriving, in seconds.
+MAX_TRANSFER_S = 30.0
 
 
 class NotSentError(Exception):
@@ -27,7 +30,7 @@
 
 
 class IncompleteResponseError(NoResponseError):
-    """A response began, but did not end in time."""
+    """A response began, but did not end in time, or is too long."""
 
 
 class HttpClient:
@@ -157,7 +160,7 @@
             future.set_result(response)
         else:
             future.set_exception(
-                NoResponseError(
+                IncompleteResponseError(
                     "the response is longer than"
                     f" {self._max_response_bytes} bytes"
                 )
@@ -235,6 +238,15 @@
     )
 
 
+def new_transfer(pause_s: float) -> exchange.Transfer:
+    """Creates the transfer of a response that may take long to arrive.
+
+    Args:
+        pause_s: The longest time without any byte of the response, in seconds.
+    """
+    return exchange.Transfer(pause_s, MAX_TRANSFER_S)
+
+
 def build_post(
     target: str, body: bytes, headers: exchange.Headers | None = None
 ) -> exchange.Request:
--- a/src/dotterelpath/adapters/peer_client.py
+++ b/src/dotterelpath/adapters/peer_client.py
@@ -135,7 +135,10 @@
 
     async def _get(self, vm: vms.Vm, target: str) -> peer_codec.Json:
         return await self._call(
-            vm, http_client.build_get(target), CALL_TIMEOUT_S
+            vm,
+            http_client.build_get(target),
+            CALL_TIMEOUT_S,
+            http_client.new_transfer(CALL_TIMEOUT_S),
         )
 
     async def _post(
@@ -149,11 +152,15 @@
         return await self._call(vm, request, timeout_s)
 
     async def _call(
-        self, vm: vms.Vm, request: exchange.Request, timeout_s: float
+        self,
+        vm: vms.Vm,
+        request: exchange.Request,
+        timeout_s: float,
+        transfer: exchange.Transfer | None = None,
     ) -> peer_codec.Json:
         try:
             response = await self._client.call(
-                vm.host, vm.peer_port, request, timeout_s
+                vm.host, vm.peer_port, request, timeout_s, transfer
             )
         except http_client.NotSentError as error:
             raise peers.PeerUnreachableError(str(error)) from error
--- a/src/dotterelpath/adapters/store_client.py
+++ b/src/dotterelpath/adapters/store_client.py
@@ -28,9 +28,6 @@
 # The longest pause in the response to a read, unless the call states one, in
 # seconds.
 MAX_PAUSE_S = 1.0
-# The longest time from the first to the last byte of such a response, in
-# seconds.
-MAX_TRANSFER_S = 30.0
 
 
 _Decoded = typing.TypeVar("_Decoded")
@@ -251,7 +248,13 @@
     ) -> store.VersionedValue:
         """Reads a key; see store.Store."""
         call = self._codec.encode_get(key, may_be_stale)
-        response = await self._read("get", call, CALL_TIMEOUT_S, may_be_stale)
+        response = await self._read(
+            "get",
+            call,
+            0.0,
+            may_be_stale,
+            http_client.new_transfer(CALL_TIMEOUT_S),
+        )
         return _decode_read(self._codec.decode_get, key, response)
 
     async def create(
@@ -313,7 +316,11 @@
         while after is not None:
             call = self._codec.encode_page(prefix, after, wait_s, may_be_stale)
             response = await self._read(
-                "list", call, wait_s, may_be_stale, _usual_transfer()
+                "list",
+                call,
+                wait_s,
+                may_be_stale,
+                http_client.new_transfer(MAX_PAUSE_S),
             )
             page = _decode_read(self._codec.decode_page, response)
             listing.add_page(page)
@@ -338,7 +345,11 @@
             prefix, after_revision, wait_s, may_be_stale
         )
         response = await self._read(
-            "watch", call, wait_s, may_be_stale, transfer or _usual_transfer()
+            "watch",
+            call,
+            wait_s,
+            may_be_stale,
+            transfer or http_client.new_transfer(MAX_PAUSE_S),
         )
         changes = _decode_read(self._codec.decode_watch, response)
         changes.encoded_bytes = len(response.body)
@@ -421,10 +432,6 @@
         )
 
 
-def _usual_transfer() -> exchange.Transfer:
-    return exchange.Transfer(MAX_PAUSE_S, MAX_TRANSFER_S)
-
-
 def _decode_read(
     decode: typing.Callable[..., _Decoded], *args: typing.Any
 ) -> _Decoded:
--- a/src/dotterelpath/adapters/vm_list_client.py
+++ b/src/dotterelpath/adapters/vm_list_client.py
@@ -41,7 +41,11 @@
         )
         try:
             response = await self._client.call(
-                self._host, self._port, request, wait_s + WATCH_MARGIN_S
+                self._host,
+                self._port,
+                request,
+                wait_s + WATCH_MARGIN_S,
+                http_client.new_transfer(WATCH_MARGIN_S),
             )
             if response.status != 200:
                 raise errors.StoreError(
--- a/src/dotterelpath/errors.py
+++ b/src/dotterelpath/errors.py
@@ -191,7 +191,7 @@
 
 
 class IncompleteResponseError(StoreError):
-    """The store's response to a read began, but did not end in time."""
+    """The store's response to a read did not end in time, or is too long."""
 
 
 class HistoryLostError(StoreError):
