Take a response with changes as a proof for its start, not its end

What callers could see: a change or a leaving instance that followers of a watching daemon learn of late, by the time that its last large response took to arrive (0.6 s for 364 kB at 5 Mbit/s), since they trust its revision for as long.

Cause: the answer to a watch with changes proved its revision for the time of its arrival.

Change: it proves its revision for the time at which the response began.

Result: the scenario on the time of the proof failed before, by the second that its response takes. Besides, moves without a change of behaviour: the budget of calls to adapters/call_budget.py, the simulated store and paths to features/support/simulated_paths.py.

--- a/features/late_changes.feature
+++ b/features/late_changes.feature
@@ -75,6 +75,12 @@
     When a daemon reads changes, and allows pauses of 0.5 seconds
     Then it has the changes
 
+  # Followers trusted a daemon for as long as its response had taken.
+  Scenario: A response that arrives for long proves nothing later than its start
+    Given a store whose response with a change arrives for 1 second
+    When a daemon watches the store
+    Then what it knows is proved for the time at which the response began
+
   Scenario: A response that stops in the middle is lost
     Given a store whose response stops in the middle
     When a daemon reads changes, and allows pauses of 0.5 seconds
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -8,6 +8,7 @@
 import behave
 
 from dotterelpath import errors
+from dotterelpath.adapters import call_budget
 from dotterelpath.adapters import metrics as metrics_adapter
 from dotterelpath.adapters import store_client
 from dotterelpath.domain import addresses
@@ -36,7 +37,7 @@
         "reads": store_client.FLEET_RATES.reads_per_s,
         "writes": store_client.FLEET_RATES.writes_per_s,
     }[kind]
-    budget = store_client.CallBudget(clock, fleet_rate, 20.0)
+    budget = call_budget.CallBudget(clock, fleet_rate, 20.0)
     budget.set_daemon_count(context.count)
     spend_all(budget)
     calls = 0
--- a/features/steps/late_change_steps.py
+++ b/features/steps/late_change_steps.py
@@ -10,6 +10,7 @@
 from dotterelpath.domain import steering
 from dotterelpath.tasks import fleet_events
 from features.support import following_fleet
+from features.support import simulated_paths
 from features.support import simulated_time
 
 APPLY_S = 2.0
@@ -191,7 +192,7 @@
         at_s = LARGE_CHANGE_S + number
         changes.append((at_s, size_kb * 1000))
         changes += [
-            (at_s + tenths / 10.0, following_fleet.SMALL_BYTES)
+            (at_s + tenths / 10.0, simulated_paths.SMALL_BYTES)
             for tenths in (1, 3, 5, 7)
         ]
     play_large_changes(context, changes)
@@ -223,8 +224,8 @@
     fleet = following_fleet.FollowingFleet(
         loop, seed, sizes, 0.2, LARGE_APPLY_S, draw_resources
     )
-    fleet.store.link = following_fleet.Link(
-        loop, STORE_MBPS * following_fleet.MBIT_BYTES
+    fleet.store.link = simulated_paths.Link(
+        loop, STORE_MBPS * simulated_paths.MBIT_BYTES
     )
     return fleet
 
@@ -258,7 +259,7 @@
     def draw_changes():
         at_s = LARGE_CHANGE_S
         while True:
-            size = source.choice((LARGE_BYTES, following_fleet.SMALL_BYTES))
+            size = source.choice((LARGE_BYTES, simulated_paths.SMALL_BYTES))
             yield at_s, size
             at_s += source.uniform(0.3, 4.0)
 
--- a/features/steps/transfer_steps.py
+++ b/features/steps/transfer_steps.py
@@ -14,11 +14,14 @@
 from dotterelpath.adapters import http_client
 from dotterelpath.adapters import store_client
 from dotterelpath.domain import exchange
+from dotterelpath.domain import store_following
 from dotterelpath.platform import store_codec
 from dotterelpath.ports import store as store_port
+from dotterelpath.tasks import _store_calls
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import store_events
 from dotterelpath.tasks import store_reader
+from features.support import simulated_paths
 from features.support import simulated_time
 
 # The longest pause and the longest transfer of the calls, in seconds.
@@ -176,6 +179,56 @@
     assert revision == context.long_store.revision, revision
 
 
+class ArrivingStore:
+    """A store whose response arrives for some time; see ports.store.Store."""
+
+    def __init__(self, duration_s):
+        self.began_s = None
+        self._duration_s = duration_s
+
+    async def watch(
+        self,
+        prefix,
+        after_revision,
+        wait_s,
+        may_be_stale=False,
+        transfer=None,
+    ):
+        response = simulated_paths.ArrivingResponse(asyncio.get_running_loop())
+        transfer.follow(response)
+        response.note_part()
+        self.began_s = response.response_began_s
+        await asyncio.sleep(self._duration_s)
+        entry = store_port.VersionedValue("k", "new", 9)
+        return store_port.Changes([entry], 9)
+
+
+@behave.given(
+    "a store whose response with a change arrives for {duration_s:g} second"
+)
+def step_arriving(context, duration_s):
+    context.arriving_store = ArrivingStore(duration_s)
+
+
+@behave.when("a daemon watches the store")
+def step_watch(context):
+    async def play(loop):
+        calls = _store_calls.StoreCalls(
+            "",
+            context.arriving_store,
+            simulated_time.SimulatedClock(loop),
+            store_following.StoreFollower(2.0),
+        )
+        return await calls.watch(5, 1.0, calls.new_transfer())
+
+    context.answer = simulated_time.run(play)
+
+
+@behave.then("what it knows is proved for the time at which the response began")
+def step_proved(context):
+    assert context.answer.proved_at_s == context.arriving_store.began_s
+
+
 @behave.then("it has the changes")
 def step_has_changes(context):
     assert getattr(context.result, "revision", None) == 9, context.result
--- a/src/dotterelpath/adapters/store_client.py
+++ b/src/dotterelpath/adapters/store_client.py
@@ -8,6 +8,7 @@
 import orjson
 
 from dotterelpath import errors
+from dotterelpath.adapters import call_budget
 from dotterelpath.adapters import http_client
 from dotterelpath.domain import exchange
 from dotterelpath.domain import store_listing
@@ -19,9 +20,6 @@
 # The calls per second that all daemons together may make to the fleet's own
 # store.
 FLEET_RATES = store.CallRates(1000.0, 200.0)
-# The most calls per second of one daemon, for reads and writes each, even if
-# its share of the call rates is larger.
-MAX_DAEMON_CALLS_PER_S = 20.0
 # The calls that a daemon may make at once after a time without calls.
 BURST_READS = 200.0
 BURST_WRITES = 50.0
@@ -33,61 +31,6 @@
 _Decoded = typing.TypeVar("_Decoded")
 
 
-class CallBudget:
-    """Limits a daemon to its share of a call rate, as a token bucket."""
-
-    __slots__ = (
-        "_burst",
-        "_clock",
-        "_fleet_rate",
-        "_rate",
-        "_refilled_at_s",
-        "_tokens",
-    )
-
-    def __init__(
-        self, clock: clock_port.Clock, fleet_rate: float, burst: float
-    ) -> None:
-        """Creates a full budget for a single daemon.
-
-        Args:
-            clock: Gives the time.
-            fleet_rate: The calls per second that all daemons share.
-            burst: The most unused calls that accumulate.
-        """
-        self._clock = clock
-        self._fleet_rate = fleet_rate
-        self._burst = burst
-        self._rate = min(MAX_DAEMON_CALLS_PER_S, fleet_rate)
-        self._tokens = burst
-        self._refilled_at_s = clock.now_s()
-
-    def set_daemon_count(self, count: int) -> None:
-        """Sets how many daemons share the rate.
-
-        Args:
-            count: The number of daemons.
-        """
-        share = self._fleet_rate / max(1, count)
-        self._rate = min(MAX_DAEMON_CALLS_PER_S, share)
-
-    def spend(self) -> None:
-        """Deducts one call.
-
-        Raises:
-            StoreError: The budget is exhausted.
-        """
-        now_s = self._clock.now_s()
-        refill = (now_s - self._refilled_at_s) * self._rate
-        self._tokens = min(self._burst, self._tokens + refill)
-        self._refilled_at_s = now_s
-        if self._tokens < 1.0:
-            raise errors.StoreError(
-                f"call budget exhausted: {self._rate:g} calls per second"
-            )
-        self._tokens -= 1.0
-
-
 class NativeStoreCodec:
     """Speaks the fleet's own store protocol; see store.StoreCodec."""
 
@@ -231,11 +174,15 @@
         self._client = client
         self._metrics = metrics
         self._codec: store.StoreCodec = codec or NativeStoreCodec()
-        self._reads = CallBudget(clock, rates.reads_per_s, BURST_READS)
-        self._writes = CallBudget(clock, rates.writes_per_s, BURST_WRITES)
+        self._reads = call_budget.CallBudget(
+            clock, rates.reads_per_s, BURST_READS
+        )
+        self._writes = call_budget.CallBudget(
+            clock, rates.writes_per_s, BURST_WRITES
+        )
         # Stale reads do not count towards the rate that all daemons share.
-        self._stale_reads = CallBudget(
-            clock, MAX_DAEMON_CALLS_PER_S, BURST_READS
+        self._stale_reads = call_budget.CallBudget(
+            clock, call_budget.MAX_DAEMON_CALLS_PER_S, BURST_READS
         )
 
     def set_daemon_count(self, count: int) -> None:
--- a/src/dotterelpath/tasks/_store_calls.py
+++ b/src/dotterelpath/tasks/_store_calls.py
@@ -133,7 +133,8 @@
         )
         now_s = self._clock.now_s()
         if changes.entries:
-            return Answer(changes, sent_s, True, now_s)
+            # What changed while the response arrived is not in it.
+            return Answer(changes, sent_s, True, transfer.began_s or now_s)
         took_s = now_s - sent_s
         self._follower.record_response(max(0.0, took_s - wait_s))
         return Answer(changes, sent_s + min(took_s, wait_s), True, None, sent_s)
