Let daemons that the store refuses follow their peers at once

What callers saw: a daemon that only the store refuses stopped serving, and before that decided by an old configuration, although its peers had the new one.

Cause: a daemon that watches for others watched again after each failed call. While the store refuses calls at once, the watch ended before its check could read a copy; while the store is silent, it did.

Change: while the store is lost and a peer has reported a newer revision, its copy is read first.

Instead of being not ready, the two daemons now must serve the new key, by the copy of a daemon of another data centre, and be ready, for both kinds of refusal. That daemons without copies stop serving in time is held by the simulated fleet with tenants, with and without copies, besides the rows of tenant_decisions.feature.

--- a/features/steps/store_copy_steps.py
+++ b/features/steps/store_copy_steps.py
@@ -15,6 +15,7 @@
 from dotterelpath.adapters import store_copies
 from dotterelpath.domain import steering
 from dotterelpath.domain import store_copy
+from dotterelpath.domain import tenants
 from dotterelpath.ports import store as store_port
 from dotterelpath.tasks import fleet_events
 from dotterelpath.tasks import mailbox
@@ -187,6 +188,57 @@
     assert max(context.ages_s) <= 2.0, max(context.ages_s)
 
 
+@behave.given("a fleet of 6 daemons of three data centres, with tenants")
+def step_tenant_fleet(context):
+    context.sizes = [2, 2, 2]
+
+
+@behave.when(
+    "the store refuses those of one data centre, and others {give} copies"
+)
+def step_refused_place(context, give):
+    async def play(loop):
+        fleet = following_fleet.FollowingFleet(loop, 3, context.sizes, 0.2)
+        fleet.tenants = tenants.TenantTable([], b"secret")
+        refused = fleet.members[:2]
+        for member in refused:
+            member.copies.is_lost = give == "give no"
+            member.faults.append(following_fleet.Fault(1008.0, 1e9, "reset"))
+        tasks = fleet.start()
+        await note_all(fleet, 10.0)
+        fleet.store.change()
+        stale = await note_all(fleet, 6.0)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        known = {member.known_revision for member in refused}
+        return stale, known == {fleet.store.revision}, refused
+
+    context.stale, context.is_known, context.refused = simulated_time.run(play)
+
+
+async def note_all(fleet, duration_s):
+    """Notes what daemons know, and returns those with outdated tenants."""
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + duration_s
+    stale = set()
+    while loop.time() < end_s:
+        for member in fleet.members:
+            member.note_known()
+            if member.monitor.is_stale:
+                stale.add(member.id)
+        await asyncio.sleep(following_fleet.CHECK_S)
+    return stale
+
+
+@behave.then("those daemons are {ready} within 6 seconds after a change")
+def step_ready_or_not(context, ready):
+    ids = {member.id for member in context.refused}
+    is_ready = ready == "ready"
+    assert context.stale == (set() if is_ready else ids), context.stale
+    assert context.is_known == is_ready
+
+
 class EmptyCopies:
     """Peers that do not respond; see ports.store_copies.StoreCopies."""
 
--- a/features/store_copies.feature
+++ b/features/store_copies.feature
@@ -32,6 +32,17 @@
     When the store refuses one that does not watch it for 12 seconds
     Then it knew each change within 2 seconds all the while
 
+  # A key may have been revoked.
+  Scenario Outline: Daemons that the store refuses stop serving without copies
+    Given a fleet of 6 daemons of three data centres, with tenants
+    When the store refuses those of one data centre, and others <give> copies
+    Then those daemons are <ready> within 6 seconds after a change
+
+    Examples:
+      | give        | ready     |
+      | give no     | not ready |
+      | give        | ready     |
+
   Scenario: A daemon whose peer does not respond reads the store
     Given a daemon that follows a peer which has no copy to give
     When the peer reports a large change
--- a/features/support/following_fleet.py
+++ b/features/support/following_fleet.py
@@ -162,6 +162,8 @@
         """
         self.loop = loop
         self.seed = seed
+        # The tenants of the configuration in force, if it has any.
+        self.tenants = None
         self.apply_s = apply_s
         self.clock = simulated_time.SimulatedClock(loop)
         self.random = random.Random(f"fleet {seed}")
@@ -182,7 +184,9 @@
     def start(self):
         """Starts the daemons' tasks, and returns them."""
         daemons = {m.id: _description(m) for m in self.members}
-        in_force = configuration.Configuration(1, {}, [], gateway_world.LIMITS)
+        in_force = configuration.Configuration(
+            1, {}, [], gateway_world.LIMITS, self.tenants
+        )
         tasks = []
         for member in self.members:
             member.monitor.handle(fleet_events.RegistryChanged({}))
--- a/features/support/simulated_paths.py
+++ b/features/support/simulated_paths.py
@@ -204,10 +204,13 @@
 
     def __init__(self, member, fleet):
         self.read_count = 0
+        self.is_lost = False
         self._member = member
         self._fleet = fleet
 
     async def changes_after(self, daemon, revision, transfer):
+        if self.is_lost:
+            raise errors.StoreError("no response")
         holder = self._fleet.members[daemon.peer_port]
         try:
             async with asyncio.timeout(transfer.pause_s):
--- a/features/tenant_fleet.feature
+++ b/features/tenant_fleet.feature
@@ -19,15 +19,15 @@
     And a request with the key new is served by g1
 
   # The two daemons of data centre a watch the store for it, and ping only each
-  # other while both respond.
-  Scenario Outline: Daemons that the store turns away stop serving in time
+  # other while both respond. Those of other data centres have copies.
+  Scenario Outline: Daemons that the store turns away serve by copies of others
     Given a caller that pipelines requests with the key old on one connection to g1
     When the store is <fault> to g1,g4, and the key old is replaced by the key new
     Then no request with the key old ran that was sent later than 6 seconds after
-    And g1 and g4 are not ready, and the other daemons are
-    And g1 logged that its tenants are outdated
-    And g1 is ready again once the store answers it
     And a request with the key new is served by g1
+    And a request with the key new is served by g4
+    And g1 read the change from the copy of another daemon
+    And all daemons are ready
 
     Examples:
       | fault  |
--- a/src/dotterelpath/domain/store_following.py
+++ b/src/dotterelpath/domain/store_following.py
@@ -325,14 +325,19 @@
             self._newer_reported_s = now_s
             self._copy_holder_id = peer_id
 
-    def next_step(self, revision: int, now_s: float) -> Step:
+    def next_step(
+        self, revision: int, now_s: float, is_store_lost: bool = False
+    ) -> Step:
         """Decides on the next step.
 
         Args:
             revision: The revision of the store up to which changes are known;
                 0 before the first read.
             now_s: The current time on the monotonic clock, in seconds.
+            is_store_lost: Whether the last call to the store failed.
         """
+        if revision and is_store_lost and self.copy_holder_id(revision, True):
+            return Step.CATCH_UP
         is_silent = self.silence_left_s(now_s) <= TIMER_RESOLUTION_S
         if self.has_followers(now_s) or not revision or is_silent:
             return Step.WATCH
--- a/src/dotterelpath/tasks/store_reader.py
+++ b/src/dotterelpath/tasks/store_reader.py
@@ -149,7 +149,9 @@
         }
         while True:
             self._handle_messages()
-            step = self._follower.next_step(self._revision, self._clock.now_s())
+            step = self._follower.next_step(
+                self._revision, self._clock.now_s(), self._is_store_lost
+            )
             if step is not store_following.Step.WATCH:
                 self._publish_revision(None)
             try:
