--- a/src/dotterelpath/domain/exchange.py
+++ b/src/dotterelpath/domain/exchange.py
@@ -145,9 +145,9 @@
 class Transfer:
     """The arrival of a response whose length is not known beforehand.
 
-    The response is lost if it pauses for too long. Its whole duration is limited
-    apart from that, so that one that trickles ends, and one that another call
-    can replace by a shorter one is given up.
+    The response is lost if it pauses for too long. Its whole duration is
+    limited apart from that, so that one that trickles ends, and one that
+    another call can replace by a shorter one is given up.
     """
 
     __slots__ = ("_source", "limit_s", "pause_s")
