Say where copies of the store are kept and served

A newcomer found copies in the store reader, and its peer port over TCP, without a word on either: the class and the settings now say so.

--- a/src/dotterelpath/platform/settings.py
+++ b/src/dotterelpath/platform/settings.py
@@ -56,8 +56,8 @@
         raise fields.FieldError(f"the file is not JSON: {error}") from error
     ip = fields.get_string(data, "ip")
     listen = fields.check_object(data.get("listen"), "listen")
-    # Free ports of this machine: the first is for datagrams between daemons,
-    # the second for metrics and status.
+    # Free ports of this machine: the first is for datagrams between daemons and
+    # for copies of the store, the second for metrics and status.
     first_port = _get_first_port(data)
     # The platform calls a data centre a zone.
     zone = fields.get_string(data, "zone")
--- a/src/dotterelpath/tasks/store_reader.py
+++ b/src/dotterelpath/tasks/store_reader.py
@@ -56,6 +56,9 @@
     waits, the store is asked by another call if a peer reports a newer
     revision, or if the known one has not been proved for long.
 
+    Keeps a copy for other daemons, and reads theirs if a change is large, or
+    while the store refuses only this daemon.
+
     The known revision never decreases: a response that is older than what is
     known is an error of the store, and nothing of it is passed on.
     """
@@ -331,11 +334,7 @@
             self._publish_revision(self._revision)
 
     async def _read_all(self) -> None:
-        """Reads all keys.
-
-        The first read begins with stale pages, which cost little while a fleet
-        starts.
-        """
+        """Reads all keys, the first time in stale pages, which cost little."""
         answer = await self._calls.read_all(
             self._may_list_stale, self._newest_revision, self._is_store_lost
         )
