--- a/features/environment.py
+++ b/features/environment.py
@@ -148,7 +148,7 @@
     status = "failed" if failed else "passed"
     if not scenario.status.is_passed() and not failed:
         return
-    context.verdict[status].append(scenario.name)
+    context.verdict[status].append(scenario.name.strip())
 
 
 def after_all(context):
