--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -16,12 +16,14 @@
 from dotterelpath.domain import fleet_membership
 from dotterelpath.domain import hashing
 from dotterelpath.domain import keys
+from dotterelpath.domain import store_position
 from dotterelpath.domain import vms
 from dotterelpath.platform import store_codec
 from dotterelpath.ports import store
 from features.support import world as world_module
 
 WINDOW_S = 100.0
+POSITION = store_position.Position(0, 7)
 TICK_S = 0.05
 
 
@@ -90,7 +92,7 @@
         for _ in range(minutes * 60 * rate):
             context.clock.time_s += 1.0 / rate
             try:
-                await context.store.watch("", 7, 0.0, may_be_stale=True)
+                await context.store.watch("", POSITION, 0.0, may_be_stale=True)
             except errors.StoreError:
                 refused += 1
         return refused
@@ -111,7 +113,7 @@
         made = 0
         while True:
             try:
-                await context.store.watch("", 7, 0.0)
+                await context.store.watch("", POSITION, 0.0)
             except errors.StoreError:
                 return made
             made += 1
--- a/features/steps/changed_settings_steps.py
+++ b/features/steps/changed_settings_steps.py
@@ -13,6 +13,7 @@
 
 from dotterelpath.domain import bounds
 from dotterelpath.domain import store_following
+from dotterelpath.domain import store_position
 from dotterelpath.tasks import fleet_events
 from dotterelpath.tasks import mailbox
 from features.steps import connection_option_steps
@@ -88,12 +89,13 @@
     "it watches again after {silent_s:g} seconds without reports, not before"
 )
 def step_watches_again(context, silent_s):
-    context.follower.record_report(7, 0.0, 0.0)
+    position = store_position.Position(0, 7)
+    context.follower.record_report(position, 0.0, 0.0)
     for now_s, expected in (
         (silent_s - 0.01, store_following.Step.FOLLOW),
         (silent_s + 0.01, store_following.Step.WATCH),
     ):
-        assert context.follower.next_step(7, now_s) is expected, now_s
+        assert context.follower.next_step(position, now_s) is expected, now_s
 
 
 @behave.then("addresses may be kept for {ttl_s:g} seconds")
--- a/features/steps/following_steps.py
+++ b/features/steps/following_steps.py
@@ -20,6 +20,7 @@
 from dotterelpath.tasks import registrar
 from dotterelpath.tasks import store_reader
 from features import environment
+from features.support import positions
 from standins import fleet as fleet_harness
 from standins import gateway_fleet
 
@@ -218,34 +219,64 @@
 
 @behave.then("it watches the store until peers report a revision")
 def step_watches_first(context):
-    assert context.follower.next_step(0, 0.0) is store_following.Step.WATCH
+    assert (
+        context.follower.next_step(positions.at(0), 0.0)
+        is store_following.Step.WATCH
+    )
     context.follower.record_first_read(0.1)
-    assert context.follower.next_step(5, 0.2) is store_following.Step.FOLLOW
-    assert context.follower.next_step(5, 1.0) is store_following.Step.WATCH
-    context.follower.record_report(5, 1.0, 1.0)
-    assert context.follower.next_step(5, 1.1) is store_following.Step.FOLLOW
+    assert (
+        context.follower.next_step(positions.at(5), 0.2)
+        is store_following.Step.FOLLOW
+    )
+    assert (
+        context.follower.next_step(positions.at(5), 1.0)
+        is store_following.Step.WATCH
+    )
+    context.follower.record_report(positions.at(5), 1.0, 1.0)
+    assert (
+        context.follower.next_step(positions.at(5), 1.1)
+        is store_following.Step.FOLLOW
+    )
 
 
 @behave.then("it reads the store when a peer reports a newer revision")
 def step_catch_up(context):
-    context.follower.record_report(7, 1.2, 1.2)
-    assert context.follower.next_step(5, 1.3) is store_following.Step.CATCH_UP
-    assert context.follower.next_step(7, 1.3) is store_following.Step.FOLLOW
+    context.follower.record_report(positions.at(7), 1.2, 1.2)
+    assert (
+        context.follower.next_step(positions.at(5), 1.3)
+        is store_following.Step.CATCH_UP
+    )
+    assert (
+        context.follower.next_step(positions.at(7), 1.3)
+        is store_following.Step.FOLLOW
+    )
 
 
 @behave.then("it watches again after 0.8 seconds without reports")
 def step_no_reports(context):
-    assert context.follower.next_step(7, 1.9) is store_following.Step.FOLLOW
-    assert context.follower.next_step(7, 2.01) is store_following.Step.WATCH
+    assert (
+        context.follower.next_step(positions.at(7), 1.9)
+        is store_following.Step.FOLLOW
+    )
+    assert (
+        context.follower.next_step(positions.at(7), 2.01)
+        is store_following.Step.WATCH
+    )
 
 
 @behave.then("it watches while it has followers")
 def step_followers(context):
-    context.follower.record_report(7, 3.0, 3.0)
+    context.follower.record_report(positions.at(7), 3.0, 3.0)
     context.follower.record_query(3.0)
-    assert context.follower.next_step(7, 3.1) is store_following.Step.WATCH
-    context.follower.record_report(7, 4.1, 4.1)
-    assert context.follower.next_step(7, 4.1) is store_following.Step.FOLLOW
+    assert (
+        context.follower.next_step(positions.at(7), 3.1)
+        is store_following.Step.WATCH
+    )
+    context.follower.record_report(positions.at(7), 4.1, 4.1)
+    assert (
+        context.follower.next_step(positions.at(7), 4.1)
+        is store_following.Step.FOLLOW
+    )
 
 
 @behave.then(
@@ -254,12 +285,15 @@
 def step_old_confirmation(context):
     for tenths in range(1, 16):
         now_s = 4.1 + tenths / 10
-        context.follower.record_report(7, 4.1, now_s)
-        step = context.follower.next_step(7, now_s)
+        context.follower.record_report(positions.at(7), 4.1, now_s)
+        step = context.follower.next_step(positions.at(7), now_s)
         is_old = now_s - 4.1 >= 1.5
         assert (step is store_following.Step.WATCH) == is_old, now_s
-    context.follower.record_report(7, 5.5, 5.6)
-    assert context.follower.next_step(7, 5.6) is store_following.Step.FOLLOW
+    context.follower.record_report(positions.at(7), 5.5, 5.6)
+    assert (
+        context.follower.next_step(positions.at(7), 5.6)
+        is store_following.Step.FOLLOW
+    )
 
 
 class QuietStore:
@@ -272,16 +306,16 @@
     async def watch(
         self,
         prefix,
-        after_revision,
+        after,
         wait_s,
         may_be_stale=False,
         transfer=None,
     ):
-        if after_revision:
+        if after.revision:
             self.count += 1
             self.stale_count += may_be_stale
             await asyncio.sleep(wait_s)
-        return store_port.Changes([], 7, not after_revision)
+        return store_port.Changes([], positions.at(7), not after.revision)
 
 
 def create_reader(store, inbox):
--- a/features/steps/invalid_input_steps.py
+++ b/features/steps/invalid_input_steps.py
@@ -15,6 +15,7 @@
 from dotterelpath.adapters import store_client
 from dotterelpath.domain import attempts
 from dotterelpath.domain import exchange
+from dotterelpath.domain import store_position
 from dotterelpath.domain import vms
 from dotterelpath.platform import caller_codec
 from dotterelpath.platform import fields
@@ -89,8 +90,8 @@
     client = context.client
     for read in (
         client.get("k"),
-        client.watch("p", 0, 0.0),
-        client.watch("p", 5, 0.0),
+        client.watch("p", store_position.NOTHING, 0.0),
+        client.watch("p", store_position.Position(0, 5), 0.0),
     ):
         error = raised(read)
         assert isinstance(error, errors.StoreError), repr(error)
@@ -340,7 +341,9 @@
         )
         for key, value in entries
     ]
-    changes = store.Changes(items, context.revision, is_full)
+    changes = store.Changes(
+        items, store_position.Position(0, context.revision), is_full
+    )
     context.registrar.handle(store_events.StoreChanged(changes, 1000.0, 4.0))
 
 
--- a/features/steps/late_change_steps.py
+++ b/features/steps/late_change_steps.py
@@ -96,11 +96,11 @@
         await asyncio.sleep(start_s + 1.01 - loop.time())
         reported_s = loop.time()
         member.reader_inbox.force(
-            fleet_events.RevisionReceived(
-                "peer", fleet.store.revision, reported_s, reported_s
+            fleet_events.PositionReceived(
+                "peer", fleet.store.position, reported_s, reported_s
             )
         )
-        while member.known_revision < fleet.store.revision:
+        while member.known < fleet.store.position:
             await asyncio.sleep(following_fleet.CHECK_S / 10.0)
             member.note_known()
         for task in tasks:
@@ -136,6 +136,48 @@
     }
 
 
+@behave.when(
+    "the store is restored while paths fail at random, from {seeds:d} seeds"
+)
+def step_random_drills(context, seeds):
+    context.late = {}
+    context.wrong = {}
+    for seed in range(seeds):
+        late, wrong = play_random_drills(seed, context.max_stale_s)
+        if late:
+            context.late[seed] = late
+        if wrong:
+            context.wrong[seed] = wrong
+
+
+def play_random_drills(seed, max_stale_s):
+    """Plays drills and faults of a random fleet.
+
+    Returns the late daemons, and what daemons knew that the store never had.
+    """
+    source = random.Random(f"drills {seed}")
+    sizes = [source.choice(SIZES) for _ in range(source.choice((1, 2, 3)))]
+
+    async def play(loop):
+        fleet = following_fleet.FollowingFleet(
+            loop, seed, sizes, max_stale_s, APPLY_S
+        )
+        if source.random() < 0.7:
+            following_fleet.add_faults(fleet, source, 1005.0, 1040.0)
+        late = await fleet.play_drills(
+            45.0, following_fleet.draw_drills(source, 1006.0, 1035.0)
+        )
+        wrong = {m.id: m.wrong[:3] for m in fleet.members if m.wrong}
+        return late, wrong
+
+    return simulated_time.run(play)
+
+
+@behave.then("each daemon always knew the store as it was at one position")
+def step_never_wrong(context):
+    assert not context.wrong, context.wrong
+
+
 @behave.when(
     "paths to the store and between daemons fail at random, from seed {seed:d}"
 )
--- a/features/steps/leaving_report_steps.py
+++ b/features/steps/leaving_report_steps.py
@@ -12,6 +12,7 @@
 from dotterelpath.domain import health_reports
 from dotterelpath.domain import registry
 from dotterelpath.domain import steering
+from dotterelpath.domain import store_position
 from dotterelpath.ports import datagrams
 from dotterelpath.ports import store
 from dotterelpath.ports import store_items
@@ -133,7 +134,11 @@
 def change(context, is_draining, is_full=False):
     items = [entry(number, is_draining) for number in range(70)]
     context.registrar.handle(
-        store_events.StoreChanged(store.Changes(items, 1, is_full), 1000.0, 4.0)
+        store_events.StoreChanged(
+            store.Changes(items, store_position.Position(0, 1), is_full),
+            1000.0,
+            4.0,
+        )
     )
 
 
@@ -209,8 +214,9 @@
 def step_issue(context):
     async def run():
         monitor = create_monitor(context)
-        for revision, name in ((None, "first"), (7, "second")):
-            monitor.handle(fleet_events.WatchedRevisionChanged(revision))
+        watched = store_position.Position(0, 7)
+        for position, name in ((None, "first"), (watched, "second")):
+            monitor.handle(fleet_events.WatchedPositionChanged(position))
             report = health_reports.LeavingReport([("s", name, 1)])
             monitor.handle(fleet_events.LeavingReportIssued(report))
 
--- a/features/steps/store_age_steps.py
+++ b/features/steps/store_age_steps.py
@@ -19,6 +19,7 @@
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import store_events
 from dotterelpath.tasks import store_reader
+from features.support import positions
 from standins import kv_store
 
 # The age of old answers, in seconds, as a share of the bound on changes below
@@ -68,17 +69,18 @@
             self.items = {}
         for entry in changes.entries:
             self.items[entry.key] = entry
-        if changes.revision < self.revision:
-            self.wrong.append(f"{self.revision} falls to {changes.revision}")
-        self.revision = changes.revision
-        expected = self._kv.items_at(changes.revision)
+        revision = changes.position.revision
+        if revision < self.revision:
+            self.wrong.append(f"{self.revision} falls to {revision}")
+        self.revision = revision
+        expected = self._kv.items_at(revision)
         found = {
             key: entry.revision
             for key, entry in self.items.items()
             if entry.value is not None
         }
         if found != {key: item["revision"] for key, item in expected.items()}:
-            self.wrong.append(f"at {changes.revision}: {found}")
+            self.wrong.append(f"at {revision}: {found}")
 
 
 def create_daemon(store):
@@ -204,8 +206,8 @@
         inbox.force(fleet_events.PeerPinged(now_s))
     else:
         inbox.force(
-            fleet_events.RevisionReceived(
-                "peer", store.kv.revision, now_s, now_s
+            fleet_events.PositionReceived(
+                "peer", positions.at(store.kv.revision), now_s, now_s
             )
         )
 
@@ -223,8 +225,8 @@
 
     def __init__(self, is_watch_lost=False):
         self._is_watch_lost = is_watch_lost
-        self.exact = store_port.Changes([], 9)
-        self.stale = store_port.Changes([], 9)
+        self.exact = store_port.Changes([], positions.at(9))
+        self.stale = store_port.Changes([], positions.at(9))
 
     def set_daemon_count(self, count):
         pass
@@ -232,14 +234,14 @@
     async def watch(
         self,
         prefix,
-        after_revision,
+        after,
         wait_s,
         may_be_stale=False,
         transfer=None,
     ):
-        if not after_revision:
+        if not after.revision:
             entry = store_port.VersionedValue("k", "new", 9)
-            return store_port.Changes([entry], 9, True)
+            return store_port.Changes([entry], positions.at(9), True)
         if wait_s and self._is_watch_lost:
             await asyncio.sleep(3600.0)
         await asyncio.sleep(wait_s + 0.01)
@@ -299,7 +301,7 @@
 def step_exact_old(context):
     def change():
         entry = store_port.VersionedValue("k", "old", 5)
-        context.scripted.exact = store_port.Changes([entry], 5)
+        context.scripted.exact = store_port.Changes([entry], positions.at(5))
 
     context.change = change
     context.messages = run_scripted(context, 0.2, 2.5, False)
@@ -326,8 +328,8 @@
 def step_replicas_behind(context):
     def change():
         entry = store_port.VersionedValue("k", "newer", 10)
-        context.scripted.exact = store_port.Changes([entry], 10)
-        context.scripted.stale = store_port.Changes([], 8)
+        context.scripted.exact = store_port.Changes([entry], positions.at(10))
+        context.scripted.stale = store_port.Changes([], positions.at(8))
 
     context.change = change
     context.messages = run_scripted(context, 0.5, 1.5, True)
@@ -336,7 +338,7 @@
 @behave.then("the daemon knows revision 10 within a second")
 def step_knows_ten(context):
     revisions = [
-        message.changes.revision
+        message.changes.position.revision
         for message in context.messages
         if isinstance(message, store_events.StoreChanged)
     ]
--- a/features/steps/store_copy_steps.py
+++ b/features/steps/store_copy_steps.py
@@ -24,6 +24,7 @@
 from features import environment
 from features.steps import following_steps
 from features.support import following_fleet
+from features.support import positions
 from features.support import simulated_time
 from standins import gateway_fleet
 
@@ -70,13 +71,18 @@
         states.append(apply(states[-1], entries[-1:]))
         if source.random() < 0.4:
             copy.apply(
-                store_port.Changes(entries[copy.revision :], revision, False)
+                store_port.Changes(
+                    entries[copy.position.revision :],
+                    positions.at(revision),
+                    False,
+                )
             )
-        for known in {copy.revision, source.randrange(copy.revision + 1)}:
-            changes = copy.changes_after(known)
+        newest = copy.position.revision
+        for known in {newest, source.randrange(newest + 1)}:
+            changes = copy.changes_after(positions.at(known))
             before = {} if changes.is_full else states[known]
-            if apply(before, changes.entries) != states[copy.revision]:
-                yield known, copy.revision
+            if apply(before, changes.entries) != states[newest]:
+                yield known, newest
 
 
 def apply(state, entries):
@@ -95,7 +101,9 @@
 
 def valid_body():
     entry = store_port.VersionedValue("key", "value " * 1000, 5, 0)
-    return store_copies.encode_changes(store_port.Changes([entry], 5))
+    return store_copies.encode_changes(
+        store_port.Changes([entry], positions.at(5))
+    )
 
 
 def encode(data):
@@ -211,8 +219,8 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        known = {member.known_revision for member in refused}
-        return stale, known == {fleet.store.revision}, refused
+        known = {member.known for member in refused}
+        return stale, known == {fleet.store.position}, refused
 
     context.stale, context.is_known, context.refused = simulated_time.run(play)
 
@@ -245,7 +253,7 @@
     def __init__(self):
         self.count = 0
 
-    async def changes_after(self, daemon, revision, transfer):
+    async def changes_after(self, daemon, position, transfer):
         self.count += 1
         raise errors.StoreError("no response")
 
@@ -280,32 +288,32 @@
         task = asyncio.create_task(reader.run())
         inbox.force(fleet_events.DaemonsChanged({"peer": peer}))
         await asyncio.sleep(0.1)
-        inbox.force(report(loop, store.revision))
+        inbox.force(report(loop, store.position))
         await asyncio.sleep(0.1)
         store.change(100_000)
-        inbox.force(report(loop, store.revision))
+        inbox.force(report(loop, store.position))
         await asyncio.sleep(0.3)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
-        return subscriber, store.revision
+        return subscriber, store.position
 
-    def report(loop, revision):
+    def report(loop, position):
         now_s = loop.time()
-        return fleet_events.RevisionReceived(
-            "peer", revision, now_s, now_s, revision
+        return fleet_events.PositionReceived(
+            "peer", position, now_s, now_s, position.revision
         )
 
-    context.subscriber, context.revision = simulated_time.run(play)
+    context.subscriber, context.position = simulated_time.run(play)
 
 
 @behave.then("the daemon reads it from the store")
 def step_read_store(context):
-    revisions = []
+    known = []
     while (message := context.subscriber.poll()) is not None:
         if isinstance(message, store_events.StoreChanged):
-            revisions.append(message.changes.revision)
+            known.append(message.changes.position)
     assert context.copies.count == 1, context.copies.count
-    assert revisions[-1] == context.revision, revisions
+    assert known[-1] == context.position, known
 
 
 @behave.given("two daemons of each data centre watch the store")
--- /dev/null
+++ b/features/steps/store_drill_steps.py
@@ -0,0 +1,71 @@
+"""Steps on drills, in which the store comes back from an older copy."""
+
+from __future__ import annotations
+
+import time
+
+import behave
+
+from features import environment
+from features.steps import following_steps
+from standins import fleet as fleet_harness
+from standins import gateway_fleet
+
+# What is written before this time is in the copy, in seconds.
+COPY_MARGIN_S = 0.3
+AWAY_S = 0.5
+
+
+def write_entries(context, count):
+    """Writes the entry of an instance a number of times."""
+    for _ in range(count):
+        context.sequence = getattr(context, "sequence", 1) + 1
+        context.fleet.register_instance(
+            "i-presses-1",
+            "presses",
+            born=context.fleet.instance_epoch,
+            sequence=context.sequence,
+        )
+
+
+@behave.given(
+    "all daemons know {count:d} changes that a copy of the store lacks"
+)
+def step_unsaved_changes(context, count):
+    following_steps.wait_for_two_watching(context.fleet)
+    time.sleep(COPY_MARGIN_S)
+    context.copied_s = time.monotonic()
+    time.sleep(COPY_MARGIN_S)
+    # The last change shows that the daemons know those before it.
+    write_entries(context, count - 1)
+    context.fleet.configure(*environment.ROUTES)
+    context.fleet.wait_for_configuration(context.fleet.version)
+
+
+@behave.when(
+    "the store comes back from that copy, and has {count:d} newer changes"
+)
+def step_drill(context, count):
+    store = context.fleet.store
+    context.fleet.set_store_faults(down=True)
+    time.sleep(AWAY_S)
+    age_s = time.monotonic() - context.copied_s
+    fleet_harness.post(store, "/_restore", {"age_s": age_s})
+    moved = gateway_fleet.route("/presses/", "deposits")
+    context.fleet.configure(moved, *environment.ROUTES[1:])
+    write_entries(context, count - 1)
+    context.fleet.set_store_faults()
+    context.returned_s = time.monotonic()
+
+
+@behave.then(
+    "the first of them, of the configuration, is in force within 2 seconds"
+)
+def step_in_force(context):
+    nodes = list(context.fleet.gateways.values())
+    fleet_harness.wait_until(
+        lambda: set(following_steps.versions(nodes)) == {context.fleet.version},
+        "the newest version everywhere",
+    )
+    took_s = time.monotonic() - context.returned_s
+    assert took_s < 2.0, took_s
--- a/features/steps/tenant_decision_steps.py
+++ b/features/steps/tenant_decision_steps.py
@@ -20,6 +20,7 @@
 from dotterelpath.tasks import messages
 from features.steps import platform_steps
 from features.support import gateway_world
+from features.support import positions
 
 SECRET = b"s" * 32
 STEP_S = 0.05
@@ -137,7 +138,7 @@
     context.guard = revocation.RevocationGuard(
         bounds.Bounds(apply_s=apply_s, max_stretch_s=5.0)
     )
-    context.guard.record_read(10, 0.0, True)
+    context.guard.record_read(positions.at(10), 0.0, True)
 
 
 @behave.given("a daemon whose keys are revoked strictly within 5 seconds")
@@ -145,7 +146,7 @@
     context.guard = revocation.RevocationGuard(
         bounds.Bounds(revoke_s=5.0, is_revocation_strict=True)
     )
-    context.guard.record_read(10, 0.0, True)
+    context.guard.record_read(positions.at(10), 0.0, True)
 
 
 def play(context, end_s, act):
@@ -166,9 +167,11 @@
 def step_healthy(context):
     def act(now_s):
         revision = 10 + int(now_s * 10)
-        context.guard.record_report(revision, now_s - 0.4, now_s)
+        context.guard.record_report(positions.at(revision), now_s - 0.4, now_s)
         if round(now_s / STEP_S) % 18 == 0:
-            context.guard.record_read(revision - 9, now_s - 0.9, False)
+            context.guard.record_read(
+                positions.at(revision - 9), now_s - 0.9, False
+            )
 
     play(context, 30.0, act)
 
@@ -181,7 +184,7 @@
     def act(now_s):
         if from_s - 0.01 <= now_s <= until_s + 0.01:
             context.guard.record_report(
-                11 + int(now_s * 10), now_s - 0.3, now_s
+                positions.at(11 + int(now_s * 10)), now_s - 0.3, now_s
             )
 
     play(context, 20.0, act)
@@ -198,9 +201,9 @@
 def step_bogus(context):
     def act(now_s):
         if now_s == 0.0:
-            context.guard.record_report(1_000_000, now_s, now_s)
+            context.guard.record_report(positions.at(1_000_000), now_s, now_s)
         elif now_s > 0.5:
-            context.guard.record_read(12, now_s, True)
+            context.guard.record_read(positions.at(12), now_s, True)
 
     play(context, 20.0, act)
 
--- a/features/steps/transfer_steps.py
+++ b/features/steps/transfer_steps.py
@@ -21,6 +21,7 @@
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import store_events
 from dotterelpath.tasks import store_reader
+from features.support import positions
 from features.support import simulated_paths
 from features.support import simulated_time
 
@@ -103,7 +104,11 @@
         )
         try:
             return await store.watch(
-                "", 5, 0.0, True, exchange.Transfer(PAUSE_S, LIMIT_S)
+                "",
+                positions.at(5),
+                0.0,
+                True,
+                exchange.Transfer(PAUSE_S, LIMIT_S),
             )
         except errors.StoreError as error:
             return error
@@ -126,18 +131,18 @@
     async def watch(
         self,
         prefix,
-        after_revision,
+        after,
         wait_s,
         may_be_stale=False,
         transfer=None,
     ):
         await asyncio.sleep(0.01)
-        if not after_revision:
-            return store_port.Changes([], self.revision, True)
-        if self.revision > after_revision:
+        if not after.revision:
+            return store_port.Changes([], positions.at(self.revision), True)
+        if self.revision > after.revision:
             raise errors.IncompleteResponseError("too long")
         await asyncio.sleep(wait_s)
-        return store_port.Changes([], after_revision)
+        return store_port.Changes([], after)
 
 
 @behave.given("a store whose changes are too long, and whose keys are not")
@@ -175,7 +180,7 @@
     revision = 0
     while (message := context.subscriber.poll()) is not None:
         if isinstance(message, store_events.StoreChanged):
-            revision = message.changes.revision
+            revision = message.changes.position.revision
     assert revision == context.long_store.revision, revision
 
 
@@ -189,7 +194,7 @@
     async def watch(
         self,
         prefix,
-        after_revision,
+        after,
         wait_s,
         may_be_stale=False,
         transfer=None,
@@ -200,7 +205,7 @@
         self.began_s = response.response_began_s
         await asyncio.sleep(self._duration_s)
         entry = store_port.VersionedValue("k", "new", 9)
-        return store_port.Changes([entry], 9)
+        return store_port.Changes([entry], positions.at(9))
 
 
 @behave.given(
@@ -219,7 +224,7 @@
             simulated_time.SimulatedClock(loop),
             store_following.StoreFollower(2.0),
         )
-        return await calls.watch(5, 1.0, calls.new_transfer())
+        return await calls.watch(positions.at(5), 1.0, calls.new_transfer())
 
     context.answer = simulated_time.run(play)
 
@@ -231,7 +236,9 @@
 
 @behave.then("it has the changes")
 def step_has_changes(context):
-    assert getattr(context.result, "revision", None) == 9, context.result
+    assert getattr(context.result, "position", None) == positions.at(9), (
+        context.result
+    )
 
 
 @behave.then("the response is lost, and it is known that a part came")
--- a/features/support/edges.py
+++ b/features/support/edges.py
@@ -23,6 +23,7 @@
 from dotterelpath.adapters import store_client
 from dotterelpath.adapters import traffic
 from dotterelpath.domain import exchange
+from dotterelpath.domain import store_position
 from dotterelpath.platform import caller_codec
 from dotterelpath.platform import server_codec
 from dotterelpath.platform import store_codec
@@ -273,8 +274,8 @@
         )
         for call in (
             client.get("k"),
-            client.watch("", 0, 0.0, True),
-            client.watch("", 5, 0.0),
+            client.watch("", store_position.NOTHING, 0.0, True),
+            client.watch("", store_position.Position(0, 5), 0.0),
             client.create("k", "v", 600.0),
             client.swap("k", "v", 1),
             client.delete("k"),
--- a/features/support/following_fleet.py
+++ b/features/support/following_fleet.py
@@ -8,6 +8,7 @@
 
 from dotterelpath.domain import configuration
 from dotterelpath.domain import steering
+from dotterelpath.domain import store_position
 from dotterelpath.tasks import fleet_events
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import peer_monitor
@@ -25,6 +26,10 @@
 CHECK_S = 0.05
 # What a processor core decodes in a second, in bytes of the store's responses.
 DECODED_BYTES_PER_S = 9e6
+# The longest time until the operator and the instances have written again what
+# a drill lost, in seconds.
+REWRITE_S = 0.3
+KEYS = [f"key {number}" for number in range(6)]
 USUAL_RESOURCES = steering.Resources(1.0, 5.0)
 
 
@@ -42,6 +47,15 @@
         self.kind = kind
 
 
+class Drill:
+    """A time in which the store is away, and then back from an older copy."""
+
+    def __init__(self, start_s, away_s, copy_age_s):
+        self.start_s = start_s
+        self.end_s = start_s + away_s
+        self.copy_age_s = copy_age_s
+
+
 class Member:
     """A daemon: its store reader and its peer monitor."""
 
@@ -62,13 +76,17 @@
         self.number = number
         self.data_centre = data_centre
         self.faults = []
-        self.known_revision = 0
+        self.known = store_position.NOTHING
+        # The values of the keys that this daemon knows.
+        self.keys = {}
+        # What it knew that the store never had at that position.
+        self.wrong = []
         self._fleet = fleet
         clock = fleet.clock
         source = random.Random(f"{fleet.seed} {number}")
         self.path = simulated_paths.StorePath(self, fleet.store, source)
         self.copies = simulated_paths.PeerCopies(self, fleet)
-        self.known = mailbox.Mailbox("known", 10**6)
+        self.subscriber = mailbox.Mailbox("known", 10**6)
         self.reader_inbox = mailbox.Mailbox("reader", 10**6)
         self.monitor_inbox = mailbox.Mailbox("monitor", 10**6)
         self.monitor = peer_monitor.PeerMonitor(
@@ -87,7 +105,7 @@
             clock,
             source,
             self.reader_inbox,
-            self.known,
+            self.subscriber,
             self.monitor_inbox,
             fleet.apply_s,
             daemon_id=self.id,
@@ -96,7 +114,7 @@
 
     @property
     def is_watching(self):
-        return self.monitor.store_revision is not None
+        return self.monitor.store_position is not None
 
     def fault(self):
         """Returns the fault that holds now."""
@@ -132,15 +150,28 @@
         self._fleet.send(self, port, datagram)
 
     def note_known(self):
-        """Reads up to which revision this daemon knows the store."""
-        while (message := self.known.poll()) is not None:
+        """Reads up to which position this daemon knows the store."""
+        while (message := self.subscriber.poll()) is not None:
             if isinstance(message, store_events.StoreChanged):
-                self.known_revision = message.changes.revision
+                self._on_changes(message.changes)
             elif isinstance(message, store_events.StoreLost):
                 self.lost_count += 1
             elif isinstance(message, fleet_events.StoreRead):
                 self.monitor_inbox.force(message)
 
+    def _on_changes(self, changes):
+        if changes.position < self.known:
+            self.wrong.append(f"{self.known} falls to {changes.position}")
+        self.known = changes.position
+        if changes.is_full:
+            self.keys = {}
+        for entry in changes.entries:
+            self.keys[entry.key] = entry.value
+        found = {k: v for k, v in self.keys.items() if v is not None}
+        era = self._fleet.store.eras[changes.position.era - 1]
+        if found != era.keys_at(changes.position.revision):
+            self.wrong.append(f"other keys at {changes.position}")
+
 
 class FollowingFleet:
     """Daemons that follow the store, whose paths to it and links fail."""
@@ -263,13 +294,74 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         return late
 
+    async def play_drills(self, duration_s, drills):
+        """Plays a time with small changes and drills.
+
+        Args:
+            duration_s: The time, in seconds.
+            drills: The drills, by rising start.
+
+        Returns:
+            See play_changes.
+        """
+        for member in self.members:
+            member.faults += [
+                Fault(
+                    d.start_s, d.end_s, self.random.choice(("reset", "silent"))
+                )
+                for d in drills
+            ]
+        script = asyncio.create_task(self._restore_and_change(drills))
+        late = await self.play_changes(duration_s, iter([(math.inf, 0)]))
+        script.cancel()
+        await asyncio.gather(script, return_exceptions=True)
+        return late
+
+    async def _restore_and_change(self, drills):
+        """Changes keys at random, more so when the store comes back."""
+        for drill in [*drills, None]:
+            while drill is None or self.loop.time() < drill.start_s:
+                await asyncio.sleep(self.random.choice((0.01, 0.1, 0.4, 1.5)))
+                self._change_key()
+            await asyncio.sleep(drill.end_s - self.loop.time())
+            lost = self.store.restore(drill.copy_age_s)
+            for entry in lost if self.random.random() < 0.5 else []:
+                self.store.set(entry.key, entry.value)
+            for _ in range(self.random.choice((0, 1, 5, len(lost) + 3))):
+                self._change_key()
+            await asyncio.sleep(self.random.random() * REWRITE_S)
+            for entry in lost:
+                self.store.set(entry.key, entry.value)
+
+    def _change_key(self):
+        value = self.random.choice((None, *"abcdef"))
+        self.store.set(self.random.choice(KEYS), value)
+
     def age_of_unknown_s(self, member, now_s):
         """Returns how long ago the oldest change was that a daemon lacks."""
-        if member.known_revision >= self.store.revision:
-            return 0.0
-        if not member.known_revision:
+        era = self.store.era
+        if member.known >= era.position or not member.known.revision:
             return 0.0
-        return now_s - self.store.acknowledged_s[member.known_revision]
+        if member.known.era < era.number:
+            return now_s - era.began_s
+        return now_s - era.acknowledged_s[member.known.revision]
+
+
+def draw_drills(source, from_s, to_s):
+    """Draws drills that follow each other at any distance."""
+    drills = []
+    at_s = from_s
+    while at_s < to_s:
+        drill = Drill(
+            at_s,
+            source.choice((0.05, 0.3, 1.0, 2.5)),
+            source.choice((0.5, 2.0, 8.0)),
+        )
+        drills.append(drill)
+        at_s = drill.end_s + source.choice((0.4, 3.0, 9.0)) * (
+            0.5 + source.random()
+        )
+    return drills
 
 
 def add_faults(fleet, source, from_s, to_s):
--- a/features/support/simulated_paths.py
+++ b/features/support/simulated_paths.py
@@ -10,6 +10,7 @@
 from dotterelpath.adapters import http_client
 from dotterelpath.adapters import store_client
 from dotterelpath.domain import exchange
+from dotterelpath.domain import store_position
 from dotterelpath.ports import store as store_port
 
 # One way to the store and to other daemons, in seconds.
@@ -46,54 +47,130 @@
 
 def encoded_size(changes):
     """Returns the bytes of a response of the store with changes."""
-    return sum(len(entry.value) for entry in changes.entries)
+    return sum(len(entry.value or "") for entry in changes.entries)
+
+
+class Era:
+    """The changes of an era of a store, and when each was acknowledged."""
+
+    def __init__(self, number, began_s, entries, acknowledged_s):
+        self.number = number
+        self.began_s = began_s
+        self.entries = entries
+        self.acknowledged_s = acknowledged_s
+
+    @property
+    def position(self):
+        """The position of the newest change."""
+        return self.position_at(math.inf)
+
+    def position_at(self, at_s):
+        """Returns the position of the last change until a time."""
+        revision = max(1, bisect.bisect(self.acknowledged_s, at_s))
+        return store_position.Position(self.number, revision)
+
+    def keys_at(self, revision):
+        """Returns the values of the keys that exist at a revision."""
+        values = {e.key: e.value for e in self.entries[:revision]}
+        return {k: value for k, value in values.items() if value is not None}
 
 
 class SimulatedStore:
-    """The changes of a store, and when each was acknowledged."""
+    """The changes of a store, which may come back from an older copy."""
 
     def __init__(self, loop, source, max_stale_s):
-        self.acknowledged_s = [0.0]
-        self._entries = [create_entry(1, SMALL_BYTES)]
+        self.eras = [Era(1, 0.0, [create_entry(1, SMALL_BYTES)], [0.0])]
         self.link = Link(loop)
         self._loop = loop
         self._random = source
         self._max_stale_s = max_stale_s
         self._changed = asyncio.Event()
 
+    @property
+    def era(self):
+        """The present era."""
+        return self.eras[-1]
+
+    @property
+    def position(self):
+        return self.era.position
+
     @property
     def revision(self):
-        return len(self.acknowledged_s)
+        return self.position.revision
 
     def change(self, size=SMALL_BYTES):
-        self.acknowledged_s.append(self._loop.time())
-        self._entries.append(create_entry(self.revision, size))
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self.put(create_entry(self.revision + 1, size))
+
+    def set(self, key, value):
+        """Writes a key; with None, deletes it."""
+        revision = self.revision + 1
+        self.put(store_port.VersionedValue(key, value, revision))
+
+    def put(self, entry):
+        """Adds a change."""
+        self.era.acknowledged_s.append(self._loop.time())
+        self.era.entries.append(entry)
+        self._notify()
+
+    def restore(self, age_s):
+        """Goes back to a copy of the present era; returns what is lost.
+
+        Args:
+            age_s: The age of the copy, in seconds.
+        """
+        now_s = self._loop.time()
+        era = self.era
+        revision = era.position_at(now_s - age_s).revision
+        self.eras.append(
+            Era(
+                era.number + 1,
+                now_s,
+                era.entries[:revision],
+                era.acknowledged_s[:revision],
+            )
+        )
+        self._notify()
+        return era.entries[revision:]
+
+    def changes_after(self, position, may_be_stale):
+        """Returns the changes that a response has.
 
-    def changes_after(self, revision, may_be_stale):
-        """Returns the changes that a response has."""
-        known = self.revision
+        A stale one may be of a replica that has not entered the era yet.
+        """
+        era = self.era
+        newest = era.position
         if may_be_stale:
             oldest_s = self._loop.time() - self._random.random() * (
                 self._max_stale_s
             )
-            known = max(1, bisect.bisect(self.acknowledged_s, oldest_s))
-        entries = self._entries[revision:known]
+            era = [e for e in self.eras if e.began_s <= oldest_s][-1]
+            newest = era.position_at(oldest_s)
+        revision = position.revision
+        if revision > era.position.revision:
+            raise errors.HistoryLostError("status 410")
+        entries = era.entries[revision : newest.revision]
         if not revision:
             entries = list({entry.key: entry for entry in entries}.values())
-        return store_port.Changes(entries, known, not revision)
+        store_position.check_answer(newest, position)
+        return store_port.Changes(entries, newest, not revision)
 
-    async def wait_for_change(self, revision, wait_s):
+    async def wait_for_change(self, position, wait_s):
         """Waits for a change after a revision, or until the wait ends."""
         until_s = self._loop.time() + wait_s
-        while self.revision <= revision and self._loop.time() < until_s:
+        while (
+            self.revision <= position.revision and self._loop.time() < until_s
+        ):
             try:
                 async with asyncio.timeout(until_s - self._loop.time()):
                     await self._changed.wait()
             except TimeoutError:
                 return
 
+    def _notify(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
+
 
 class ArrivingResponse:
     """When the parts of a response arrived; see exchange.ResponseSource."""
@@ -125,7 +202,7 @@
     async def watch(
         self,
         prefix,
-        after_revision,
+        after,
         wait_s,
         may_be_stale=False,
         transfer=None,
@@ -140,7 +217,7 @@
         response = ArrivingResponse(self._member.loop)
         transfer.follow(response)
         call = asyncio.create_task(
-            self._call(after_revision, wait_s, may_be_stale, response)
+            self._call(after, wait_s, may_be_stale, response)
         )
         reset = asyncio.create_task(self._member.wait_for_reset())
         try:
@@ -170,11 +247,11 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
 
-    async def _call(self, after_revision, wait_s, may_be_stale, response):
+    async def _call(self, after, wait_s, may_be_stale, response):
         await self._cross()
         if not may_be_stale:
-            await self._store.wait_for_change(after_revision, wait_s)
-        changes = self._store.changes_after(after_revision, may_be_stale)
+            await self._store.wait_for_change(after, wait_s)
+        changes = self._store.changes_after(after, may_be_stale)
         size = encoded_size(changes)
         await self._cross()
         for start in range(0, size, PART_BYTES):
@@ -208,7 +285,7 @@
         self._member = member
         self._fleet = fleet
 
-    async def changes_after(self, daemon, revision, transfer):
+    async def changes_after(self, daemon, position, transfer):
         if self.is_lost:
             raise errors.StoreError("no response")
         holder = self._fleet.members[daemon.peer_port]
@@ -217,7 +294,7 @@
                 await self._cross(holder)
         except TimeoutError:
             raise errors.StoreError("no response") from None
-        changes = holder.reader.changes_after(revision)
+        changes = holder.reader.changes_after(position)
         size = encoded_size(changes)
         for link in (holder.link, self._member.link):
             await link.carry(size * COMPRESSED_SHARE)
--- a/src/dotterelpath/adapters/datagrams.py
+++ b/src/dotterelpath/adapters/datagrams.py
@@ -13,6 +13,7 @@
 from dotterelpath.domain import health_reports
 from dotterelpath.domain import quota_reports
 from dotterelpath.domain import steering
+from dotterelpath.domain import store_position
 from dotterelpath.ports import datagrams
 
 # The largest number in a datagram; JSON encoders refuse larger ones.
@@ -96,18 +97,7 @@
     if isinstance(datagram, datagrams.Ping):
         return {"ping": datagram.sequence, "from": datagram.sender_id}
     if isinstance(datagram, datagrams.Pong):
-        return {
-            "pong": datagram.sequence,
-            "from": datagram.sender_id,
-            "state": datagram.state.value,
-            "cores": round(datagram.usage.cores, 3),
-            "link_mbps": round(datagram.usage.link_mbps, 3),
-            "revision": datagram.revision,
-            "revision_age_s": round(datagram.revision_age_s, 3)
-            if datagram.revision is not None
-            else None,
-            "large_revision": datagram.large_revision,
-        }
+        return _encode_pong(datagram)
     if isinstance(datagram, datagrams.QuotaReportDatagram):
         return _encode_quota_report(datagram)
     if isinstance(datagram, datagrams.QuotaUsedUpDatagram):
@@ -195,6 +185,25 @@
     return datagrams.HealthReportDatagram(sender, report)
 
 
+def _encode_pong(pong: datagrams.Pong) -> dict[str, typing.Any]:
+    data = {
+        "pong": pong.sequence,
+        "from": pong.sender_id,
+        "state": pong.state.value,
+        "cores": round(pong.usage.cores, 3),
+        "link_mbps": round(pong.usage.link_mbps, 3),
+        # Daemons of an older build expect both fields.
+        "revision": None,
+        "revision_age_s": None,
+    }
+    if pong.position is not None:
+        data["era"] = pong.position.era
+        data["revision"] = pong.position.revision
+        data["revision_age_s"] = round(pong.position_age_s, 3)
+        data["large_revision"] = pong.large_revision
+    return data
+
+
 def _decode_pong(sender: str, data: dict[str, typing.Any]) -> datagrams.Pong:
     pong = datagrams.Pong(
         sender,
@@ -206,10 +215,14 @@
         None,
     )
     # A daemon of an older build does not send the age. Its revision may be of
-    # any age, so that it is of no use.
+    # any age, so that it is of no use. Without an era, it is of use only if the
+    # store states none either.
     if data["revision"] is not None and data.get("revision_age_s") is not None:
-        pong.revision = _decode_integer(data["revision"])
-        pong.revision_age_s = max(0.0, _decode_number(data["revision_age_s"]))
+        pong.position = store_position.Position(
+            _decode_integer(data.get("era") or 0),
+            _decode_integer(data["revision"]),
+        )
+        pong.position_age_s = max(0.0, _decode_number(data["revision_age_s"]))
         pong.large_revision = _decode_integer(data.get("large_revision") or 0)
     return pong
 
--- a/src/dotterelpath/adapters/gateway_status.py
+++ b/src/dotterelpath/adapters/gateway_status.py
@@ -81,7 +81,7 @@
                 "in_flight": self._gateway.in_flight,
                 "body_bytes": self._callers.memory.body_bytes,
                 "callers": self._callers.status(),
-                "store_watched": self._peer_monitor.store_revision is not None,
+                "store_watched": self._peer_monitor.store_position is not None,
                 "quotas": self._gateway.quotas.status(MAX_TENANTS),
                 "daemons": sorted(self._peer_monitor.fleet_view.daemons),
                 "services": {
--- a/src/dotterelpath/adapters/store_client.py
+++ b/src/dotterelpath/adapters/store_client.py
@@ -12,6 +12,7 @@
 from dotterelpath.adapters import http_client
 from dotterelpath.domain import exchange
 from dotterelpath.domain import store_listing
+from dotterelpath.domain import store_position
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import metrics as metrics_port
 from dotterelpath.ports import store
@@ -60,7 +61,7 @@
     def decode_page(self, response: exchange.Response) -> store.Page:
         """Decodes the only page; see store.StoreCodec."""
         changes = self.decode_watch(response)
-        return store.Page(changes.entries, changes.revision, None)
+        return store.Page(changes.entries, changes.position, None)
 
     def encode_watch(
         self,
@@ -84,7 +85,10 @@
             )
             for item in data["entries"]
         ]
-        return store.Changes(entries, decode_number(data, "revision"))
+        return store.Changes(
+            entries,
+            store_position.Position(0, decode_number(data, "revision")),
+        )
 
     def encode_grant(self, lease_s: float) -> exchange.Request | None:
         """Returns None, as encode_create states the duration."""
@@ -231,16 +235,16 @@
     async def watch(
         self,
         prefix: str,
-        after_revision: int,
+        after: store_position.Position,
         wait_s: float,
         may_be_stale: bool = False,
         transfer: exchange.Transfer | None = None,
     ) -> store.Changes:
         """Waits for changes; see store.Store."""
-        if not after_revision:
-            return await self._read_all(prefix, wait_s, may_be_stale)
+        if not after.revision:
+            return await self._read_all(prefix, after, wait_s, may_be_stale)
         return await self._read_changes(
-            prefix, after_revision, wait_s, may_be_stale, transfer
+            prefix, after, wait_s, may_be_stale, transfer
         )
 
     async def renew(self, lease: int) -> bool:
@@ -251,14 +255,18 @@
         return self._codec.decode_renew(response)
 
     async def _read_all(
-        self, prefix: str, wait_s: float, may_be_stale: bool
+        self,
+        prefix: str,
+        start: store_position.Position,
+        wait_s: float,
+        may_be_stale: bool,
     ) -> store.Changes:
         """Reads all keys, page by page.
 
         Stale pages save cost, but the result is never stale: the changes since
         the oldest page complete it.
         """
-        listing = store_listing.Listing()
+        listing = store_listing.Listing(start)
         after: str | None = ""
         while after is not None:
             call = self._codec.encode_page(prefix, after, wait_s, may_be_stale)
@@ -274,22 +282,20 @@
             after = page.next_after
         if may_be_stale or not listing.is_snapshot:
             listing.apply_changes(
-                await self._read_changes(
-                    prefix, listing.oldest_revision, 0.0, False
-                )
+                await self._read_changes(prefix, listing.oldest, 0.0, False)
             )
         return listing.to_changes()
 
     async def _read_changes(
         self,
         prefix: str,
-        after_revision: int,
+        after: store_position.Position,
         wait_s: float,
         may_be_stale: bool,
         transfer: exchange.Transfer | None = None,
     ) -> store.Changes:
         call = self._codec.encode_watch(
-            prefix, after_revision, wait_s, may_be_stale
+            prefix, after.revision, wait_s, may_be_stale
         )
         response = await self._read(
             "watch",
@@ -299,6 +305,7 @@
             transfer or http_client.new_transfer(MAX_PAUSE_S),
         )
         changes = _decode_read(self._codec.decode_watch, response)
+        store_position.check_answer(changes.position, after)
         changes.encoded_bytes = len(response.body)
         return changes
 
--- a/src/dotterelpath/adapters/store_copies.py
+++ b/src/dotterelpath/adapters/store_copies.py
@@ -13,6 +13,7 @@
 from dotterelpath.adapters import http_client
 from dotterelpath.domain import exchange
 from dotterelpath.domain import steering
+from dotterelpath.domain import store_position
 from dotterelpath.ports import metrics as metrics_port
 from dotterelpath.ports import store
 from dotterelpath.ports import store_copies
@@ -37,8 +38,10 @@
             holder: Has the copy.
         """
         self._holder = holder
-        # Encoded changes by the revisions after and up to which they are.
-        self._kept: dict[tuple[int, int], bytes] = {}
+        # Encoded changes by the positions after and up to which they are.
+        self._kept: dict[
+            tuple[store_position.Position, store_position.Position], bytes
+        ] = {}
 
     @property
     def handlers(self) -> dict[tuple[str, str], api.Handler]:
@@ -47,9 +50,11 @@
 
     async def _on_changes(self, request: exchange.Request) -> exchange.Response:
         query = urllib.parse.parse_qs(request.target.partition("?")[2])
-        revision = int(query.get("after", ["0"])[0])
-        changes = self._holder.changes_after(revision)
-        key = (revision, changes.revision)
+        after = store_position.Position(
+            int(query.get("era", ["0"])[0]), int(query.get("after", ["0"])[0])
+        )
+        changes = self._holder.changes_after(after)
+        key = (after, changes.position)
         body = self._kept.get(key)
         if body is None:
             body = self._kept[key] = encode_changes(changes)
@@ -84,11 +89,14 @@
     async def changes_after(
         self,
         daemon: steering.Daemon,
-        revision: int,
+        position: store_position.Position,
         transfer: exchange.Transfer,
     ) -> store.Changes:
         """Reads changed keys; see store_copies.StoreCopies."""
-        call = http_client.build_get(f"{CHANGES_PATH}?after={revision}")
+        query = urllib.parse.urlencode(
+            {"after": position.revision, "era": position.era}
+        )
+        call = http_client.build_get(f"{CHANGES_PATH}?{query}")
         is_read = False
         try:
             response = await self._client.call(
@@ -121,7 +129,8 @@
         changes: The changes.
     """
     data = {
-        "revision": changes.revision,
+        "era": changes.position.era,
+        "revision": changes.position.revision,
         "is_full": changes.is_full,
         "entries": [
             (entry.key, entry.value, entry.revision, entry.lease)
@@ -150,11 +159,21 @@
         entries = [_decode_entry(*item) for item in data["entries"]]
         return store.Changes(
             entries,
-            _check_integer(data["revision"]),
+            # A daemon of an older build does not send the era.
+            store_position.Position(
+                _check_integer(data.get("era", 0)),
+                _check_integer(data["revision"]),
+            ),
             data["is_full"] is True,
             len(body),
         )
-    except (KeyError, TypeError, ValueError, zlib.error) as error:
+    except (
+        AttributeError,
+        KeyError,
+        TypeError,
+        ValueError,
+        zlib.error,
+    ) as error:
         raise errors.StoreError(f"the copy is invalid: {error!r}") from error
 
 
--- a/src/dotterelpath/domain/registry.py
+++ b/src/dotterelpath/domain/registry.py
@@ -167,11 +167,25 @@
         self._store_recovered_s = now_s
         return True
 
-    def apply_entry(self, entry: Entry) -> bool:
+    def record_store_restored(self, now_s: float) -> None:
+        """Records that the store came back from an older copy.
+
+        Args:
+            now_s: The current time on the monotonic clock, in seconds.
+        """
+        self._last_reply_s = now_s
+        self._store_recovered_s = now_s
+
+    def apply_entry(self, entry: Entry, is_older_copy: bool = False) -> bool:
         """Applies an entry that an instance wrote.
 
+        An older copy of the store has entries that were removed since. There,
+        only a newer entry shows that an instance did not leave.
+
         Args:
             entry: The entry.
+            is_older_copy: Whether it was read from a store that came back from
+                an older copy, and may be older than its removal.
 
         Returns:
             Whether the registered instances changed.
@@ -186,11 +200,12 @@
         known = instance.entry
         if entry.version < known.version:
             return False
+        is_missing = instance.missing_since_s is not None
+        if is_older_copy and is_missing and entry.version == known.version:
+            return False
         if entry.started_ms == known.started_ms:
             entry.is_draining = entry.is_draining or known.is_draining
-        is_changed = instance.missing_since_s is not None or _differs(
-            entry, known
-        )
+        is_changed = is_missing or _differs(entry, known)
         instance.entry = entry
         instance.missing_since_s = None
         return is_changed
@@ -246,8 +261,9 @@
             if since_s is None:
                 continue
             until_s = since_s + self._drain_s * MISSING_DRAIN_FRACTION
-            # An entry that expired during an outage has time to reappear.
-            if since_s - self._store_recovered_s < OUTAGE_RECOVERY_S:
+            # An entry that expired during an outage has time to reappear. One
+            # that was removed before has none.
+            if 0.0 <= since_s - self._store_recovered_s < OUTAGE_RECOVERY_S:
                 until_s = max(
                     until_s, self._store_recovered_s + OUTAGE_RECOVERY_S
                 )
--- a/src/dotterelpath/domain/revocation.py
+++ b/src/dotterelpath/domain/revocation.py
@@ -11,6 +11,7 @@
 
 from dotterelpath.domain import bounds as bounds_domain
 from dotterelpath.domain import store_following
+from dotterelpath.domain import store_position
 
 # A report of another daemon shows that the store can be reached if the store
 # proved the reported revision within this share of the time within which a
@@ -27,14 +28,17 @@
 
 
 class _Report:
-    """A revision that is not known here yet, and when it was reported first."""
+    """A position that is not known here yet, and when it was reported first."""
 
-    __slots__ = ("confirmed_s", "reported_s", "revision")
+    __slots__ = ("confirmed_s", "position", "reported_s")
 
     def __init__(
-        self, revision: int, confirmed_s: float, reported_s: float
+        self,
+        position: store_position.Position,
+        confirmed_s: float,
+        reported_s: float,
     ) -> None:
-        self.revision = revision
+        self.position = position
         self.confirmed_s = confirmed_s
         self.reported_s = reported_s
 
@@ -55,8 +59,8 @@
         "_bounds",
         "_confirmed_s",
         "_evidence_s",
+        "_position",
         "_reports",
-        "_revision",
     )
 
     def __init__(self, bounds: bounds_domain.Bounds) -> None:
@@ -66,12 +70,12 @@
             bounds: The limits from the settings.
         """
         self._bounds = bounds
-        self._revision = 0
+        self._position = store_position.NOTHING
         self._confirmed_s = -math.inf
         # When the store confirmed a revision that is not known here to another
         # daemon.
         self._evidence_s = -math.inf
-        # The reports that are not caught up with, by rising revision.
+        # The reports that are not caught up with, by rising position.
         self._reports: collections.deque[_Report] = collections.deque()
 
     @property
@@ -99,34 +103,39 @@
         self._bounds = bounds
 
     def record_report(
-        self, revision: int, confirmed_s: float, now_s: float
+        self,
+        position: store_position.Position,
+        confirmed_s: float,
+        now_s: float,
     ) -> None:
         """Records a report of a daemon that watches the store.
 
         Args:
-            revision: The revision that the daemon knows.
-            confirmed_s: When the store confirmed this revision to it, on this
+            position: The position that the daemon knows.
+            confirmed_s: When the store confirmed this position to it, on this
                 daemon's monotonic clock, in seconds.
             now_s: The time of the report on the monotonic clock, in seconds.
         """
-        if revision <= self._revision:
-            # A lower revision may be confirmed by a copy of the store that
+        if position <= self._position:
+            # A lower position may be confirmed by a copy of the store that
             # lags behind.
-            if revision == self._revision:
+            if position == self._position:
                 self._confirmed_s = max(self._confirmed_s, confirmed_s)
             return
         self._evidence_s = max(self._evidence_s, confirmed_s)
         last = self._reports[-1] if self._reports else None
-        if last is None or revision > last.revision:
+        if last is None or position > last.position:
             if last is None or len(self._reports) < MAX_REPORTS:
-                report = _Report(revision, confirmed_s, now_s)
+                report = _Report(position, confirmed_s, now_s)
                 self._reports.append(report)
                 return
-            last.revision = revision
-        if revision == last.revision:
+            last.position = position
+        if position == last.position:
             last.confirmed_s = max(last.confirmed_s, confirmed_s)
 
-    def record_read(self, revision: int, sent_s: float, is_exact: bool) -> None:
+    def record_read(
+        self, position: store_position.Position, sent_s: float, is_exact: bool
+    ) -> None:
         """Records a successful read of the store.
 
         An exact read is the answer to all earlier reports, also to one with a
@@ -135,14 +144,14 @@
         strict.
 
         Args:
-            revision: The revision up to which all changes are known now.
+            position: The position up to which all changes are known now.
             sent_s: When the read was sent, on the monotonic clock, in seconds.
             is_exact: Whether the response cannot be older than the read.
         """
-        self._revision = max(self._revision, revision)
+        self._position = max(self._position, position)
         while self._reports:
             report = self._reports[0]
-            if report.revision <= self._revision:
+            if report.position <= self._position:
                 self._confirmed_s = max(self._confirmed_s, report.confirmed_s)
             elif not is_exact or report.reported_s > sent_s:
                 break
--- a/src/dotterelpath/domain/store_copy.py
+++ b/src/dotterelpath/domain/store_copy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dotterelpath.domain import store_position
 from dotterelpath.ports import store
 
 # A change of a value of at least this length, in characters, is read from a
@@ -13,7 +14,7 @@
 
 
 class StoreCopy:
-    """The keys of the store at one revision.
+    """The keys of the store at one position.
 
     Unlike the history of the store, it has each key once, however often the key
     changed.
@@ -24,7 +25,7 @@
         "_deleted",
         "_entries",
         "_large_revision",
-        "_revision",
+        "_position",
     )
 
     def __init__(self) -> None:
@@ -35,43 +36,48 @@
         # Deletions after this revision are known.
         self._base_revision = 0
         self._large_revision = 0
-        self._revision = 0
+        self._position = store_position.NOTHING
 
     @property
-    def revision(self) -> int:
-        """The revision of the store that this is a copy of."""
-        return self._revision
+    def position(self) -> store_position.Position:
+        """The position of the store that this is a copy of."""
+        return self._position
 
     @property
     def large_revision(self) -> int:
-        """The newest revision at which a large value was written."""
+        """The newest revision of the era at which a large value was written."""
         return self._large_revision
 
     def apply(self, changes: store.Changes) -> None:
-        """Brings the copy to the revision of the given changes.
+        """Brings the copy to the position of the given changes.
 
         Args:
-            changes: All keys, or the changes since the revision of the copy.
+            changes: All keys, or the changes since the position of the copy.
         """
         if changes.is_full:
             self._entries.clear()
             self._deleted.clear()
-            self._base_revision = changes.revision
+            self._base_revision = changes.position.revision
+            self._large_revision = 0
         for entry in sorted(changes.entries, key=lambda entry: entry.revision):
             self._apply_entry(entry)
-        self._revision = changes.revision
+        self._position = changes.position
 
-    def changes_after(self, revision: int) -> store.Changes:
-        """Returns the keys that have changed since a revision.
+    def changes_after(self, position: store_position.Position) -> store.Changes:
+        """Returns the keys that have changed since a position.
 
         Args:
-            revision: The revision.
+            position: The position.
 
         Returns:
-            The keys with their newest values; all keys if some that were
-            deleted since are not known any more.
+            The keys with their newest values; all keys if the position is of
+            another era, or if some that were deleted since are not known any
+            more.
         """
-        is_full = revision < self._base_revision
+        revision = position.revision
+        is_full = (
+            position.era != self._position.era or revision < self._base_revision
+        )
         entries = [
             entry
             for entry in self._entries.values()
@@ -83,7 +89,7 @@
                 for key, deleted_at in self._deleted.items()
                 if deleted_at > revision
             ]
-        return store.Changes(entries, self._revision, is_full)
+        return store.Changes(entries, self._position, is_full)
 
     def _apply_entry(self, entry: store.VersionedValue) -> None:
         self._deleted.pop(entry.key, None)
--- a/src/dotterelpath/domain/store_following.py
+++ b/src/dotterelpath/domain/store_following.py
@@ -8,6 +8,8 @@
 import enum
 import math
 
+from dotterelpath.domain import store_position
+
 # A peer counts as a follower for this time after its last query, in seconds.
 # Peers query with each ping; four pings fit into the time.
 FOLLOWER_TIMEOUT_S = 1.0
@@ -77,20 +79,23 @@
     Only responses that cannot be stale prove that there are no later changes. A
     pending watch proves nothing, since its response may be lost. It proves its
     revision when it ends, so that watches end at the rate of the proofs.
+
+    A later era of the store makes all proofs and reports of earlier ones void.
     """
 
     __slots__ = (
         "_apply_s",
         "_confirmed_s",
         "_copy_holder_id",
-        "_large_revision",
-        "_lost_copy_revision",
+        "_era",
+        "_large",
+        "_lost_copy",
         "_newer_reported_s",
         "_own_id",
         "_peer_id",
         "_proved_s",
         "_queried_s",
-        "_reported_revision",
+        "_reported",
         "_reported_s",
         "_response_s",
     )
@@ -108,29 +113,31 @@
         self._confirmed_s = -math.inf
         self._queried_s = -math.inf
         self._reported_s = -math.inf
-        self._reported_revision = 0
+        self._reported = store_position.NOTHING
+        # The newest era that the store or a peer has stated.
+        self._era = 0
         # The peer that last reported a newer proof.
         self._peer_id = ""
-        # The peer that first reported the newest revision.
+        # The peer that first reported the newest position.
         self._copy_holder_id: str | None = None
-        # The newest revision of a large value that a peer has reported.
-        self._large_revision = 0
-        # The newest revision reported when a copy could not be read.
-        self._lost_copy_revision = 0
-        # When the newest revision was reported first.
+        # The newest position of a large value that a peer has reported.
+        self._large = store_position.NOTHING
+        # The newest position reported when a copy could not be read.
+        self._lost_copy = store_position.NOTHING
+        # When the newest position was reported first.
         self._newer_reported_s = -math.inf
         self._proved_s = -math.inf
         # How long the last responses took, times RESPONSE_SLACK.
         self._response_s = 0.0
 
     @property
-    def reported_revision(self) -> int:
-        """The newest revision that a peer has reported."""
-        return self._reported_revision
+    def reported(self) -> store_position.Position:
+        """The newest position that a peer has reported."""
+        return self._reported
 
     @property
     def newer_reported_s(self) -> float:
-        """When that revision was first reported, on the monotonic clock."""
+        """When that position was first reported, on the monotonic clock."""
         return self._newer_reported_s
 
     @property
@@ -169,30 +176,34 @@
         oldest_s = self._apply_s * MAX_PROOF_AGE_SHARE
         return min(self._apply_s * PROOF_SHARE, oldest_s - REPORT_DELAY_S)
 
-    def copy_holder_id(self, revision: int, is_store_lost: bool) -> str | None:
+    def copy_holder_id(
+        self, position: store_position.Position, is_store_lost: bool
+    ) -> str | None:
         """Returns the peer whose copy of the store to read.
 
         Large values are read from peers: the store's link does not carry them
-        to all daemons at once. So are all changes while only this daemon does
+        to all daemons at once. So are all keys at a later era, which all
+        daemons learn of at once, and all changes while only this daemon does
         not reach the store.
 
         Args:
-            revision: The revision up to which changes are known; 0 if all keys
-                must be read.
+            position: The position up to which changes are known; with revision
+                0 if all keys must be read.
             is_store_lost: Whether the last call to the store failed.
 
         Returns:
             The id of the peer; None if the store is to be read.
         """
-        if self._reported_revision <= max(revision, self._lost_copy_revision):
+        if self._reported <= max(position, self._lost_copy):
             return None
-        if self._large_revision > revision or is_store_lost:
+        is_later_era = 0 < position.era < self._reported.era
+        if self._large > position or is_later_era or is_store_lost:
             return self._copy_holder_id
         return None
 
     def record_lost_copy(self) -> None:
-        """Records that the peer gave no copy of the reported revision."""
-        self._lost_copy_revision = self._reported_revision
+        """Records that the peer gave no copy of the reported position."""
+        self._lost_copy = self._reported
 
     def set_apply_s(self, apply_s: float) -> None:
         """Sets the time within which a change must be in force.
@@ -215,27 +226,33 @@
         self._response_s = 2.0 * self.response_s
 
     def record_proof(
-        self, revision: int, proved_s: float, complete_s: float
+        self,
+        position: store_position.Position,
+        proved_s: float,
+        complete_s: float,
     ) -> None:
         """Records an answer of the store that cannot be stale.
 
         It also refutes earlier reports of a revision that the store has not.
 
         Args:
-            revision: The revision up to which all changes are known now.
+            position: The position up to which all changes are known now.
             proved_s: The time for which they are complete, on the monotonic
                 clock, in seconds.
             complete_s: The same, even if the answer was delayed on its way.
         """
+        self._enter_era(position.era)
         self._proved_s = max(self._proved_s, proved_s)
         if self._newer_reported_s <= complete_s:
-            self._reported_revision = min(self._reported_revision, revision)
+            self._reported = min(self._reported, position)
 
-    def proof_due_s(self, revision: int, is_strict: bool) -> float:
+    def proof_due_s(
+        self, position: store_position.Position, is_strict: bool
+    ) -> float:
         """Returns when the store must be asked for a proof.
 
         Args:
-            revision: The revision of the store up to which changes are known.
+            position: The position of the store up to which changes are known.
             is_strict: Whether the proofs of peers do not count.
 
         Returns:
@@ -244,7 +261,7 @@
         if is_strict:
             return self._proved_s + self._apply_s * STRICT_PROOF_AGE_SHARE
         newest_s = self._proved_s
-        if self._reported_revision <= revision:
+        if self._reported <= position:
             newest_s = max(newest_s, self._confirmed_s)
         return newest_s + self._apply_s * MAX_PROOF_AGE_SHARE
 
@@ -298,7 +315,7 @@
 
     def record_report(
         self,
-        revision: int,
+        position: store_position.Position,
         confirmed_s: float,
         now_s: float,
         peer_id: str = "",
@@ -306,42 +323,56 @@
     ) -> None:
         """Records a report from a peer that watches the store.
 
+        A report of an earlier era tells nothing.
+
         Args:
-            revision: The revision of the store that the peer knows.
+            position: The position of the store that the peer knows.
             confirmed_s: When the store last proved to the peer that it has no
                 later changes, on this daemon's monotonic clock, in seconds.
             now_s: The time of the report on the monotonic clock, in seconds.
             peer_id: The id of the peer.
-            large_revision: The newest revision at which a large value was
-                written.
+            large_revision: The newest revision of that era at which a large
+                value was written.
         """
-        self._large_revision = max(self._large_revision, large_revision)
+        self._enter_era(position.era)
+        if position.era < self._era:
+            return
+        large = store_position.Position(position.era, large_revision)
+        self._large = max(self._large, large)
         self._reported_s = max(self._reported_s, now_s)
         if confirmed_s > self._confirmed_s:
             self._confirmed_s = confirmed_s
             self._peer_id = peer_id
-        if revision > self._reported_revision:
-            self._reported_revision = revision
+        if position > self._reported:
+            self._reported = position
             self._newer_reported_s = now_s
             self._copy_holder_id = peer_id
 
     def next_step(
-        self, revision: int, now_s: float, is_store_lost: bool = False
+        self,
+        position: store_position.Position,
+        now_s: float,
+        is_store_lost: bool = False,
     ) -> Step:
         """Decides on the next step.
 
         Args:
-            revision: The revision of the store up to which changes are known;
-                0 before the first read.
+            position: The position of the store up to which changes are known;
+                with revision 0 if all keys must be read.
             now_s: The current time on the monotonic clock, in seconds.
             is_store_lost: Whether the last call to the store failed.
         """
-        if revision and is_store_lost and self.copy_holder_id(revision, True):
+        must_read_all = not position.revision
+        if (
+            is_store_lost
+            and not must_read_all
+            and self.copy_holder_id(position, True)
+        ):
             return Step.CATCH_UP
         is_silent = self.silence_left_s(now_s) <= TIMER_RESOLUTION_S
-        if self.has_followers(now_s) or not revision or is_silent:
+        if self.has_followers(now_s) or must_read_all or is_silent:
             return Step.WATCH
-        if self._reported_revision > revision:
+        if self._reported > position:
             return Step.CATCH_UP
         return Step.FOLLOW
 
@@ -375,3 +406,12 @@
             now_s: The current time on the monotonic clock, in seconds.
         """
         return now_s - self._confirmed_s
+
+    def _enter_era(self, era: int) -> None:
+        """Forgets what earlier eras proved, if the era is a later one."""
+        if era <= self._era:
+            return
+        self._era = era
+        self._confirmed_s = -math.inf
+        self._proved_s = -math.inf
+        self._peer_id = ""
--- a/src/dotterelpath/errors.py
+++ b/src/dotterelpath/errors.py
@@ -71,6 +71,7 @@
     ADDRESS_IN_USE = 5002
     TASK_DIED = 5003
     DAEMON_UNREACHABLE = 5004
+    STORE_ERA = 5005
 
     @property
     def outcome_class(self) -> OutcomeClass:
@@ -159,6 +160,10 @@
     ResultCode.ADDRESS_IN_USE: (500, "An address is already in use."),
     ResultCode.TASK_DIED: (500, "A task of the daemon died."),
     ResultCode.DAEMON_UNREACHABLE: (503, "No daemon could be reached."),
+    ResultCode.STORE_ERA: (
+        500,
+        "The store's answer is of an earlier era, or its era is invalid.",
+    ),
 }
 
 
@@ -196,3 +201,9 @@
 
 class HistoryLostError(StoreError):
     """The store no longer has the changes that a watch requested."""
+
+
+class StoreEraError(StoreError):
+    """An answer of the store states no valid era, or an earlier one."""
+
+    code = ResultCode.STORE_ERA
--- a/src/dotterelpath/platform/headers.py
+++ b/src/dotterelpath/platform/headers.py
@@ -26,4 +26,7 @@
 SERVER_LIMIT = b"server-limit"
 # Present with the value 1 if the instance leaves.
 SERVER_LEAVING = b"server-leaving"
+# The number of times that the store came back from an older copy; in its
+# responses.
+STORE_ERA = b"store-era"
 KEEP_ALIVE = b"keep-alive"
--- a/src/dotterelpath/platform/store_codec.py
+++ b/src/dotterelpath/platform/store_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import re
 import typing
 import urllib.parse
 
@@ -12,10 +13,14 @@
 from dotterelpath.adapters import http_client
 from dotterelpath.adapters import store_client
 from dotterelpath.domain import exchange
+from dotterelpath.domain import store_position
+from dotterelpath.platform import headers
 from dotterelpath.ports import store
 
 # The longest wait that is requested in a watch.
 MAX_WAIT_MS = 30_000
+# An era fits into 64 bits.
+ERA_PATTERN = re.compile(rb"[0-9]{1,18}")
 
 
 class StoreCodec:
@@ -55,7 +60,7 @@
         has_more = data.get("has_more") is True and bool(entries)
         return store.Page(
             entries,
-            _decode_revision(data),
+            _decode_position(response, data),
             entries[-1].key if has_more else None,
         )
 
@@ -81,7 +86,7 @@
             )
         data = store_client.decode_json(response)
         return store.Changes(
-            _decode_items(data, "events"), _decode_revision(data)
+            _decode_items(data, "events"), _decode_position(response, data)
         )
 
     def encode_grant(self, lease_s: float) -> exchange.Request | None:
@@ -179,8 +184,27 @@
     )
 
 
-def _decode_revision(data: dict[str, typing.Any]) -> int:
-    return store_client.decode_number(data, "store_revision")
+def _decode_position(
+    response: exchange.Response, data: dict[str, typing.Any]
+) -> store_position.Position:
+    return store_position.Position(
+        _decode_era(response),
+        store_client.decode_number(data, "store_revision"),
+    )
+
+
+def _decode_era(response: exchange.Response) -> int:
+    """Decodes the era, which a store that never lost changes may leave out.
+
+    Raises:
+        StoreEraError: The era is not a number.
+    """
+    value = response.header(headers.STORE_ERA)
+    if value is None:
+        return 0
+    if not ERA_PATTERN.fullmatch(value):
+        raise errors.StoreEraError(f"the era {value[:40]!r} is not a number")
+    return int(value)
 
 
 def _decode_items(
--- a/src/dotterelpath/ports/datagrams.py
+++ b/src/dotterelpath/ports/datagrams.py
@@ -8,6 +8,7 @@
 from dotterelpath.domain import health_reports
 from dotterelpath.domain import quota_reports
 from dotterelpath.domain import steering
+from dotterelpath.domain import store_position
 
 
 class Ping:
@@ -31,8 +32,8 @@
 
     __slots__ = (
         "large_revision",
-        "revision",
-        "revision_age_s",
+        "position",
+        "position_age_s",
         "sender_id",
         "sequence",
         "state",
@@ -45,8 +46,8 @@
         sequence: int,
         state: steering.DaemonState,
         usage: steering.Resources,
-        revision: int | None,
-        revision_age_s: float = math.inf,
+        position: store_position.Position | None,
+        position_age_s: float = math.inf,
         large_revision: int = 0,
     ) -> None:
         """Creates a pong.
@@ -56,19 +57,19 @@
             sequence: The number of the ping.
             state: The daemon's state.
             usage: The daemon's use of its processor and link.
-            revision: The revision of the store up to which the daemon knows
+            position: The position of the store up to which the daemon knows
                 all changes; None if it does not watch the store.
-            revision_age_s: How long ago the store confirmed this, in seconds.
-            large_revision: The newest revision at which a large value was
-                written.
+            position_age_s: How long ago the store confirmed this, in seconds.
+            large_revision: The newest revision of that era at which a large
+                value was written.
         """
         self.large_revision = large_revision
         self.sender_id = sender_id
         self.sequence = sequence
         self.state = state
         self.usage = usage
-        self.revision = revision
-        self.revision_age_s = revision_age_s
+        self.position = position
+        self.position_age_s = position_age_s
 
 
 class HealthReportDatagram:
--- a/src/dotterelpath/ports/store.py
+++ b/src/dotterelpath/ports/store.py
@@ -5,6 +5,7 @@
 import typing
 
 from dotterelpath.domain import exchange
+from dotterelpath.domain import store_position
 
 
 class CallRates:
@@ -48,12 +49,12 @@
 class Changes:
     """The changes of the keys under a prefix."""
 
-    __slots__ = ("encoded_bytes", "entries", "is_full", "revision")
+    __slots__ = ("encoded_bytes", "entries", "is_full", "position")
 
     def __init__(
         self,
         entries: list[VersionedValue],
-        revision: int,
+        position: store_position.Position,
         is_full: bool = False,
         encoded_bytes: int = 0,
     ) -> None:
@@ -61,7 +62,7 @@
 
         Args:
             entries: The changed keys with their latest values.
-            revision: The revision up to which the entries are complete.
+            position: The position up to which the entries are complete.
             is_full: Whether entries holds every key under the prefix, so
                 that other keys do not exist.
             encoded_bytes: The length of the response body that they came in.
@@ -69,7 +70,7 @@
         self.encoded_bytes = encoded_bytes
         self.is_full = is_full
         self.entries = entries
-        self.revision = revision
+        self.position = position
 
 
 class Store(typing.Protocol):
@@ -148,7 +149,7 @@
     async def watch(
         self,
         prefix: str,
-        after_revision: int,
+        after: store_position.Position,
         wait_s: float,
         may_be_stale: bool = False,
         transfer: exchange.Transfer | None = None,
@@ -157,8 +158,8 @@
 
         Args:
             prefix: The prefix of the keys.
-            after_revision: The revision after which changes are returned; 0
-                for all keys.
+            after: The position after which changes are returned; with revision
+                0 for all keys, as they are in that era or a later one.
             wait_s: How long to wait for a change, in seconds.
             may_be_stale: Whether a response that is seconds old is
                 acceptable; it costs the store less. All keys are always
@@ -167,9 +168,11 @@
                 and the longest pause. None for the store's usual times.
 
         Raises:
-            HistoryLostError: The store no longer has the changes since
-                after_revision, or since a stale part of all keys; read all
-                keys instead, none of them stale.
+            HistoryLostError: The store no longer has the changes since that
+                position, or since a stale part of all keys, or has gone to a
+                later era; read all keys instead, none of them stale.
+            StoreEraError: The response is of an earlier era, or its era is
+                invalid.
             IncompleteResponseError: The response did not end in time.
             StoreError: The store did not respond.
         """
@@ -191,24 +194,24 @@
 class Page:
     """One page of a listing of the keys under a prefix."""
 
-    __slots__ = ("entries", "next_after", "revision")
+    __slots__ = ("entries", "next_after", "position")
 
     def __init__(
         self,
         entries: list[VersionedValue],
-        revision: int,
+        position: store_position.Position,
         next_after: str | None,
     ) -> None:
         """Creates a page.
 
         Args:
             entries: The keys of the page with their values.
-            revision: The store's revision when the page was read.
+            position: The store's position when the page was read.
             next_after: The key after which the next page starts; None on the
                 last page.
         """
         self.entries = entries
-        self.revision = revision
+        self.position = position
         self.next_after = next_after
 
 
--- a/src/dotterelpath/ports/store_copies.py
+++ b/src/dotterelpath/ports/store_copies.py
@@ -6,20 +6,21 @@
 
 from dotterelpath.domain import exchange
 from dotterelpath.domain import steering
+from dotterelpath.domain import store_position
 from dotterelpath.ports import store
 
 
 class CopyHolder(typing.Protocol):
     """Has a copy of the store."""
 
-    def changes_after(self, revision: int) -> store.Changes:
-        """Returns the keys that have changed since a revision.
+    def changes_after(self, position: store_position.Position) -> store.Changes:
+        """Returns the keys that have changed since a position.
 
         Args:
-            revision: The revision.
+            position: The position.
 
         Returns:
-            The keys with their newest values, up to the revision of the copy.
+            The keys with their newest values, up to the position of the copy.
         """
 
 
@@ -29,14 +30,14 @@
     async def changes_after(
         self,
         daemon: steering.Daemon,
-        revision: int,
+        position: store_position.Position,
         transfer: exchange.Transfer,
     ) -> store.Changes:
-        """Reads the keys that have changed since a revision.
+        """Reads the keys that have changed since a position.
 
         Args:
             daemon: The daemon that has the copy.
-            revision: The revision.
+            position: The position.
             transfer: How the response may arrive.
 
         Raises:
--- a/src/dotterelpath/tasks/_store_calls.py
+++ b/src/dotterelpath/tasks/_store_calls.py
@@ -8,6 +8,7 @@
 from dotterelpath.domain import exchange
 from dotterelpath.domain import steering
 from dotterelpath.domain import store_following
+from dotterelpath.domain import store_position
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import store as store_port
 from dotterelpath.ports import store_copies
@@ -115,7 +116,10 @@
         )
 
     async def watch(
-        self, revision: int, wait_s: float, transfer: exchange.Transfer
+        self,
+        position: store_position.Position,
+        wait_s: float,
+        transfer: exchange.Transfer,
     ) -> Answer:
         """Waits for changes.
 
@@ -123,13 +127,13 @@
         over: what the response says was true then.
 
         Args:
-            revision: The revision after which changes are returned.
+            position: The position after which changes are returned.
             wait_s: How long to wait for a change, in seconds.
             transfer: How the response may arrive.
         """
         sent_s = self._clock.now_s()
         changes = await self._store.watch(
-            self._prefix, revision, wait_s, False, transfer
+            self._prefix, position, wait_s, False, transfer
         )
         now_s = self._clock.now_s()
         if changes.entries:
@@ -139,67 +143,86 @@
         self._follower.record_response(max(0.0, took_s - wait_s))
         return Answer(changes, sent_s + min(took_s, wait_s), True, None, sent_s)
 
-    async def read(self, revision: int, may_be_stale: bool) -> Answer:
+    async def read(
+        self, position: store_position.Position, may_be_stale: bool
+    ) -> Answer:
         """Reads changes without waiting.
 
         Args:
-            revision: The revision after which changes are returned.
+            position: The position after which changes are returned.
             may_be_stale: Whether the answer may be seconds old.
         """
         sent_s = self._clock.now_s()
         transfer = self.new_transfer()
         changes = await self._store.watch(
-            self._prefix, revision, 0.0, may_be_stale, transfer
+            self._prefix, position, 0.0, may_be_stale, transfer
         )
         began_s = transfer.began_s or self._clock.now_s()
         self._follower.record_response(began_s - sent_s)
         return Answer(changes, sent_s, not may_be_stale)
 
-    async def read_reported(self, revision: int, is_store_lost: bool) -> Answer:
-        """Reads the changes up to the revision that another daemon reported.
+    async def read_reported(
+        self, position: store_position.Position, is_store_lost: bool
+    ) -> Answer:
+        """Reads the changes up to the position that another daemon reported.
 
         Args:
-            revision: The revision after which changes are returned.
+            position: The position after which changes are returned.
             is_store_lost: Whether the last call to the store failed.
         """
-        target_revision = self._follower.reported_revision
-        copied = await self._read_copy(revision, target_revision, is_store_lost)
+        target = self._follower.reported
+        copied = await self._read_copy(position, target, is_store_lost)
         if copied is not None:
             return copied
-        answer = await self.read(revision, may_be_stale=True)
-        if answer.changes.revision >= target_revision:
-            return answer
-        return await self.read(revision, may_be_stale=False)
+        try:
+            answer = await self.read(position, may_be_stale=True)
+            if answer.changes.position >= target:
+                return answer
+        except errors.StoreEraError as error:
+            # A replica may not have entered the era of the store yet.
+            _log.info("stale answer not used", error=str(error))
+        return await self.read(position, may_be_stale=False)
 
     async def read_all(
-        self, may_list_stale: bool, known_revision: int, is_store_lost: bool
+        self,
+        may_list_stale: bool,
+        known: store_position.Position,
+        is_store_lost: bool,
     ) -> Answer:
         """Reads all keys.
 
         Args:
             may_list_stale: Whether to begin with stale pages, which cost less.
-            known_revision: The newest revision that was known; only a copy of
-                a newer one is read.
+            known: The newest position that was known; only a copy of a newer
+                one is read.
             is_store_lost: Whether the last call to the store failed.
         """
-        target_revision = self._follower.reported_revision
-        if target_revision > known_revision:
-            copied = await self._read_copy(0, target_revision, is_store_lost)
+        start = known.start_of_era
+        target = self._follower.reported
+        if target > known:
+            copied = await self._read_copy(start, target, is_store_lost)
             if copied is not None:
                 return copied
         sent_s = self._clock.now_s()
-        changes = await self._store.watch(self._prefix, 0, 0.0, may_list_stale)
+        changes = await self._store.watch(
+            self._prefix, start, 0.0, may_list_stale
+        )
         return Answer(changes, sent_s, True)
 
     async def _read_copy(
-        self, revision: int, target_revision: int, is_store_lost: bool
+        self,
+        position: store_position.Position,
+        target: store_position.Position,
+        is_store_lost: bool,
     ) -> Answer | None:
         """Reads the copy of another daemon, if that is better than the store.
 
+        A copy of an earlier era is older than the target.
+
         Returns:
             The answer; None if the store is to be read.
         """
-        holder_id = self._follower.copy_holder_id(revision, is_store_lost)
+        holder_id = self._follower.copy_holder_id(position, is_store_lost)
         holder = self._daemons.get(holder_id or "")
         if holder is None or self._copies is None:
             return None
@@ -207,16 +230,17 @@
         try:
             changes = await self._copies.changes_after(
                 holder,
-                revision,
+                position,
                 exchange.Transfer(
                     self._follower.copy_response_s, self._follower.transfer_s
                 ),
             )
-            if changes.revision < target_revision:
+            if changes.position < target:
                 raise errors.StoreError(
-                    f"copy of {holder.id}: revision {changes.revision}, not"
-                    f" {target_revision}"
+                    f"copy of {holder.id}: {changes.position}, not {target}"
                 )
+            if not changes.is_full:
+                store_position.check_answer(changes.position, position)
         except errors.StoreError as error:
             _log.info("copy of the store not read", error=str(error))
             self._follower.record_lost_copy()
--- a/src/dotterelpath/tasks/_store_freshness.py
+++ b/src/dotterelpath/tasks/_store_freshness.py
@@ -12,6 +12,7 @@
 from dotterelpath.domain import hashing
 from dotterelpath.domain import revocation
 from dotterelpath.domain import steering
+from dotterelpath.domain import store_position
 from dotterelpath.tasks import fleet_events
 from dotterelpath.tasks import mailbox
 
@@ -96,10 +97,13 @@
         return self._has_tenants and len(daemons) > 1
 
     def record_report(
-        self, revision: int, confirmed_s: float, now_s: float
+        self,
+        position: store_position.Position,
+        confirmed_s: float,
+        now_s: float,
     ) -> None:
         """Records a report; see revocation.RevocationGuard."""
-        self._guard.record_report(revision, confirmed_s, now_s)
+        self._guard.record_report(position, confirmed_s, now_s)
         self.update(now_s)
 
     def on_store_read(
@@ -112,7 +116,7 @@
             now_s: The current time on the monotonic clock, in seconds.
         """
         self._guard.record_read(
-            message.revision, message.sent_s, message.is_exact
+            message.position, message.sent_s, message.is_exact
         )
         self.update(now_s)
 
--- a/src/dotterelpath/tasks/fleet_events.py
+++ b/src/dotterelpath/tasks/fleet_events.py
@@ -12,6 +12,7 @@
 from dotterelpath.domain import registry
 from dotterelpath.domain import request_limits
 from dotterelpath.domain import steering
+from dotterelpath.domain import store_position
 
 
 class ConfigurationChanged:
@@ -44,21 +45,21 @@
         self.instances_by_service = instances_by_service
 
 
-class RevisionReceived:
-    """Another daemon that watches the store reported its revision."""
+class PositionReceived:
+    """Another daemon that watches the store reported its position."""
 
     __slots__ = (
         "at_s",
         "confirmed_s",
         "daemon_id",
         "large_revision",
-        "revision",
+        "position",
     )
 
     def __init__(
         self,
         daemon_id: str,
-        revision: int,
+        position: store_position.Position,
         confirmed_s: float,
         at_s: float,
         large_revision: int = 0,
@@ -67,22 +68,22 @@
 
         Args:
             daemon_id: The daemon that sent the report.
-            revision: The store revision up to which it has all changes.
+            position: The position up to which it has all changes.
             confirmed_s: When the store confirmed this to it at the latest, on
                 the monotonic clock, in seconds.
             at_s: When it arrived, on the monotonic clock, in seconds.
-            large_revision: The newest revision at which a large value was
-                written.
+            large_revision: The newest revision of that era at which a large
+                value was written.
         """
         self.large_revision = large_revision
         self.daemon_id = daemon_id
-        self.revision = revision
+        self.position = position
         self.confirmed_s = confirmed_s
         self.at_s = at_s
 
 
 class PeerPinged:
-    """Another daemon pinged this one and follows its store revisions."""
+    """Another daemon pinged this one and follows its store positions."""
 
     __slots__ = ("at_s",)
 
@@ -95,46 +96,48 @@
         self.at_s = at_s
 
 
-class WatchedRevisionChanged:
-    """The watched store revision has changed or was confirmed by the store."""
+class WatchedPositionChanged:
+    """The watched position has changed or was confirmed by the store."""
 
-    __slots__ = ("confirmed_s", "large_revision", "revision")
+    __slots__ = ("confirmed_s", "large_revision", "position")
 
     def __init__(
         self,
-        revision: int | None,
+        position: store_position.Position | None,
         confirmed_s: float = -math.inf,
         large_revision: int = 0,
     ) -> None:
         """Creates the message.
 
         Args:
-            revision: The store revision up to which this daemon has all
-                changes; None if it does not watch the store.
+            position: The position up to which this daemon has all changes;
+                None if it does not watch the store.
             confirmed_s: The time for which the store confirmed this, on the
                 monotonic clock, in seconds.
-            large_revision: The newest revision at which a large value was
-                written.
+            large_revision: The newest revision of that era at which a large
+                value was written.
         """
         self.large_revision = large_revision
-        self.revision = revision
+        self.position = position
         self.confirmed_s = confirmed_s
 
 
 class StoreRead:
     """This daemon has read the store."""
 
-    __slots__ = ("is_exact", "revision", "sent_s")
+    __slots__ = ("is_exact", "position", "sent_s")
 
-    def __init__(self, revision: int, sent_s: float, is_exact: bool) -> None:
+    def __init__(
+        self, position: store_position.Position, sent_s: float, is_exact: bool
+    ) -> None:
         """Creates the message.
 
         Args:
-            revision: The store revision up to which all changes are known.
+            position: The position up to which all changes are known.
             sent_s: When the read was sent, on the monotonic clock, in seconds.
             is_exact: Whether the response cannot be older than the read.
         """
-        self.revision = revision
+        self.position = position
         self.sent_s = sent_s
         self.is_exact = is_exact
 
--- a/src/dotterelpath/tasks/peer_monitor.py
+++ b/src/dotterelpath/tasks/peer_monitor.py
@@ -14,6 +14,7 @@
 from dotterelpath.domain import fleet_view
 from dotterelpath.domain import request_limits
 from dotterelpath.domain import steering
+from dotterelpath.domain import store_position
 from dotterelpath.ports import addressing
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import datagrams
@@ -66,8 +67,8 @@
         "_read_cpu_time_s",
         "_read_sent_bytes",
         "_store_confirmed_s",
+        "_store_position",
         "_store_reader",
-        "_store_revision",
         "_tick_timer",
         "_usage",
     )
@@ -91,7 +92,7 @@
             read_sent_bytes: Reads the bytes sent so far.
             inbox: This task's mailbox.
             gateway: Gets the health reports of other daemons.
-            store_reader: Gets the store revisions of other daemons.
+            store_reader: Gets the store positions of other daemons.
         """
         self._deployment = local_deployment
         self._bounds = local_deployment.bounds
@@ -104,7 +105,7 @@
         self._freshness = _store_freshness.StoreFreshness(
             local_deployment.daemon_id, local_deployment.bounds, gateway
         )
-        self._store_revision: int | None = None
+        self._store_position: store_position.Position | None = None
         self._store_confirmed_s = -math.inf
         self._large_revision = 0
         self._ping_reported_s = -math.inf
@@ -160,9 +161,9 @@
         return self._fleet_view
 
     @property
-    def store_revision(self) -> int | None:
-        """The store revision; None if this daemon does not watch the store."""
-        return self._store_revision
+    def store_position(self) -> store_position.Position | None:
+        """The store position; None if this daemon does not watch the store."""
+        return self._store_position
 
     def connect(self, sender: datagrams.Datagrams) -> None:
         """Sets the sender of datagrams to other daemons.
@@ -242,8 +243,8 @@
             self._has_instance_list = True
         elif isinstance(message, fleet_events.DaemonsChanged):
             self.on_daemons_changed(message)
-        elif isinstance(message, fleet_events.WatchedRevisionChanged):
-            self._store_revision = message.revision
+        elif isinstance(message, fleet_events.WatchedPositionChanged):
+            self._store_position = message.position
             self._store_confirmed_s = message.confirmed_s
             self._large_revision = message.large_revision
         elif isinstance(message, fleet_events.StoreRead):
@@ -266,7 +267,7 @@
             self._fleet_view.record_response(
                 datagram.sender_id, datagram.state, datagram.usage, now_s
             )
-            self._report_revision(datagram, now_s)
+            self._report_position(datagram, now_s)
         elif isinstance(datagram, datagrams.QuotaReportDatagram):
             if datagram.sender_id in self._fleet_view.daemons:
                 self._record_serving(datagram, now_s)
@@ -355,7 +356,7 @@
         Args:
             message: The report.
         """
-        if self._store_revision is None and not message.is_first_hand:
+        if self._store_position is None and not message.is_first_hand:
             return
         _log.info(
             "leaving instances reported",
@@ -471,21 +472,21 @@
             self._ping_reported_s = now_s
             self._store_reader.force(fleet_events.PeerPinged(now_s))
 
-    def _report_revision(self, pong: datagrams.Pong, now_s: float) -> None:
-        """Reports the store revision of a pong to the store reader.
+    def _report_position(self, pong: datagrams.Pong, now_s: float) -> None:
+        """Reports the store position of a pong to the store reader.
 
         The age in a pong counts from when it was sent. A pong may arrive late,
         and was sent no earlier than the ping that it responds to.
         """
         pinged_s = self._pinged_s.get(pong.sequence)
-        if pong.revision is None or pinged_s is None:
+        if pong.position is None or pinged_s is None:
             return
-        confirmed_s = pinged_s - pong.revision_age_s
-        self._freshness.record_report(pong.revision, confirmed_s, now_s)
+        confirmed_s = pinged_s - pong.position_age_s
+        self._freshness.record_report(pong.position, confirmed_s, now_s)
         self._store_reader.force(
-            fleet_events.RevisionReceived(
+            fleet_events.PositionReceived(
                 pong.sender_id,
-                pong.revision,
+                pong.position,
                 confirmed_s,
                 now_s,
                 pong.large_revision,
@@ -502,7 +503,7 @@
             ping.sequence,
             self.state,
             self._usage,
-            self._store_revision,
+            self._store_position,
             now_s - self._store_confirmed_s,
             self._large_revision,
         )
--- a/src/dotterelpath/tasks/registrar.py
+++ b/src/dotterelpath/tasks/registrar.py
@@ -8,8 +8,8 @@
 
 from dotterelpath.domain import configuration
 from dotterelpath.domain import health_reports
+from dotterelpath.domain import listed_daemons
 from dotterelpath.domain import registry
-from dotterelpath.domain import steering
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import metrics as metrics_port
 from dotterelpath.ports import store as store_port
@@ -32,6 +32,10 @@
 class Registrar:
     """Keeps the newest configuration, the instances and the daemons.
 
+    A store that came back from an older copy lacks some keys until they are
+    written again, and has some that were deleted. Meanwhile, what is known goes
+    on: the newest configuration, instances that left, and daemons.
+
     The version of the configuration never decreases. An invalid store item is
     ignored, except that the entry of an instance counts as missing.
     """
@@ -40,6 +44,7 @@
         "_clock",
         "_configuration",
         "_daemons",
+        "_era",
         "_is_expiry_scheduled",
         "_item_codec",
         "_mailbox",
@@ -87,7 +92,9 @@
         self._subscribers = subscribers
         self._registry = registry.Registry(drain_s)
         self._configuration: configuration.Configuration | None = None
-        self._daemons: dict[str, steering.Daemon] = {}
+        self._daemons = listed_daemons.ListedDaemons()
+        # The era of the store; None before its first response.
+        self._era: int | None = None
         self._is_expiry_scheduled = False
         self._refused_configuration: str | None = None
         self._tenant_faults: list[str] = []
@@ -134,6 +141,7 @@
         ):
             _log.info("store was unavailable")
         changes = message.changes
+        is_older_copy = self._enter_era(changes.position.era, now_s)
         if not changes.entries and not changes.is_full:
             return
         items = [
@@ -142,18 +150,37 @@
             if item is not None
         ]
         self._apply_configuration(items)
-        self._apply_instances(items, changes, now_s)
-        self._apply_daemons(items, changes)
+        self._apply_instances(items, changes, is_older_copy, now_s)
+        self._apply_daemons(items, changes, is_older_copy, now_s)
+        self._schedule_expiry(now_s)
 
     def on_tick(self) -> None:
-        """Removes instances that have been missing for too long."""
+        """Removes instances and daemons that are missing for too long."""
         now_s = self._clock.now_s()
         self._timers.pop_due(now_s)
         self._is_expiry_scheduled = False
         if self._registry.expire(now_s):
             self._publish_instances()
+        if self._daemons.expire(now_s):
+            self._publish_daemons()
         self._schedule_expiry(now_s)
 
+    def _enter_era(self, era: int, now_s: float) -> bool:
+        """Records the era of a response.
+
+        Returns:
+            Whether the store came back from an older copy.
+        """
+        before = self._era
+        self._era = era
+        if before is None or era <= before:
+            return False
+        _log.warning(
+            "store restored from an older copy", era=era, before=before
+        )
+        self._registry.record_store_restored(now_s)
+        return True
+
     def _apply_configuration(self, items: list[store_items.Item]) -> None:
         for item in items:
             if isinstance(item, store_items.InvalidItem):
@@ -210,6 +237,7 @@
         self,
         items: list[store_items.Item],
         changes: store_port.Changes,
+        is_older_copy: bool,
         now_s: float,
     ) -> None:
         has_changed = False
@@ -222,7 +250,7 @@
                     has_changed |= self._registry.mark_missing(item.id, now_s)
                     continue
                 present.add(item.id)
-                if self._apply_entry(entry):
+                if self._apply_entry(entry, is_older_copy):
                     has_changed = True
                     if entry.is_draining:
                         leaving.append(
@@ -241,7 +269,6 @@
             self._publish_instances()
         if not changes.is_full:
             self._report_leaving(leaving)
-        self._schedule_expiry(now_s)
 
     def _report_leaving(self, leaving: list[tuple[str, str, int]]) -> None:
         """Tells the other daemons which instances leave."""
@@ -250,8 +277,8 @@
             report = health_reports.LeavingReport(part)
             self._peer_monitor.force(fleet_events.LeavingReportIssued(report))
 
-    def _apply_entry(self, entry: registry.Entry) -> bool:
-        has_changed = self._registry.apply_entry(entry)
+    def _apply_entry(self, entry: registry.Entry, is_older_copy: bool) -> bool:
+        has_changed = self._registry.apply_entry(entry, is_older_copy)
         if has_changed:
             _log.info(
                 "instance listed",
@@ -263,21 +290,30 @@
         return has_changed
 
     def _apply_daemons(
-        self, items: list[store_items.Item], changes: store_port.Changes
+        self,
+        items: list[store_items.Item],
+        changes: store_port.Changes,
+        is_older_copy: bool,
+        now_s: float,
     ) -> None:
-        daemons = {} if changes.is_full else dict(self._daemons)
-        has_changed = changes.is_full
-        for item in items:
-            if not isinstance(item, store_items.DaemonItem):
-                continue
-            has_changed = True
-            if item.daemon is not None:
-                daemons[item.id] = item.daemon
-            else:
-                daemons.pop(item.id, None)
-        if has_changed:
-            self._daemons = daemons
-            self._peer_monitor.force(fleet_events.DaemonsChanged(dict(daemons)))
+        changed = {
+            item.id: item.daemon
+            for item in items
+            if isinstance(item, store_items.DaemonItem)
+        }
+        if changes.is_full:
+            listed = {id: d for id, d in changed.items() if d is not None}
+            self._daemons.replace(listed, is_older_copy, now_s)
+        elif changed:
+            self._daemons.apply(changed)
+        else:
+            return
+        self._publish_daemons()
+
+    def _publish_daemons(self) -> None:
+        self._peer_monitor.force(
+            fleet_events.DaemonsChanged(dict(self._daemons.daemons))
+        )
 
     def _publish_instances(self) -> None:
         instances_by_service: dict[str, list[registry.RegisteredInstance]] = {}
@@ -293,10 +329,11 @@
             subscriber.force(message)
 
     def _schedule_expiry(self, now_s: float) -> None:
-        current = self._registry.instances.values()
-        if self._is_expiry_scheduled or not any(
-            listed.missing_since_s is not None for listed in current
-        ):
+        has_missing = self._daemons.has_missing or any(
+            listed.missing_since_s is not None
+            for listed in self._registry.instances.values()
+        )
+        if self._is_expiry_scheduled or not has_missing:
             return
         self._is_expiry_scheduled = True
         self._timers.add(now_s + EXPIRY_CHECK_INTERVAL_S, None)
--- a/src/dotterelpath/tasks/store_reader.py
+++ b/src/dotterelpath/tasks/store_reader.py
@@ -12,6 +12,7 @@
 from dotterelpath.domain import exchange
 from dotterelpath.domain import store_copy
 from dotterelpath.domain import store_following
+from dotterelpath.domain import store_position
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import randomness
 from dotterelpath.ports import store as store_port
@@ -59,8 +60,9 @@
     Keeps a copy for other daemons, and reads theirs if a change is large, or
     while the store refuses only this daemon.
 
-    The known revision never decreases: a response that is older than what is
-    known is an error of the store, and nothing of it is passed on.
+    The known position never decreases: a response that is older than what is
+    known is an error of the store, and nothing of it is passed on. At a later
+    era of the store, all keys are read.
     """
 
     __slots__ = (
@@ -71,14 +73,14 @@
         "_follower",
         "_is_store_lost",
         "_is_strict",
+        "_known",
         "_mailbox",
         "_may_list_stale",
-        "_newest_revision",
+        "_must_read_all",
         "_peer_monitor",
-        "_published_revision",
+        "_published",
         "_random",
         "_reported_s",
-        "_revision",
         "_started_s",
         "_subscriber",
     )
@@ -106,7 +108,7 @@
             random: Spreads the retries of the daemons.
             inbox: This task's mailbox.
             subscriber: The mailbox that gets the changes, and the reads.
-            peer_monitor: Gets the revision to report to other daemons.
+            peer_monitor: Gets the position to report to other daemons.
             apply_s: The time in which a change must be in force, in seconds.
             is_strict: Whether requests are refused unless the store has
                 confirmed lately what is known.
@@ -126,12 +128,11 @@
             prefix, store, clock, self._follower, copies
         )
         self._copy = store_copy.StoreCopy()
-        # The revision to read changes from; 0 if all keys must be read.
-        self._revision = 0
-        self._newest_revision = 0
+        self._known = store_position.NOTHING
+        self._must_read_all = True
         self._may_list_stale = True
         self._is_store_lost = False
-        self._published_revision: int | None = None
+        self._published: store_position.Position | None = None
         self._reported_s = self._started_s
 
     @property
@@ -139,9 +140,19 @@
         """Decides whether this daemon watches the store."""
         return self._follower
 
-    def changes_after(self, revision: int) -> store_port.Changes:
+    @property
+    def _position(self) -> store_position.Position:
+        """The position to read changes from.
+
+        With revision 0 if all keys must be read.
+        """
+        return self._known.start_of_era if self._must_read_all else self._known
+
+    def changes_after(
+        self, position: store_position.Position
+    ) -> store_port.Changes:
         """Returns changed keys; see store_copies.CopyHolder."""
-        return self._copy.changes_after(revision)
+        return self._copy.changes_after(position)
 
     async def run(self) -> None:
         """Reads until cancelled."""
@@ -153,23 +164,22 @@
         while True:
             self._handle_messages()
             step = self._follower.next_step(
-                self._revision, self._clock.now_s(), self._is_store_lost
+                self._position, self._clock.now_s(), self._is_store_lost
             )
             if step is not store_following.Step.WATCH:
-                self._publish_revision(None)
+                self._publish_position(None)
             try:
                 await steps[step]()
-            except errors.HistoryLostError:
-                _log.info("store history lost", revision=self._revision)
-                self._forget_revision()
+            except errors.HistoryLostError as error:
+                await self._on_history_lost(error)
             except errors.StoreError as error:
                 is_first = not self._is_store_lost
                 self._on_failed(error)
-                if self._revision and isinstance(
+                if not self._must_read_all and isinstance(
                     error, errors.IncompleteResponseError
                 ):
                     # All keys may be shorter than their changes.
-                    self._forget_revision()
+                    self._read_all_next()
                     continue
                 await asyncio.sleep(
                     FIRST_RETRY_S * self._random.random()
@@ -177,20 +187,38 @@
                     else RETRY_INTERVAL_S * (0.5 + self._random.random())
                 )
 
-    def _forget_revision(self) -> None:
-        """Makes the next read one of all keys."""
-        self._revision = 0
+    async def _on_history_lost(self, error: errors.HistoryLostError) -> None:
+        """Makes the next read one of all keys.
+
+        Until then, this daemon does not report a position, which may be one of
+        an earlier era.
+        """
+        _log.info(
+            "store history lost",
+            era=self._known.era,
+            revision=self._known.revision,
+            reason=str(error),
+        )
+        self._publish_position(None)
+        was_reading_all = self._must_read_all
+        self._read_all_next()
+        if was_reading_all:
+            # The store may change its era again and again.
+            await asyncio.sleep(FIRST_RETRY_S * self._random.random())
+
+    def _read_all_next(self) -> None:
+        self._must_read_all = True
         self._may_list_stale = False
 
     def handle(self, message: typing.Any) -> None:
         """Handles one message.
 
         Args:
-            message: A revision or a ping of another daemon, the daemons of
+            message: A position or a ping of another daemon, the daemons of
                 the fleet, or changed settings.
         """
-        if isinstance(message, fleet_events.RevisionReceived):
-            self._on_revision_received(message)
+        if isinstance(message, fleet_events.PositionReceived):
+            self._on_position_received(message)
         elif isinstance(message, fleet_events.PeerPinged):
             self._follower.record_query(message.at_s)
         elif isinstance(message, fleet_events.DaemonsChanged):
@@ -200,20 +228,20 @@
             self._apply_s = message.bounds.store_apply_s
             self._follower.set_apply_s(self._apply_s)
 
-    def _on_revision_received(
-        self, message: fleet_events.RevisionReceived
+    def _on_position_received(
+        self, message: fleet_events.PositionReceived
     ) -> None:
-        if message.revision > max(
-            self._revision, self._follower.reported_revision
-        ):
+        if message.position > max(self._position, self._follower.reported):
             _log.info(
                 "store revision reported",
                 daemon=message.daemon_id,
-                revision=message.revision,
-                known_revision=self._revision,
+                era=message.position.era,
+                revision=message.position.revision,
+                known_era=self._known.era,
+                known_revision=self._known.revision,
             )
         self._follower.record_report(
-            message.revision,
+            message.position,
             message.confirmed_s,
             message.at_s,
             message.daemon_id,
@@ -227,13 +255,13 @@
 
     async def _watch(self) -> None:
         """Watches the store once, or reads all keys the first time."""
-        if not self._revision:
+        if self._must_read_all:
             await self._read_all()
             return
         answer = await self._watch_and_check(self._watch_wait_s())
         self._on_answer(answer)
         if not self._is_store_lost:
-            self._publish_revision(self._revision)
+            self._publish_position(self._known)
         await self._wait_for_batch(answer.changes)
 
     async def _watch_and_check(self, wait_s: float) -> _store_calls.Answer:
@@ -248,7 +276,7 @@
         sent_s = self._clock.now_s()
         transfer = self._calls.new_transfer()
         watch = asyncio.create_task(
-            self._calls.watch(self._revision, wait_s, transfer)
+            self._calls.watch(self._known, wait_s, transfer)
         )
         message = asyncio.create_task(self._mailbox.wait())
         check: asyncio.Task[_store_calls.Answer] | None = None
@@ -297,12 +325,10 @@
             message may change it.
         """
         due_s = math.inf
-        if self._follower.reported_revision > self._revision:
+        if self._follower.reported > self._known:
             reported_s = self._follower.newer_reported_s
             due_s = max(reported_s, sent_s) + REPORT_GRACE_S
-            if self._follower.copy_holder_id(
-                self._revision, self._is_store_lost
-            ):
+            if self._follower.copy_holder_id(self._known, self._is_store_lost):
                 return due_s
         if not self._is_store_lost:
             # The watch itself may prove the revision meanwhile.
@@ -311,32 +337,32 @@
         return max(due_s, transfer.lost_from_s or due_s)
 
     def _proof_due_s(self) -> float:
-        is_strict = self._is_strict and self._published_revision is not None
-        return self._follower.proof_due_s(self._revision, is_strict)
+        is_strict = self._is_strict and self._published is not None
+        return self._follower.proof_due_s(self._known, is_strict)
 
     async def _check(self) -> _store_calls.Answer:
         """Asks for later changes while a watch is pending."""
-        if self._follower.reported_revision > self._revision:
+        if self._follower.reported > self._known:
             return await self._calls.read_reported(
-                self._revision, self._is_store_lost
+                self._known, self._is_store_lost
             )
-        return await self._calls.read(self._revision, may_be_stale=False)
+        return await self._calls.read(self._known, may_be_stale=False)
 
     def _has_news(self, answer: _store_calls.Answer) -> bool:
         changes = answer.changes
-        return bool(changes.entries) or changes.revision > self._revision
+        return bool(changes.entries) or changes.position > self._known
 
     def _on_checked(self, answer: _store_calls.Answer) -> None:
         """Takes an answer without changes as a proof of what is known."""
         if answer.is_exact:
             self._record_proof(answer)
             self._report_read(answer)
-            self._publish_revision(self._revision)
+            self._publish_position(self._known)
 
     async def _read_all(self) -> None:
         """Reads all keys, the first time in stale pages, which cost little."""
         answer = await self._calls.read_all(
-            self._may_list_stale, self._newest_revision, self._is_store_lost
+            self._may_list_stale, self._known, self._is_store_lost
         )
         self._on_answer(answer)
         if self._may_list_stale:
@@ -344,9 +370,9 @@
         self._may_list_stale = False
 
     async def _catch_up(self) -> None:
-        """Reads the changes up to the revision that another daemon reported."""
+        """Reads the changes up to the position that another daemon reported."""
         answer = await self._calls.read_reported(
-            self._revision, self._is_store_lost
+            self._known, self._is_store_lost
         )
         self._on_answer(answer)
         await self._wait_for_batch(answer.changes)
@@ -356,7 +382,7 @@
         now_s = self._clock.now_s()
         if now_s - self._reported_s > IDLE_REPORT_INTERVAL_S:
             self._report_changes(
-                store_port.Changes([], self._revision), MAX_SILENCE_S
+                store_port.Changes([], self._known), MAX_SILENCE_S
             )
         try:
             async with asyncio.timeout(self._follower.silence_left_s(now_s)):
@@ -364,8 +390,8 @@
         except TimeoutError:
             _log.info(
                 "no store revisions from other daemons",
-                revision=self._revision,
-                reported_revision=self._follower.reported_revision,
+                revision=self._known.revision,
+                reported_revision=self._follower.reported.revision,
                 confirmed_age_s=round(
                     self._follower.confirmed_age_s(self._clock.now_s()), 3
                 ),
@@ -375,9 +401,9 @@
         """Returns the wait of the next watch, in seconds."""
         if self._is_store_lost:
             return RECOVERY_WAIT_S
-        # The first watch returns at once: followers wait for the revision that
+        # The first watch returns at once: followers wait for the position that
         # it publishes, and what is known is old if there were no reports.
-        if self._published_revision is None:
+        if self._published is None:
             return 0.0
         return self._follower.watch_wait_s(self._clock.now_s())
 
@@ -391,10 +417,10 @@
             StoreError: The answer is older than what is known already.
         """
         changes = answer.changes
-        if changes.revision < self._newest_revision:
+        if changes.position < self._known:
             raise errors.StoreError(
-                f"the response has revision {changes.revision}, older than the"
-                f" known revision {self._newest_revision}"
+                f"the response has {changes.position}, older than the known"
+                f" {self._known}"
             )
         # The store was available before this call, which may have been a watch
         # that waited for up to its timeout.
@@ -403,10 +429,15 @@
         if self._is_store_lost:
             max_silence_s = 0.0
             if answer.copied_from is None:
-                _log.info("store available again", revision=changes.revision)
+                _log.info(
+                    "store available again",
+                    era=changes.position.era,
+                    revision=changes.position.revision,
+                )
                 self._is_store_lost = False
         self._copy.apply(changes)
-        self._revision = self._newest_revision = changes.revision
+        self._known = changes.position
+        self._must_read_all = False
         self._record_proof(answer)
         self._report_changes(changes, max_silence_s)
         self._report_read(answer)
@@ -414,7 +445,7 @@
     def _record_proof(self, answer: _store_calls.Answer) -> None:
         if answer.is_exact:
             self._follower.record_proof(
-                self._revision, answer.proved_at_s, answer.complete_at_s
+                self._known, answer.proved_at_s, answer.complete_at_s
             )
 
     def _log_changes(self, answer: _store_calls.Answer) -> None:
@@ -424,8 +455,9 @@
         now_s = self._clock.now_s()
         _log.info(
             "store changes read",
-            revision=answer.changes.revision,
-            known_revision=self._revision,
+            era=answer.changes.position.era,
+            revision=answer.changes.position.revision,
+            known_revision=self._known.revision,
             exact=answer.is_exact,
             copied_from=answer.copied_from,
             bytes=answer.changes.encoded_bytes,
@@ -435,13 +467,13 @@
         )
 
     def _report_read(self, answer: _store_calls.Answer) -> None:
-        """Reports up to which revision this daemon has read the store.
+        """Reports up to which position this daemon has read the store.
 
         The report takes the way of the changes, which are in force first.
         """
         self._subscriber.force(
             fleet_events.StoreRead(
-                self._revision, answer.complete_at_s, answer.is_exact
+                self._known, answer.complete_at_s, answer.is_exact
             )
         )
 
@@ -464,32 +496,45 @@
         now_s = self._clock.now_s()
         wait_s = self._follower.batch_s(now_s - self._started_s < STARTUP_S)
         left_s = self._follower.silence_left_s(now_s)
-        if self._published_revision is not None:
+        if self._published is not None:
             left_s = self._proof_due_s() - now_s
         await asyncio.sleep(min(wait_s, left_s) if left_s > 0.0 else wait_s)
 
-    def _publish_revision(self, revision: int | None) -> None:
-        """Publishes the watched revision, or None if the watch ends."""
-        is_change = (revision is None) != (self._published_revision is None)
-        if revision is None and not is_change:
+    def _publish_position(
+        self, position: store_position.Position | None
+    ) -> None:
+        """Publishes the watched position, or None if the watch ends."""
+        is_change = (position is None) != (self._published is None)
+        if position is None and not is_change:
             return
         if is_change:
-            _log.info("store watch changed", revision=revision)
-        self._published_revision = revision
+            _log.info(
+                "store watch changed",
+                era=position and position.era,
+                revision=position and position.revision,
+            )
+        self._published = position
         self._peer_monitor.force(
-            fleet_events.WatchedRevisionChanged(
-                revision, self._follower.proved_s, self._copy.large_revision
+            fleet_events.WatchedPositionChanged(
+                position, self._follower.proved_s, self._copy.large_revision
             )
         )
 
     def _on_failed(self, error: errors.StoreError) -> None:
-        self._publish_revision(None)
+        self._publish_position(None)
         self._follower.record_lost_response()
+        if isinstance(error, errors.StoreEraError):
+            _log.error(
+                "store era invalid",
+                code=int(error.code),
+                error=str(error),
+                known_era=self._known.era,
+            )
         if not self._is_store_lost:
             _log.warning(
                 "store unavailable",
                 error=str(error),
-                revision=self._revision,
+                revision=self._known.revision,
                 silent_s=round(
                     self._clock.now_s() - self._follower.proved_s, 3
                 ),
--- a/src/dotterelpath/tasks/store_watcher.py
+++ b/src/dotterelpath/tasks/store_watcher.py
@@ -10,6 +10,7 @@
 
 from dotterelpath import errors
 from dotterelpath.domain import hashing
+from dotterelpath.domain import store_position
 from dotterelpath.ports import clock as clock_port
 from dotterelpath.ports import document_codec as codec_port
 from dotterelpath.ports import store as store_port
@@ -49,7 +50,7 @@
         "_ledger_subscribers",
         "_mailbox",
         "_own_id",
-        "_revision",
+        "_position",
         "_store",
         "_watcher_count",
     )
@@ -89,7 +90,7 @@
         self._document_loader = document_loader
         self._gossip = gossip
         self._ledger_subscribers = ledger_subscribers
-        self._revision = 0
+        self._position = store_position.NOTHING
 
     async def run(self) -> None:
         """Watches or polls the store until cancelled."""
@@ -102,7 +103,7 @@
             try:
                 wait_s = WAIT_S if self._is_watching else 0.0
                 changes = await self._store.watch(
-                    PREFIX, self._revision, wait_s
+                    PREFIX, self._position, wait_s
                 )
             except errors.StoreError as error:
                 _log.debug("store watch failed", error=str(error))
@@ -143,16 +144,16 @@
             return
 
     def _apply_changes(self, changes: store_port.Changes) -> None:
-        if changes.revision < self._revision:
+        if changes.position < self._position:
             _log.warning(
                 "store revision is older than known",
-                revision=changes.revision,
-                known=self._revision,
+                revision=changes.position.revision,
+                known=self._position.revision,
             )
             return
         for entry in changes.entries:
             self._apply_entry(entry)
-        self._revision = changes.revision
+        self._position = changes.position
 
     def _apply_entry(self, entry: store_port.VersionedValue) -> None:
         try:
--- a/standins/kv_store.py
+++ b/standins/kv_store.py
@@ -42,12 +42,16 @@
 
     `/_put` writes items as the operator or an instance does, `/_compact`
     deletes the history of events, and `/_counts` returns the number of calls.
+    `/_restore` goes back to the copy of `age_s` seconds ago, as in a drill: the
+    era rises, what was written and leased since is gone, and revisions and
+    leases are given out again.
     """
 
     __slots__ = (
         "_changed",
         "_compacted_revision",
         "_counts",
+        "_era",
         "_events",
         "_faults",
         "_items",
@@ -60,7 +64,9 @@
         """Creates an empty store."""
         self._items: dict[str, dict[str, typing.Any]] = {}
         self._events: list[dict[str, typing.Any]] = []
-        self._leases: dict[int, float] = {}
+        # When each lease was granted, and when it ends.
+        self._leases: dict[int, tuple[float, float]] = {}
+        self._era = 1
         self._revision = 1
         self._compacted_revision = 0
         self._faults: dict[str, typing.Any] = {}
@@ -98,6 +104,14 @@
             request: The call.
             connection: The caller's connection.
         """
+        response = await self._respond(port, request)
+        if response is not None:
+            response.headers.append((b"store-era", b"%d" % self._era))
+        return response
+
+    async def _respond(
+        self, port: int, request: exchange.Request
+    ) -> exchange.Response | None:
         path, _, encoded = request.target.partition("?")
         query = dict(urllib.parse.parse_qsl(encoded, True))
         if path.startswith("/_"):
@@ -129,10 +143,25 @@
                 self._set(key, value)
         elif path == "/_compact":
             self._compacted_revision = self._revision
+        elif path == "/_restore":
+            self._restore(data["age_s"])
         elif path == "/_counts":
             return http.json_response(self._counts)
         return http.json_response({"revision": self._revision})
 
+    def _restore(self, age_s: float) -> None:
+        copied_s = time.monotonic() - age_s
+        self._events = [e for e in self._events if e["at_s"] <= copied_s]
+        self._revision = self._events[-1]["revision"] if self._events else 1
+        self._items = self.items_at(self._revision)
+        self._leases = {
+            lease: times_s
+            for lease, times_s in self._leases.items()
+            if times_s[0] <= copied_s
+        }
+        self._era += 1
+        self._notify_watches()
+
     def _handle_call(
         self,
         path: str,
@@ -157,7 +186,8 @@
         if path == "/v1/kv-lease":
             lease = 7000 + len(self._leases)
             ttl_s = body["ttl_s_time"]
-            self._leases[lease] = time.monotonic() + ttl_s
+            now_s = time.monotonic()
+            self._leases[lease] = (now_s, now_s + ttl_s)
             return http.json_response({"lease": lease, "ttl_s_time": ttl_s})
         if path.startswith("/v1/kv-keep/"):
             known = int(path.rpartition("/")[2]) in self._leases
@@ -216,7 +246,7 @@
                 await asyncio.sleep(3600.0)
             if port in self._faults.get("busy_ports", ()):
                 return http.json_response({}, 503)
-            if after < self._compacted_revision:
+            if not self._compacted_revision <= after <= self._revision:
                 return http.json_response({}, 410)
             events = [
                 event
@@ -237,7 +267,7 @@
 
     def _stale_watch(self, after: int, prefix: str) -> exchange.Response:
         """Returns the events that a stale read sees, without waiting."""
-        if after < self._compacted_revision:
+        if not self._compacted_revision <= after <= self._revision:
             return http.json_response({}, 410)
         revision = self._stale_revision()
         events = [
@@ -298,7 +328,7 @@
     def _expire(self) -> None:
         now_s = time.monotonic()
         expired = {
-            lease for lease, end_s in self._leases.items() if end_s < now_s
+            lease for lease, (_, end_s) in self._leases.items() if end_s < now_s
         }
         for key, item in list(self._items.items()):
             if item["lease"] in expired:
