Write the own entry again when the store comes back from an older copy

Callers saw: nothing in one drill. The entry of a daemon that the copy lacks was missing for 100 to 300 s, so that the others sent it no callers and divided the store's rates among fewer daemons.

--- a/features/steps/invalid_input_steps.py
+++ b/features/steps/invalid_input_steps.py
@@ -327,6 +327,7 @@
         mailbox.Mailbox("registrar"),
         (context.inbox,),
         mailbox.Mailbox("peers", 10**6),
+        mailbox.Mailbox("enroller"),
     )
     context.listed = {f"i{n}" for n in range(count)}
     apply_change(context, [(i, entry()) for i in context.listed], True)
--- a/features/steps/leaving_report_steps.py
+++ b/features/steps/leaving_report_steps.py
@@ -127,6 +127,7 @@
         mailbox.Mailbox("registrar", 1000),
         (mailbox.Mailbox("gateway", 1000),),
         context.monitor,
+        mailbox.Mailbox("enroller"),
     )
     change(context, False, is_full=True)
 
--- a/features/steps/store_drill_steps.py
+++ b/features/steps/store_drill_steps.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import time
+import urllib.parse
 
 import behave
 
+from dotterelpath.platform import store_item_codec
 from features import environment
 from features.steps import following_steps
 from standins import fleet as fleet_harness
@@ -14,6 +16,8 @@
 # What is written before this time is in the copy, in seconds.
 COPY_MARGIN_S = 0.3
 AWAY_S = 0.5
+# Before everything that was written, in seconds.
+LONG_AGO_S = 1e6
 
 
 def write_entries(context, count):
@@ -58,6 +62,32 @@
     context.returned_s = time.monotonic()
 
 
+@behave.when("the store comes back from a copy without any entry")
+def step_empty_copy(context):
+    fleet = context.fleet
+    fleet.set_store_faults(down=True)
+    time.sleep(AWAY_S)
+    fleet_harness.post(fleet.store, "/_restore", {"age_s": LONG_AGO_S})
+    for instance_id in fleet.instances:
+        service = instance_id.split("-")[1]
+        fleet.register_instance(instance_id, service, born=fleet.instance_epoch)
+    fleet.configure(*environment.ROUTES)
+    fleet.set_store_faults()
+
+
+@behave.then("it has the entries of all daemons within {seconds:g} seconds")
+def step_entries(context, seconds):
+    store = context.fleet.store
+    prefix = urllib.parse.quote(store_item_codec.DAEMON_PREFIX)
+
+    def listed():
+        path = f"/v1/kv-range?prefix={prefix}"
+        items = fleet_harness.call(store, "GET", path).json()["items"]
+        return len(items) == len(context.fleet.gateways)
+
+    fleet_harness.wait_until(listed, "the entries of all daemons", seconds)
+
+
 @behave.then(
     "the first of them, of the configuration, is in force within 2 seconds"
 )
--- a/features/steps/store_era_steps.py
+++ b/features/steps/store_era_steps.py
@@ -285,6 +285,7 @@
         mailbox.Mailbox("registrar", 1000),
         (context.gateway,),
         context.monitor,
+        mailbox.Mailbox("enroller"),
     )
     change(context, [instance(id) for id in "xyz"], is_full=True)
 
--- a/features/store_drills.feature
+++ b/features/store_drills.feature
@@ -15,6 +15,11 @@
       | 6     |
       | 12    |
 
+  # An entry was written again when its lease was due for renewal, minutes later.
+  Scenario: Daemons write their lost entries again
+    When the store comes back from a copy without any entry
+    Then it has the entries of all daemons within 5 seconds
+
   Scenario: A change after two drills is in force everywhere
     Given all daemons know 6 changes that a copy of the store lacks
     When the store comes back from that copy, and has 12 newer changes
--- a/src/dotterelpath/gateway_daemon.py
+++ b/src/dotterelpath/gateway_daemon.py
@@ -351,6 +351,7 @@
             item_codec.encode_daemon(daemon),
             self._store,
             self._random,
+            inboxes.enroller,
         )
         # Log lines call this task "enroller".
         start("enroller", registration.run())
@@ -387,6 +388,7 @@
             inboxes.registrar,
             (inboxes.gateway, inboxes.neighbourhood, inboxes.front_end),
             inboxes.neighbourhood,
+            inboxes.enroller,
         )
 
     def _on_signal(self) -> None:
--- a/src/dotterelpath/tasks/gateway_inboxes.py
+++ b/src/dotterelpath/tasks/gateway_inboxes.py
@@ -11,12 +11,14 @@
     """The mailboxes of the tasks, one for each attribute.
 
     Errors and log lines show the attribute as the name of the mailbox or of its
-    task. Two attributes differ from the class of the task: back_ends belongs to
-    BackendPool, and neighbourhood to PeerMonitor.
+    task. Three attributes differ from the class of the task: back_ends belongs
+    to BackendPool, neighbourhood to PeerMonitor, and enroller to
+    SelfRegistration.
     """
 
     __slots__ = (
         "back_ends",
+        "enroller",
         "front_end",
         "gateway",
         "neighbourhood",
@@ -25,6 +27,7 @@
     )
 
     back_ends: mailbox.Mailbox[typing.Any]
+    enroller: mailbox.Mailbox[typing.Any]
     front_end: mailbox.Mailbox[typing.Any]
     gateway: mailbox.Mailbox[typing.Any]
     neighbourhood: mailbox.Mailbox[typing.Any]
--- a/src/dotterelpath/tasks/registrar.py
+++ b/src/dotterelpath/tasks/registrar.py
@@ -52,6 +52,7 @@
         "_peer_monitor",
         "_refused_configuration",
         "_registry",
+        "_self_registration",
         "_subscribers",
         "_tenant_faults",
         "_timers",
@@ -67,6 +68,7 @@
         inbox: mailbox.Mailbox[typing.Any],
         subscribers: tuple[mailbox.Mailbox[typing.Any], ...],
         peer_monitor: mailbox.Mailbox[typing.Any],
+        self_registration: mailbox.Mailbox[typing.Any],
     ) -> None:
         """Creates the task's state.
 
@@ -82,7 +84,10 @@
                 instances.
             peer_monitor: Gets the daemons, and the reads of the store once
                 their changes are published.
+            self_registration: Is told when the store came back from an older
+                copy, which may lack the entry of this daemon.
         """
+        self._self_registration = self_registration
         self._peer_monitor = peer_monitor
         self._item_codec = item_codec
         self._clock = clock
@@ -179,6 +184,7 @@
             "store restored from an older copy", era=era, before=before
         )
         self._registry.record_store_restored(now_s)
+        self._self_registration.force(store_events.StoreRestored(era))
         return True
 
     def _apply_configuration(self, items: list[store_items.Item]) -> None:
--- a/src/dotterelpath/tasks/store_events.py
+++ b/src/dotterelpath/tasks/store_events.py
@@ -26,6 +26,20 @@
         self.max_silence_s = max_silence_s
 
 
+class StoreRestored:
+    """The store came back from an older copy."""
+
+    __slots__ = ("era",)
+
+    def __init__(self, era: int) -> None:
+        """Creates the message.
+
+        Args:
+            era: The era that began.
+        """
+        self.era = era
+
+
 class StoreLost:
     """The store does not respond."""
 
