Read the sockets once more before connections are closed as idle

Callers saw: a whole request on a connection that a planned stop reset, with neither an answer nor a refusal.

Cause: a drain judged by what had been read whether a connection was idle. While the loop is busy, requests wait in the sockets and connections wait to be accepted; closing them resets the connection.

Change: the drain, connections that are accepted during it, and the check of idle times run after the loop has polled once more.

Read and ruled out: removed services, the end of grace, a second SIGTERM.

--- a/src/dotterelpath/tasks/front_end.py
+++ b/src/dotterelpath/tasks/front_end.py
@@ -136,7 +136,8 @@
         """Registers a new connection; see frontend.Listener."""
         self._connections.add(connection)
         if self._is_draining:
-            connection.drain()
+            connection.announce_close()
+            _call_after_reading(connection.drain)
         elif self._is_leaving:
             connection.announce_close()
 
@@ -248,6 +249,10 @@
 
     def on_drain_began(self) -> None:
         """Stops listening and closes each connection once it is idle."""
+        self.on_leave_began()
+        _call_after_reading(self._drain)
+
+    def _drain(self) -> None:
         self._is_draining = True
         if self._server is not None:
             self._server.close()
@@ -360,7 +365,7 @@
     def _schedule_sweep(self) -> None:
         loop = asyncio.get_running_loop()
         self._sweep_timer = loop.call_later(
-            SWEEP_INTERVAL_S, self._close_slow_connections
+            SWEEP_INTERVAL_S, _call_after_reading, self._close_slow_connections
         )
 
     def _close_slow_connections(self) -> None:
@@ -379,6 +384,17 @@
             connection.abort()
 
 
+def _call_after_reading(callback: typing.Callable[[], None]) -> None:
+    """Calls back once the loop has read all sockets and accepted connections.
+
+    A request may wait in the socket of a connection that counts as idle, for as
+    long as the loop was busy. Callbacks that are scheduled by a callback run
+    after the events that the loop polls in between.
+    """
+    loop = asyncio.get_running_loop()
+    loop.call_soon(loop.call_soon, callback)
+
+
 _tokens = itertools.count(1)
 
 
