Answer what outlasts a stop, so that the answers behind it are written

Cause: answers are written in order. A request that was still at work at the end of a stop got none, and its connection closed with the answers that its instances had given to the requests pipelined behind it.

The new scenario got b'' before and gets 504 and three times 200 now.

--- a/features/gateway_fleet.feature
+++ b/features/gateway_fleet.feature
@@ -18,6 +18,13 @@
   # A caller that always has a request outstanding kept its connection open, and
   # its requests were taken and passed on until the end of the grace time cut
   # them off.
+  # Answers are written in order. Those behind a request that outlasted the stop
+  # were ready, and were dropped with the connection.
+  Scenario: A stop delivers the answers behind a request that outlasts it
+    Given a caller that pipelines a request of 9 seconds and 3 short ones
+    When their daemon shuts down
+    Then the short ones were answered with 200, behind a 504 for the first
+
   Scenario: A graceful shutdown answers all requests of a caller that pipelines
     Given instances of presses that take 300 ms
     When a caller pipelines a request each 100 ms while its daemon shuts down
--- a/features/steps/pipelined_stop_steps.py
+++ b/features/steps/pipelined_stop_steps.py
@@ -79,6 +79,49 @@
     ]
 
 
+@behave.given(
+    "a caller that pipelines a request of {seconds:d} seconds and {count:d}"
+    " short ones"
+)
+def step_pipeline_behind_long(context, seconds, count):
+    route = gateway_fleet.route("/presses/", "presses", timeout_s=20)
+    context.fleet.configure(route)
+    context.fleet.wait_for_configuration(context.fleet.version)
+    node = context.fleet.gateways["g4"]
+    context.raw = socket.create_connection(("127.0.0.1", node.caller_port), 5)
+    context.add_cleanup(context.raw.close)
+    durations_ms = [seconds * 1000] + [10] * count
+    for number, work_ms in enumerate(durations_ms):
+        request = (
+            f"GET /presses/{number}?work_ms={work_ms} HTTP/1.1\r\n"
+            f"Host: {gateway_fleet.HOST}\r\nRequest-Id: behind-{number}\r\n"
+            "Deadline-Ms: 20000\r\n\r\n"
+        )
+        context.raw.sendall(request.encode())
+    time.sleep(WARM_UP_S)
+
+
+@behave.when("their daemon shuts down")
+def step_shut_down(context):
+    node = context.fleet.gateways["g4"]
+    context.fleet.terminate(node)
+    context.raw.settimeout(gateway_fleet.BOUNDS["grace_s"] + 2.0)
+    received = []
+    read_all(context.raw, received)
+    context.received = b"".join(received)
+    fleet_harness.wait_until(
+        lambda: node.process.poll() is not None, "the daemon has ended"
+    )
+
+
+@behave.then(
+    "the short ones were answered with 200, behind a 504 for the first"
+)
+def step_answers_behind(context):
+    statuses = re.findall(rb"HTTP/1.1 (\d+) ", context.received)
+    assert statuses == [b"504", b"200", b"200", b"200"], context.received
+
+
 @behave.then("each request that an instance ran was answered")
 def step_all_answered(context):
     ran = {r for r in context.fleet.count_runs() if r.startswith("pipelined-")}
--- a/src/dotterelpath/tasks/_request_sender.py
+++ b/src/dotterelpath/tasks/_request_sender.py
@@ -323,6 +323,27 @@
                 self._waiting_retries.remove(pending)
                 self._refuse_at_stop(pending)
 
+    def on_stop_overdue(self, message: events.StopOverdue) -> None:
+        """Answers the requests at work, which block pipelined ones.
+
+        Answers are written in order: one without an answer would take those
+        behind it with it when the process ends.
+
+        Args:
+            message: The time of a stop is over.
+        """
+        for attempt in list(self._open_attempts.values()):
+            pending = attempt.pending
+            if pending.is_ended:
+                continue
+            pending.may_have_run = True
+            self._cancel_attempts(pending)
+            self._fail(
+                pending,
+                errors.ResultCode.BACKEND_TIMEOUT,
+                "this daemon stopped before the instance responded",
+            )
+
     def _refuse_at_stop(self, pending: _pending.PendingRequest) -> None:
         self._fail(
             pending,
--- a/src/dotterelpath/tasks/events.py
+++ b/src/dotterelpath/tasks/events.py
@@ -138,6 +138,12 @@
     __slots__ = ()
 
 
+class StopOverdue:
+    """The time of a stop is over; requests at work do not end any more."""
+
+    __slots__ = ()
+
+
 class FreezeBegan:
     """The records are to be handed off; keyed requests must wait."""
 
--- a/src/dotterelpath/tasks/gateway.py
+++ b/src/dotterelpath/tasks/gateway.py
@@ -281,6 +281,7 @@
             messages.Tick: self.on_tick,
             events.StopBegan: sender.on_stop_began,
             events.StopEnding: sender.on_stop_ending,
+            events.StopOverdue: sender.on_stop_overdue,
             fleet_events.ConfigurationChanged: self.on_configuration_changed,
             fleet_events.RegistryChanged: self.on_registry_changed,
             fleet_events.BoundsChanged: self.on_bounds_changed,
--- a/src/dotterelpath/tasks/gateway_shutdown.py
+++ b/src/dotterelpath/tasks/gateway_shutdown.py
@@ -22,6 +22,10 @@
 # The fraction before that in which requests that no instance got are refused,
 # and the refusals reach their callers.
 REFUSAL_FRACTION = 0.1
+# The fraction before that in which requests still at work are answered in place
+# of their instances, so that the answers behind them reach their callers. It
+# lies in the last sixth of the time, until which instances may answer.
+OVERDUE_FRACTION = 0.03
 
 _log = structlog.get_logger()
 
@@ -69,7 +73,8 @@
         """Shuts down; returns when drained or when the time is over.
 
         Each request that was read is answered before: those that wait for an
-        instance until shortly before the end are refused.
+        instance until shortly before the end are refused, and those that are
+        still at work at the end get an error.
         """
         started_s = self._clock.now_s()
         end_s = started_s + self._grace_s * (1.0 - EXIT_RESERVE_FRACTION)
@@ -85,8 +90,11 @@
         self._subscribers[0].force(events.DrainBegan())
         if not await self._wait_until(end_s - self._grace_s * REFUSAL_FRACTION):
             self._gateway.force(events.StopEnding())
-            if not await self._wait_until(end_s):
+            overdue_s = end_s - self._grace_s * OVERDUE_FRACTION
+            if not await self._wait_until(overdue_s):
                 _log.warning("stop interrupted requests", grace_s=self._grace_s)
+                self._gateway.force(events.StopOverdue())
+                await self._wait_until(end_s)
         _log.info("stop ended", took_s=self._clock.now_s() - started_s)
 
     async def _wait_until(self, end_s: float) -> bool:
