--- a/features/soak.feature
+++ b/features/soak.feature
@@ -9,6 +9,16 @@
       | 3    |
       | 4    |
 
+  # Daemons missed changes that were written when the store came back.
+  Scenario Outline: Changes are in force in time while the store has faults
+    When changes are made for 15 seconds with 6 daemons and the faults "<faults>"
+    Then each change was in force in time
+
+    Examples:
+      | faults |
+      | drill  |
+      | stale  |
+
   Scenario: The fault schedule is determined by the seed
     Then two schedules of seed 5 are equal, and that of seed 6 differs
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -44,6 +44,31 @@
     )
 
 
+@behave.when(
+    "changes are made for {seconds:d} seconds with {daemons:d} daemons and the"
+    ' faults "{faults}"'
+)
+def step_run_changes(context, seconds, daemons, faults):
+    context.soak = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "soak.changes",
+            "--seconds",
+            str(seconds),
+            "--daemons",
+            str(daemons),
+            "--faults",
+            faults,
+        ],
+        cwd=fleet_harness.ROOT,
+        capture_output=True,
+        text=True,
+        timeout=120,
+    )
+
+
+@behave.then("each change was in force in time")
 @behave.then("the soak reports no violation")
 def step_no_violation(context):
     assert context.soak.returncode == 0, context.soak.stdout[-2000:]
--- a/features/steps/store_drill_steps.py
+++ b/features/steps/store_drill_steps.py
@@ -18,6 +18,7 @@
 AWAY_S = 0.5
 # Before everything that was written, in seconds.
 LONG_AGO_S = 1e6
+LEAVING_ID = "i-presses-2"
 
 
 def write_entries(context, count):
@@ -50,18 +51,46 @@
     "the store comes back from that copy, and has {count:d} newer changes"
 )
 def step_drill(context, count):
-    store = context.fleet.store
+    moved = gateway_fleet.route("/presses/", "deposits")
+    restore(
+        context,
+        lambda: context.fleet.configure(moved, *environment.ROUTES[1:]),
+        count,
+    )
+
+
+@behave.when(
+    "the store comes back from that copy, has {count:d} newer changes, and an"
+    " instance is removed by the first of them"
+)
+def step_drill_and_removal(context, count):
+    # Of the instances, the other ones are written again.
+    restore(context, lambda: context.fleet.remove_instance(LEAVING_ID), count)
+
+
+def restore(context, change, count):
+    """Takes the store away and back; it has a change and others when back."""
     context.fleet.set_store_faults(down=True)
     time.sleep(AWAY_S)
     age_s = time.monotonic() - context.copied_s
-    fleet_harness.post(store, "/_restore", {"age_s": age_s})
-    moved = gateway_fleet.route("/presses/", "deposits")
-    context.fleet.configure(moved, *environment.ROUTES[1:])
+    fleet_harness.post(context.fleet.store, "/_restore", {"age_s": age_s})
+    change()
     write_entries(context, count - 1)
     context.fleet.set_store_faults()
     context.returned_s = time.monotonic()
 
 
+@behave.then("no daemon uses the instance after {seconds:g} seconds")
+def step_not_used(context, seconds):
+    time.sleep(max(0.0, context.returned_s + seconds - time.monotonic()))
+    using = [
+        node.id
+        for node in context.fleet.gateways.values()
+        if LEAVING_ID in context.fleet.instance_states(node, "presses")
+    ]
+    assert not using, using
+
+
 @behave.when("the store comes back from a copy without any entry")
 def step_empty_copy(context):
     fleet = context.fleet
--- a/features/store_drills.feature
+++ b/features/store_drills.feature
@@ -15,6 +15,20 @@
       | 6     |
       | 12    |
 
+  # A removal that no daemon reads is not written again: requests went to the
+  # instance until it had ended, and after. An entry that is missing 2 seconds
+  # after the return counts as gone, and the drain bound is 2 seconds.
+  Scenario Outline: An instance that leaves at the return of the store is not used
+    Given all daemons know 6 changes that a copy of the store lacks
+    When the store comes back from that copy, has <count> newer changes, and an instance is removed by the first of them
+    Then no daemon uses the instance after 4 seconds
+
+    Examples: The new revision is below, at and above the one that was known
+      | count |
+      | 3     |
+      | 6     |
+      | 12    |
+
   # An entry was written again when its lease was due for renewal, minutes later.
   Scenario: Daemons write their lost entries again
     When the store comes back from a copy without any entry
