Move what the store reader reports to a part of its own

The store reader had grown beyond 500 lines with positions and eras. Its reports (changes, reads, the published position, their log lines) are now in tasks/_store_reports.py; behaviour is unchanged.

--- a/src/dotterelpath/tasks/store_reader.py
+++ b/src/dotterelpath/tasks/store_reader.py
@@ -18,9 +18,9 @@
 from dotterelpath.ports import store as store_port
 from dotterelpath.ports import store_copies
 from dotterelpath.tasks import _store_calls
+from dotterelpath.tasks import _store_reports
 from dotterelpath.tasks import fleet_events
 from dotterelpath.tasks import mailbox
-from dotterelpath.tasks import store_events
 
 # The longest time for which the store may be silent without being unavailable,
 # in seconds.
@@ -77,12 +77,9 @@
         "_mailbox",
         "_may_list_stale",
         "_must_read_all",
-        "_peer_monitor",
-        "_published",
         "_random",
-        "_reported_s",
+        "_reports",
         "_started_s",
-        "_subscriber",
     )
 
     def __init__(
@@ -121,9 +118,10 @@
         self._clock = clock
         self._random = random
         self._mailbox = inbox
-        self._subscriber = subscriber
-        self._peer_monitor = peer_monitor
         self._follower = store_following.StoreFollower(apply_s, daemon_id)
+        self._reports = _store_reports.StoreReports(
+            clock, self._follower, subscriber, peer_monitor
+        )
         self._calls = _store_calls.StoreCalls(
             prefix, store, clock, self._follower, copies
         )
@@ -132,8 +130,6 @@
         self._must_read_all = True
         self._may_list_stale = True
         self._is_store_lost = False
-        self._published: store_position.Position | None = None
-        self._reported_s = self._started_s
 
     @property
     def follower(self) -> store_following.StoreFollower:
@@ -167,7 +163,7 @@
                 self._position, self._clock.now_s(), self._is_store_lost
             )
             if step is not store_following.Step.WATCH:
-                self._publish_position(None)
+                self._reports.withdraw()
             try:
                 await steps[step]()
             except errors.HistoryLostError as error:
@@ -199,7 +195,7 @@
             revision=self._known.revision,
             reason=str(error),
         )
-        self._publish_position(None)
+        self._reports.withdraw()
         was_reading_all = self._must_read_all
         self._read_all_next()
         if was_reading_all:
@@ -261,7 +257,7 @@
         answer = await self._watch_and_check(self._watch_wait_s())
         self._on_answer(answer)
         if not self._is_store_lost:
-            self._publish_position(self._known)
+            self._publish()
         await self._wait_for_batch(answer.changes)
 
     async def _watch_and_check(self, wait_s: float) -> _store_calls.Answer:
@@ -337,7 +333,7 @@
         return max(due_s, transfer.lost_from_s or due_s)
 
     def _proof_due_s(self) -> float:
-        is_strict = self._is_strict and self._published is not None
+        is_strict = self._is_strict and self._reports.is_published
         return self._follower.proof_due_s(self._known, is_strict)
 
     async def _check(self) -> _store_calls.Answer:
@@ -356,8 +352,8 @@
         """Takes an answer without changes as a proof of what is known."""
         if answer.is_exact:
             self._record_proof(answer)
-            self._report_read(answer)
-            self._publish_position(self._known)
+            self._reports.report_read(self._known, answer)
+            self._publish()
 
     async def _read_all(self) -> None:
         """Reads all keys, the first time in stale pages, which cost little."""
@@ -380,8 +376,8 @@
     async def _follow(self) -> None:
         """Waits for a message of another daemon."""
         now_s = self._clock.now_s()
-        if now_s - self._reported_s > IDLE_REPORT_INTERVAL_S:
-            self._report_changes(
+        if now_s - self._reports.reported_s > IDLE_REPORT_INTERVAL_S:
+            self._reports.report_changes(
                 store_port.Changes([], self._known), MAX_SILENCE_S
             )
         try:
@@ -403,7 +399,7 @@
             return RECOVERY_WAIT_S
         # The first watch returns at once: followers wait for the position that
         # it publishes, and what is known is old if there were no reports.
-        if self._published is None:
+        if not self._reports.is_published:
             return 0.0
         return self._follower.watch_wait_s(self._clock.now_s())
 
@@ -425,7 +421,7 @@
         # The store was available before this call, which may have been a watch
         # that waited for up to its timeout.
         max_silence_s = MAX_SILENCE_S
-        self._log_changes(answer)
+        self._reports.log_changes(self._known, answer)
         if self._is_store_lost:
             max_silence_s = 0.0
             if answer.copied_from is None:
@@ -439,8 +435,11 @@
         self._known = changes.position
         self._must_read_all = False
         self._record_proof(answer)
-        self._report_changes(changes, max_silence_s)
-        self._report_read(answer)
+        self._reports.report_changes(changes, max_silence_s)
+        self._reports.report_read(self._known, answer)
+
+    def _publish(self) -> None:
+        self._reports.publish(self._known, self._copy.large_revision)
 
     def _record_proof(self, answer: _store_calls.Answer) -> None:
         if answer.is_exact:
@@ -448,43 +447,6 @@
                 self._known, answer.proved_at_s, answer.complete_at_s
             )
 
-    def _log_changes(self, answer: _store_calls.Answer) -> None:
-        """Logs changes with the age of what was known before them."""
-        if not answer.changes.entries or answer.changes.is_full:
-            return
-        now_s = self._clock.now_s()
-        _log.info(
-            "store changes read",
-            era=answer.changes.position.era,
-            revision=answer.changes.position.revision,
-            known_revision=self._known.revision,
-            exact=answer.is_exact,
-            copied_from=answer.copied_from,
-            bytes=answer.changes.encoded_bytes,
-            took_s=round(now_s - answer.sent_s, 3),
-            proved_age_s=round(now_s - self._follower.proved_s, 3),
-            reported_age_s=round(self._follower.confirmed_age_s(now_s), 3),
-        )
-
-    def _report_read(self, answer: _store_calls.Answer) -> None:
-        """Reports up to which position this daemon has read the store.
-
-        The report takes the way of the changes, which are in force first.
-        """
-        self._subscriber.force(
-            fleet_events.StoreRead(
-                self._known, answer.complete_at_s, answer.is_exact
-            )
-        )
-
-    def _report_changes(
-        self, changes: store_port.Changes, max_silence_s: float
-    ) -> None:
-        self._reported_s = self._clock.now_s()
-        self._subscriber.force(
-            store_events.StoreChanged(changes, self._reported_s, max_silence_s)
-        )
-
     async def _wait_for_batch(self, changes: store_port.Changes) -> None:
         """Waits for further changes, to read them in one call.
 
@@ -496,32 +458,12 @@
         now_s = self._clock.now_s()
         wait_s = self._follower.batch_s(now_s - self._started_s < STARTUP_S)
         left_s = self._follower.silence_left_s(now_s)
-        if self._published is not None:
+        if self._reports.is_published:
             left_s = self._proof_due_s() - now_s
         await asyncio.sleep(min(wait_s, left_s) if left_s > 0.0 else wait_s)
 
-    def _publish_position(
-        self, position: store_position.Position | None
-    ) -> None:
-        """Publishes the watched position, or None if the watch ends."""
-        is_change = (position is None) != (self._published is None)
-        if position is None and not is_change:
-            return
-        if is_change:
-            _log.info(
-                "store watch changed",
-                era=position and position.era,
-                revision=position and position.revision,
-            )
-        self._published = position
-        self._peer_monitor.force(
-            fleet_events.WatchedPositionChanged(
-                position, self._follower.proved_s, self._copy.large_revision
-            )
-        )
-
     def _on_failed(self, error: errors.StoreError) -> None:
-        self._publish_position(None)
+        self._reports.withdraw()
         self._follower.record_lost_response()
         if isinstance(error, errors.StoreEraError):
             _log.error(
@@ -540,4 +482,4 @@
                 ),
             )
             self._is_store_lost = True
-            self._subscriber.force(store_events.StoreLost())
+            self._reports.report_lost()
