List exact pages after a page of an earlier era

Callers saw: nothing measured; a daemon that starts just after a drill was not ready until all replicas of the store had entered the new era.

Cause: the first list is read from stale pages, which may be of the earlier era; an answer of an earlier era is an error, after which the same stale pages were read again.

Change: after such an error the pages are exact.

Evidence: 'A daemon that starts lists no replica of an earlier era twice' failed before (no read within 1 s) and passes.

--- a/features/steps/store_era_steps.py
+++ b/features/steps/store_era_steps.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
+import random
 
 import behave
 import orjson
 
 from dotterelpath import errors
+from dotterelpath.adapters import clock
 from dotterelpath.domain import bounds
 from dotterelpath.domain import configuration
 from dotterelpath.domain import exchange
@@ -25,6 +28,7 @@
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import registrar
 from dotterelpath.tasks import store_events
+from dotterelpath.tasks import store_reader
 from features.support import gateway_world
 from features.support import positions
 from features.support import world
@@ -61,6 +65,62 @@
     assert context.result == "a lost history", context.result
 
 
+class LaggingStore:
+    """A store whose replicas have not entered its era; see ports.store."""
+
+    def set_daemon_count(self, count):
+        pass
+
+    async def watch(
+        self, prefix, after, wait_s, may_be_stale=False, transfer=None
+    ):
+        if may_be_stale:
+            raise errors.StoreEraError("the page is of an earlier era")
+        await asyncio.sleep(wait_s)
+        return store.Changes([], positions.at(5, 2), not after.revision)
+
+
+@behave.given("a store whose stale pages are of an earlier era")
+def step_lagging_store(context):
+    context.store = LaggingStore()
+
+
+@behave.when("a daemon starts and reads it")
+def step_start(context):
+    subscriber = mailbox.Mailbox("subscriber", 1000)
+    reader = store_reader.StoreReader(
+        "",
+        context.store,
+        clock.SystemClock(),
+        random.Random(1),
+        mailbox.Mailbox("reader", 1000),
+        subscriber,
+        mailbox.Mailbox("peers", 1000),
+        2.0,
+    )
+
+    async def read():
+        task = asyncio.create_task(reader.run())
+        await asyncio.sleep(1.0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(read())
+    context.messages = []
+    while (message := subscriber.poll()) is not None:
+        context.messages.append(message)
+
+
+@behave.then("it knows the store within a second")
+def step_knows(context):
+    known = [
+        message.changes.position
+        for message in context.messages
+        if isinstance(message, store_events.StoreChanged)
+    ]
+    assert positions.at(5, 2) in known, context.messages
+
+
 @behave.given(
     "a call for the changes after revision {revision:d} of era {era:d}"
 )
--- a/features/store_eras.feature
+++ b/features/store_eras.feature
@@ -14,6 +14,13 @@
     When a page of era 2 at revision 3 follows
     Then the listing has to be read again
 
+  # The list was read from stale pages again and again, until all replicas had
+  # entered the era.
+  Scenario: A daemon that starts lists no replica of an earlier era twice
+    Given a store whose stale pages are of an earlier era
+    When a daemon starts and reads it
+    Then it knows the store within a second
+
   Scenario Outline: An answer of another era is not taken for later changes
     Given a call for the changes after revision 9 of era 2
     When it is answered by <answer>
--- a/src/dotterelpath/tasks/store_reader.py
+++ b/src/dotterelpath/tasks/store_reader.py
@@ -466,6 +466,8 @@
         self._reports.withdraw()
         self._follower.record_lost_response()
         if isinstance(error, errors.StoreEraError):
+            # Stale pages may be of an earlier era for a while.
+            self._may_list_stale = False
             _log.error(
                 "store era invalid",
                 code=int(error.code),
