--- a/features/steps/store_drill_steps.py
+++ b/features/steps/store_drill_steps.py
@@ -64,7 +64,6 @@
     " instance is removed by the first of them"
 )
 def step_drill_and_removal(context, count):
-    # Of the instances, the other ones are written again.
     restore(context, lambda: context.fleet.remove_instance(LEAVING_ID), count)
 
 
