Show which peer's input takes up the event loop

No log line or metric told the possible causes apart: the work of parsing, reading that is paused for all instances, or messages that pile up between the tasks.

Each call that parses received bytes is now counted by peer, and a task measures how late timers run.

--- a/src/dotterelpath/adapters/caller_input.py
+++ b/src/dotterelpath/adapters/caller_input.py
@@ -54,6 +54,7 @@
     __slots__ = (
         "_budget",
         "_codec",
+        "_event_count",
         "_is_reading",
         "_limits",
         "_unread",
@@ -78,6 +79,7 @@
         self._budget = budget
         self._unread = unread_input.UnreadInput()
         self._is_reading = False
+        self._event_count = 0
         # The request that is being received, or was received last.
         self.cycle = self._new_cycle()
 
@@ -121,6 +123,11 @@
             timeout_s = self._limits.idle_timeout_s
         return bool(timeout_s) and idle_s > (timeout_s or 0.0)
 
+    def take_event_count(self) -> int:
+        """Returns how many events were parsed since the last call."""
+        count, self._event_count = self._event_count, 0
+        return count
+
     def append(self, data: bytes) -> None:
         """Adds received bytes, which read parses.
 
@@ -204,6 +211,7 @@
         cycle = self.cycle
         while owner.is_open and not cycle.is_refused:
             event = cycle.conn.next_event()
+            self._event_count += 1
             if event is h11.NEED_DATA:
                 if self._feed(cycle):
                     continue
--- a/src/dotterelpath/adapters/h11_backend.py
+++ b/src/dotterelpath/adapters/h11_backend.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import select
+import time
 import typing
 
 import h11
@@ -14,6 +15,7 @@
 from dotterelpath.adapters import traffic
 from dotterelpath.domain import caller_memory
 from dotterelpath.domain import exchange
+from dotterelpath.domain import input_usage
 from dotterelpath.domain import response_matching
 from dotterelpath.ports import backend
 from dotterelpath.ports import clock as clock_port
@@ -65,6 +67,7 @@
         "_timeout_s",
         "_traffic_counter",
         "_transport",
+        "_usage",
     )
 
     def __init__(
@@ -76,6 +79,7 @@
         traffic_counter: traffic.TrafficCounter,
         memory: caller_memory.CallerMemory | None = None,
         gate: read_gate.ReadGate | None = None,
+        usage: input_usage.InputUsage | None = None,
     ) -> None:
         """Creates a connection that is not yet open.
 
@@ -87,7 +91,9 @@
             traffic_counter: Counts the bytes written.
             memory: Counts the bytes that are read ahead of callers.
             gate: Limits what all connections read at once.
+            usage: Counts what the processing of received bytes costs.
         """
+        self._usage = usage or input_usage.InputUsage()
         self._memory = memory or caller_memory.CallerMemory()
         self._gate = gate or read_gate.ReadGate()
         self._is_gated = False
@@ -180,11 +186,19 @@
         if self._attempt_id is None:
             self.close()
             return
+        began_s = time.perf_counter()
+        events = 0
         try:
             self._conn.receive_data(data)
-            self._read_events()
+            events = self._read_events()
         except h11.RemoteProtocolError as error:
             self._fail(str(error), True)
+        self._usage.record(
+            f"instance {self._address}",
+            len(data),
+            events,
+            time.perf_counter() - began_s,
+        )
 
     def eof_received(self) -> bool:
         """Completes a response that the end of the connection delimits."""
@@ -285,20 +299,23 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _read_events(self) -> None:
+    def _read_events(self) -> int:
+        """Parses what was received; returns the number of events."""
         try:
-            self._read_available_events()
+            return self._read_available_events()
         finally:
             self._pass_part_on()
 
-    def _read_available_events(self) -> None:
+    def _read_available_events(self) -> int:
+        count = 0
         while self._attempt_id is not None:
             event = self._conn.next_event()
+            count += 1
             if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
+                break
             if isinstance(event, h11.Response):
                 if not self._on_head(event):
-                    return
+                    break
             elif isinstance(event, h11.Data):
                 self._on_data(event.data)
             elif isinstance(event, h11.InformationalResponse):
@@ -306,7 +323,8 @@
             elif isinstance(event, h11.EndOfMessage):
                 self._on_complete()
             elif isinstance(event, h11.ConnectionClosed):
-                return
+                break
+        return count
 
     def _on_head(self, head: h11.Response) -> bool:
         assert self._request is not None
@@ -481,7 +499,14 @@
 class H11Connector:
     """Opens connections over HTTP/1.1; see backend.Connector."""
 
-    __slots__ = ("_clock", "_codec", "_gate", "_memory", "_traffic_counter")
+    __slots__ = (
+        "_clock",
+        "_codec",
+        "_gate",
+        "_memory",
+        "_traffic_counter",
+        "_usage",
+    )
 
     def __init__(
         self,
@@ -489,6 +514,7 @@
         codec: backend.ServerCodec | None = None,
         traffic_counter: traffic.TrafficCounter | None = None,
         memory: caller_memory.CallerMemory | None = None,
+        usage: input_usage.InputUsage | None = None,
     ) -> None:
         """Creates a connector.
 
@@ -497,7 +523,9 @@
             codec: Encodes and reads headers; by default the fleet's own.
             traffic_counter: Counts the bytes written.
             memory: Counts the bytes that are read ahead of callers.
+            usage: Counts what the processing of received bytes costs.
         """
+        self._usage = usage or input_usage.InputUsage()
         self._memory = memory or caller_memory.CallerMemory()
         self._gate = read_gate.ReadGate(self._memory.max_read_at_once)
         self._clock = clock
@@ -518,6 +546,7 @@
                 self._traffic_counter,
                 self._memory,
                 self._gate,
+                self._usage,
             ),
             host,
             port,
--- a/src/dotterelpath/adapters/h11_binder.py
+++ b/src/dotterelpath/adapters/h11_binder.py
@@ -11,6 +11,7 @@
 from dotterelpath.adapters import connection_guard
 from dotterelpath.adapters import h11_frontend
 from dotterelpath.adapters import traffic
+from dotterelpath.domain import input_usage
 from dotterelpath.ports import frontend
 
 MAX_HEAD_BYTES = 32 * 1024
@@ -22,7 +23,7 @@
 class H11Binder:
     """Opens sockets that serve callers over HTTP/1.1."""
 
-    __slots__ = ("_codec", "_guard", "_limits", "_traffic_counter")
+    __slots__ = ("_codec", "_guard", "_limits", "_traffic_counter", "_usage")
 
     def __init__(
         self,
@@ -30,6 +31,7 @@
         limits: frontend.Limits,
         traffic_counter: traffic.TrafficCounter | None = None,
         guard: connection_guard.ConnectionGuard | None = None,
+        usage: input_usage.InputUsage | None = None,
     ) -> None:
         """Creates a binder.
 
@@ -40,7 +42,9 @@
             traffic_counter: Counts the bytes written.
             guard: Limits the connections and the memory that they hold;
                 without limits by default.
+            usage: Counts what the processing of received bytes costs.
         """
+        self._usage = usage or input_usage.InputUsage()
         self._codec = codec
         self._limits = limits
         self._traffic_counter = traffic_counter or traffic.TrafficCounter()
@@ -59,6 +63,7 @@
                     self._limits,
                     self._traffic_counter,
                     self._guard,
+                    self._usage,
                 ),
                 host,
                 port,
@@ -80,6 +85,7 @@
     guard: connection_guard.ConnectionGuard | None = None,
     head_timeout_s: float | None = None,
     idle_timeout_s: float | None = None,
+    usage: input_usage.InputUsage | None = None,
 ) -> H11Binder:
     """Creates a binder that speaks the fleet's own protocol.
 
@@ -89,6 +95,7 @@
         guard: Limits the connections and the memory that they hold.
         head_timeout_s: See frontend.Limits.
         idle_timeout_s: See frontend.Limits.
+        usage: Counts what the processing of received bytes costs.
 
     Returns:
         The binder.
@@ -99,4 +106,5 @@
             MAX_HEAD_BYTES, max_body_bytes, head_timeout_s, idle_timeout_s
         ),
         guard=guard,
+        usage=usage,
     )
--- a/src/dotterelpath/adapters/h11_frontend.py
+++ b/src/dotterelpath/adapters/h11_frontend.py
@@ -18,6 +18,7 @@
 from dotterelpath.adapters import response_queue
 from dotterelpath.adapters import traffic
 from dotterelpath.domain import exchange
+from dotterelpath.domain import input_usage
 from dotterelpath.domain import output_progress
 from dotterelpath.ports import frontend
 
@@ -56,6 +57,7 @@
         "_output",
         "_share_bytes",
         "_transport",
+        "_usage",
         "address",
         "held_bytes",
         "is_stalled",
@@ -69,6 +71,7 @@
         limits: frontend.Limits,
         traffic_counter: traffic.TrafficCounter,
         guard: connection_guard.ConnectionGuard,
+        usage: input_usage.InputUsage | None = None,
     ) -> None:
         """Creates a connection that is not yet open.
 
@@ -79,7 +82,9 @@
                 to this connection too.
             traffic_counter: Counts the bytes written.
             guard: Limits the connections and the memory that they hold.
+            usage: Counts what the processing of received bytes costs.
         """
+        self._usage = usage or input_usage.InputUsage()
         self._listener = listener
         self._codec = codec
         self._limits = limits
@@ -131,8 +136,15 @@
             # The timeout of a head runs from its first byte, so that a caller
             # cannot extend it by sending the head byte by byte.
             self._last_activity_s = time.monotonic()
+        began_s = time.perf_counter()
         self._input.append(data)
         self._read()
+        self._usage.record(
+            f"caller {self.address}",
+            len(data),
+            self._input.take_event_count(),
+            time.perf_counter() - began_s,
+        )
         self._settle()
 
     def eof_received(self) -> bool:
--- a/src/dotterelpath/adapters/http_client.py
+++ b/src/dotterelpath/adapters/http_client.py
@@ -8,6 +8,7 @@
 from dotterelpath.adapters import h11_backend
 from dotterelpath.adapters import native_server_codec
 from dotterelpath.domain import exchange
+from dotterelpath.domain import input_usage
 from dotterelpath.ports import backend
 from dotterelpath.ports import clock as clock_port
 
@@ -49,17 +50,19 @@
         self,
         clock: clock_port.Clock,
         max_response_bytes: int = DEFAULT_MAX_RESPONSE_BYTES,
+        usage: input_usage.InputUsage | None = None,
     ) -> None:
         """Creates a client without connections.
 
         Args:
             clock: Gives the time for the idle timeout of connections.
             max_response_bytes: The longest body of a response.
+            usage: Counts what the processing of received bytes costs.
         """
         self._max_response_bytes = max_response_bytes
         self._clock = clock
         self._connector = h11_backend.H11Connector(
-            clock, native_server_codec.TrustedServerCodec()
+            clock, native_server_codec.TrustedServerCodec(), usage=usage
         )
         self._idle: dict[tuple[str, int], list[backend.Connection]] = {}
         self._pending: dict[int, asyncio.Future[exchange.Response]] = {}
--- a/src/dotterelpath/adapters/metrics.py
+++ b/src/dotterelpath/adapters/metrics.py
@@ -41,6 +41,10 @@
         "_copy_reads",
         "_duration",
         "_ejected",
+        "_input_bytes",
+        "_input_events",
+        "_input_seconds",
+        "_loop_delay",
         "_outcomes",
         "_overhead",
         "_quota_refusals",
@@ -89,6 +93,15 @@
         self._closed_connections = self._counter(
             "closed_connections", "Callers' connections that limits closed."
         )
+        self._input_bytes = self._counter(
+            "input_bytes", "Bytes received over connections."
+        )
+        self._input_events = self._counter(
+            "input_events", "Parts of messages parsed from these bytes."
+        )
+        self._input_seconds = self._counter(
+            "input_seconds", "Processing time of these bytes."
+        )
         self._avoided = self._gauge("avoided", "Instances avoided here.")
         self._ejected = self._gauge("ejected", "Instances ejected.")
         self._duration = self._histogram(
@@ -97,6 +110,9 @@
         self._overhead = self._histogram(
             "added_seconds", "The part that no backend server worked."
         )
+        self._loop_delay = self._histogram(
+            "loop_delay_seconds", "How late the event loop ran timers."
+        )
         self._workspace_duration = self._histogram(
             "workspace_request_seconds", "From arrival to answer, by workspace."
         )
@@ -169,6 +185,16 @@
         """Records a read of another daemon's copy; see metrics.Metrics."""
         self._copy_reads.inc({"ok": str(ok).lower()})
 
+    def record_loop_delay(self, delay_s: float) -> None:
+        """Records a delay of the event loop; see metrics.Metrics."""
+        _histogram_for(self._loop_delay, {}).observe(delay_s)
+
+    def record_input(self, size: int, events: int, duration_s: float) -> None:
+        """Records the processing of input; see metrics.Metrics."""
+        self._input_bytes.add({}, size)
+        self._input_events.add({}, events)
+        self._input_seconds.add({}, duration_s)
+
     def record_store_call(self, call: str, ok: bool) -> None:
         """Records a call to the store; see metrics.Metrics."""
         self._store_calls.inc({"call": call, "ok": str(ok).lower()})
--- a/src/dotterelpath/daemon.py
+++ b/src/dotterelpath/daemon.py
@@ -35,6 +35,7 @@
 from dotterelpath.adapters import vm_list_client
 from dotterelpath.domain import caller_memory
 from dotterelpath.domain import connection_limits
+from dotterelpath.domain import input_usage
 from dotterelpath.domain import keys
 from dotterelpath.tasks import address_directory
 from dotterelpath.tasks import backend_pool
@@ -45,6 +46,7 @@
 from dotterelpath.tasks import front_end
 from dotterelpath.tasks import gossip
 from dotterelpath.tasks import key_claimer
+from dotterelpath.tasks import loop_monitor
 from dotterelpath.tasks import mailbox
 from dotterelpath.tasks import peer_forwarder
 from dotterelpath.tasks import shutdown
@@ -111,6 +113,7 @@
         "_gossip",
         "_home",
         "_inboxes",
+        "_input_usage",
         "_is_stopping",
         "_document_loader",
         "_metrics",
@@ -140,10 +143,13 @@
         self._callers = connection_guard.CallerRegistry(
             caller_memory.for_process(settings.memory_bytes), self._metrics
         )
+        self._input_usage = input_usage.InputUsage()
         self._inboxes = Inboxes()
         self._is_stopping = False
         self._supervisor = supervisor.Supervisor()
-        self._client = http_client.HttpClient(self._clock)
+        self._client = http_client.HttpClient(
+            self._clock, usage=self._input_usage
+        )
         self._store = store_client.StoreClient(
             settings.store.host,
             settings.store.port,
@@ -300,6 +306,7 @@
             max_body_bytes,
             connection_guard.ConnectionGuard(self._callers, max_connections),
             HEAD_TIMEOUT_S,
+            usage=self._input_usage,
         )
 
     def _start_tasks(self) -> None:
@@ -325,6 +332,10 @@
         start("store watcher", self._create_store_watcher().run())
         start("vm watcher", self._create_vm_watcher().run())
         start("memory", self._freeze_memory())
+        monitor = loop_monitor.LoopMonitor(
+            self._clock, self._metrics, self._input_usage
+        )
+        start("loop monitor", monitor.run())
         for inbox, period_s in (
             (inboxes.gossip, gossip.ROUND_INTERVAL_S),
             (inboxes.steward, ejection_coordinator.ROUND_INTERVAL_S),
@@ -336,7 +347,11 @@
 
     def _create_backend_pool(self) -> backend_pool.BackendPool:
         return backend_pool.BackendPool(
-            h11_backend.H11Connector(self._clock, memory=self._callers.memory),
+            h11_backend.H11Connector(
+                self._clock,
+                memory=self._callers.memory,
+                usage=self._input_usage,
+            ),
             self._clock,
             self._inboxes.back_ends,
             self._inboxes.dispatcher,
--- a/src/dotterelpath/gateway_daemon.py
+++ b/src/dotterelpath/gateway_daemon.py
@@ -32,6 +32,7 @@
 from dotterelpath.domain import caller_memory
 from dotterelpath.domain import connection_limits
 from dotterelpath.domain import deployment
+from dotterelpath.domain import input_usage
 from dotterelpath.platform import caller_codec
 from dotterelpath.platform import discovery_api
 from dotterelpath.platform import server_codec
@@ -45,6 +46,7 @@
 from dotterelpath.tasks import gateway
 from dotterelpath.tasks import gateway_inboxes
 from dotterelpath.tasks import gateway_shutdown
+from dotterelpath.tasks import loop_monitor
 from dotterelpath.tasks import peer_monitor
 from dotterelpath.tasks import registrar
 from dotterelpath.tasks import self_registration
@@ -98,6 +100,7 @@
         "_front_end",
         "_gateway",
         "_inboxes",
+        "_input_usage",
         "_is_stopping",
         "_metrics",
         "_settings_path",
@@ -135,11 +138,14 @@
             caller_memory.for_process(local_deployment.memory_bytes),
             self._metrics,
         )
+        self._input_usage = input_usage.InputUsage()
         self._inboxes = gateway_inboxes.Inboxes()
         self._is_stopping = False
         self._supervisor = supervisor.Supervisor()
         self._client = http_client.HttpClient(
-            self._clock, max_response_bytes(local_deployment.memory_bytes)
+            self._clock,
+            max_response_bytes(local_deployment.memory_bytes),
+            self._input_usage,
         )
         self._store = store_client.StoreClient(
             local_deployment.store_endpoint.host,
@@ -211,6 +217,7 @@
                 limits,
                 self._traffic,
                 self._guard(connection_limits.CALLER_FRACTION),
+                self._input_usage,
             ),
             local_deployment.caller_endpoint.host,
             local_deployment.caller_endpoint.port,
@@ -300,6 +307,7 @@
                     self._guard(fraction),
                     STATUS_HEAD_TIMEOUT_S,
                     STATUS_IDLE_TIMEOUT_S,
+                    self._input_usage,
                 ),
                 endpoint.host,
                 endpoint.port,
@@ -329,12 +337,17 @@
         start("front end", self._front_end.run())
         start("neighbourhood", self._peer_monitor.run())
         start("settings watcher", self._settings_watcher.run())
+        monitor = loop_monitor.LoopMonitor(
+            self._clock, self._metrics, self._input_usage
+        )
+        start("loop monitor", monitor.run())
         pool = backend_pool.BackendPool(
             h11_backend.H11Connector(
                 self._clock,
                 server_codec.ServerCodec(),
                 self._traffic,
                 self._callers.memory,
+                self._input_usage,
             ),
             self._clock,
             inboxes.back_ends,
--- a/src/dotterelpath/ports/metrics.py
+++ b/src/dotterelpath/ports/metrics.py
@@ -108,6 +108,22 @@
             reason: The limit.
         """
 
+    def record_loop_delay(self, delay_s: float) -> None:
+        """Records how late the event loop ran a timer.
+
+        Args:
+            delay_s: The delay, in seconds.
+        """
+
+    def record_input(self, size: int, events: int, duration_s: float) -> None:
+        """Records the processing of bytes from connections.
+
+        Args:
+            size: The bytes received.
+            events: The parts of messages that were parsed.
+            duration_s: The processing time, in seconds.
+        """
+
     def record_store_call(self, call: str, ok: bool) -> None:
         """Records a call to the store.
 
