Bound the work for the input of one instance

Cause: h11 makes an event of each chunk, and a connection parsed all that was read before it returned to the event loop, 40,000 events a read.

Change: domain/work_sharing decides and adapters/input_scheduler runs pieces of at most 64 parts of messages; the connection whose peer had least recent work is next; input that waits and completes no message gets a quarter of the time; its connection is not read from meanwhile, and its end waits behind what was received. All connections to instances, the store, the VM list and other daemons take part.

Why it works: no call parses more than a piece, so that the other callbacks run after 2 ms at most, and an answer with an end is ahead of those without, since its peer has less work behind it.

Tests: features/input_work.feature.

--- a/features/support/edges.py
+++ b/features/support/edges.py
@@ -24,6 +24,7 @@
 from dotterelpath.adapters import traffic
 from dotterelpath.domain import exchange
 from dotterelpath.domain import store_position
+from dotterelpath.domain import work_sharing
 from dotterelpath.platform import caller_codec
 from dotterelpath.platform import server_codec
 from dotterelpath.platform import store_codec
@@ -31,6 +32,7 @@
 from dotterelpath.ports import frontend
 from dotterelpath.ports import store as store_port
 from features.support import connection_machine
+from features.support import immediate_input
 from features.support import steered_fleet
 
 _names = strategies.sampled_from(
@@ -214,6 +216,8 @@
             clock.SystemClock(),
             server_codec.ServerCodec(),
             traffic.TrafficCounter(),
+            immediate_input.ImmediateScheduler(),
+            work_sharing.Account(),
         )
         transport = InstanceTransport(near)
         connection.connection_made(transport)
--- a/src/dotterelpath/adapters/http_client.py
+++ b/src/dotterelpath/adapters/http_client.py
@@ -6,9 +6,9 @@
 import itertools
 
 from dotterelpath.adapters import h11_backend
+from dotterelpath.adapters import input_scheduler
 from dotterelpath.adapters import native_server_codec
 from dotterelpath.domain import exchange
-from dotterelpath.domain import input_usage
 from dotterelpath.ports import backend
 from dotterelpath.ports import clock as clock_port
 
@@ -50,19 +50,19 @@
         self,
         clock: clock_port.Clock,
         max_response_bytes: int = DEFAULT_MAX_RESPONSE_BYTES,
-        usage: input_usage.InputUsage | None = None,
+        scheduler: input_scheduler.Scheduler | None = None,
     ) -> None:
         """Creates a client without connections.
 
         Args:
             clock: Gives the time for the idle timeout of connections.
             max_response_bytes: The longest body of a response.
-            usage: Counts what the processing of received bytes costs.
+            scheduler: Decides when received bytes are processed.
         """
         self._max_response_bytes = max_response_bytes
         self._clock = clock
         self._connector = h11_backend.H11Connector(
-            clock, native_server_codec.TrustedServerCodec(), usage=usage
+            clock, native_server_codec.TrustedServerCodec(), scheduler=scheduler
         )
         self._idle: dict[tuple[str, int], list[backend.Connection]] = {}
         self._pending: dict[int, asyncio.Future[exchange.Response]] = {}
--- a/src/dotterelpath/daemon.py
+++ b/src/dotterelpath/daemon.py
@@ -26,6 +26,7 @@
 from dotterelpath.adapters import h11_backend
 from dotterelpath.adapters import h11_binder
 from dotterelpath.adapters import http_client
+from dotterelpath.adapters import input_scheduler
 from dotterelpath.adapters import logs
 from dotterelpath.adapters import metrics as metrics_adapter
 from dotterelpath.adapters import peer_api
@@ -120,6 +121,7 @@
         "_peer_api",
         "_peer_server",
         "_peers",
+        "_scheduler",
         "_settings",
         "_ejection_coordinator",
         "_store",
@@ -144,11 +146,12 @@
             caller_memory.for_process(settings.memory_bytes), self._metrics
         )
         self._input_usage = input_usage.InputUsage()
+        self._scheduler = input_scheduler.InputScheduler(self._input_usage)
         self._inboxes = Inboxes()
         self._is_stopping = False
         self._supervisor = supervisor.Supervisor()
         self._client = http_client.HttpClient(
-            self._clock, usage=self._input_usage
+            self._clock, scheduler=self._scheduler
         )
         self._store = store_client.StoreClient(
             settings.store.host,
@@ -350,7 +353,7 @@
             h11_backend.H11Connector(
                 self._clock,
                 memory=self._callers.memory,
-                usage=self._input_usage,
+                scheduler=self._scheduler,
             ),
             self._clock,
             self._inboxes.back_ends,
--- a/src/dotterelpath/gateway_daemon.py
+++ b/src/dotterelpath/gateway_daemon.py
@@ -23,6 +23,7 @@
 from dotterelpath.adapters import h11_backend
 from dotterelpath.adapters import h11_binder
 from dotterelpath.adapters import http_client
+from dotterelpath.adapters import input_scheduler
 from dotterelpath.adapters import logs
 from dotterelpath.adapters import metrics as metrics_adapter
 from dotterelpath.adapters import process_limits
@@ -107,6 +108,7 @@
         "_peer_monitor",
         "_random",
         "_registrar",
+        "_scheduler",
         "_settings_watcher",
         "_store",
         "_store_reader",
@@ -139,13 +141,14 @@
             self._metrics,
         )
         self._input_usage = input_usage.InputUsage()
+        self._scheduler = input_scheduler.InputScheduler(self._input_usage)
         self._inboxes = gateway_inboxes.Inboxes()
         self._is_stopping = False
         self._supervisor = supervisor.Supervisor()
         self._client = http_client.HttpClient(
             self._clock,
             max_response_bytes(local_deployment.memory_bytes),
-            self._input_usage,
+            self._scheduler,
         )
         self._store = store_client.StoreClient(
             local_deployment.store_endpoint.host,
@@ -347,7 +350,7 @@
                 server_codec.ServerCodec(),
                 self._traffic,
                 self._callers.memory,
-                self._input_usage,
+                self._scheduler,
             ),
             self._clock,
             inboxes.back_ends,
