Bound the work for the input of one caller

Change: callers' connections, and those of readiness, look-up, metrics, status and other daemons, share the scheduler of the process. Requests that wait for their turn are parsed when a drain begins, and a caller whose bytes wait is neither idle nor too slow. A parser gets further bytes only when it has none left.

Tests: features/input_work.feature. "Pipelined requests without a pause" passed before as well and is a guard.

--- a/features/input_work.feature
+++ b/features/input_work.feature
@@ -17,6 +17,24 @@
       | 1    |
       | 4    |
 
+  @fixture.lone_gateway
+  Scenario Outline: Uploads in small chunks delay no other answer
+    Given 3 callers upload bodies of 1000000 bytes in chunks of <size> bytes
+    When deposits are requested 8 times a second for 6 s
+    Then each deposit is served within its time-out of 3 s
+
+    Examples:
+      | size |
+      | 1    |
+      | 4    |
+
+  # Each such request costs a hundred times as much as a chunk.
+  @fixture.lone_gateway
+  Scenario: Pipelined requests without a pause delay no other answer
+    Given 24 callers pipeline 20000 requests for a path without a route
+    When deposits are requested 8 times a second for 6 s
+    Then each deposit is served within its time-out of 3 s
+
   Scenario Outline: A short message does not wait for those without end
     Given <peers> peers that send without end, for 5 s so far
     When another peer sends a message of <parts> parts
@@ -68,3 +86,25 @@
     Given a server whose answer of 200 chunks waits for its turn
     When the attempt is cancelled
     Then nothing of the answer is counted or passed on
+
+  # A planned stop closed such connections as idle, or without an answer to what
+  # it had not parsed.
+  Scenario: Requests that wait for their turn are taken when a drain begins
+    Given a caller whose 20 pipelined requests wait for their turn
+    When the drain of its connection begins
+    Then all 20 requests are answered, and the last answer ends the connection
+
+  # Each piece gave the parser further bytes, of which it kept all.
+  Scenario: A parser gets no further bytes while it has some left
+    When 2000 pipelined requests are parsed in pieces of 64 parts
+    Then all are taken, and the parser never held more than 4096 bytes
+
+  Scenario: An upload is not too slow while it waits for its turn
+    Given a caller whose upload of 200 chunks waits for its turn
+    When the time-outs are checked after 60 s
+    Then the upload is complete once its turn comes
+
+  Scenario: An upload that waits for its turn ends at its deadline
+    Given a caller whose upload of 200 chunks and 5 s waits for its turn
+    When the time-outs are checked after 60 s
+    Then the upload is refused as too slow
--- a/features/steps/input_work_steps.py
+++ b/features/steps/input_work_steps.py
@@ -10,8 +10,11 @@
 import behave
 import structlog.testing
 
+from dotterelpath.adapters import caller_input
 from dotterelpath.adapters import clock as clock_adapter
+from dotterelpath.adapters import connection_guard
 from dotterelpath.adapters import h11_backend
+from dotterelpath.adapters import h11_frontend
 from dotterelpath.adapters import input_scheduler
 from dotterelpath.adapters import logs
 from dotterelpath.adapters import metrics as metrics_adapter
@@ -21,7 +24,11 @@
 from dotterelpath.domain import exchange
 from dotterelpath.domain import input_usage
 from dotterelpath.domain import work_sharing
+from dotterelpath.platform import caller_codec
+from dotterelpath.ports import frontend
 from dotterelpath.tasks import loop_monitor
+from features import environment
+from features.support import connection_machine
 from features.support import edges
 from features.support import immediate_input
 from features.support import steady_load
@@ -88,6 +95,52 @@
     ).encode()
 
 
+@behave.given(
+    "{count:d} callers upload bodies of {size:d} bytes in chunks of {chunk:d}"
+    " bytes"
+)
+def step_uploads(context, count, size, chunk):
+    context.fleet.max_body_bytes = 2 * size
+    context.fleet.configure(*environment.ROUTES)
+    context.fleet.wait_for_configuration(context.fleet.version)
+    piece = b"%x\r\n%b\r\n" % (chunk, b"x" * chunk)
+    body = piece * (size // chunk) + b"0\r\n\r\n"
+    head = encode_request("POST", "/deposits/1", 6000).replace(
+        b"Content-Length: 0", b"Transfer-Encoding: chunked"
+    )
+    context.others = (count, head + body)
+
+
+@behave.given(
+    "{count:d} callers pipeline {each:d} requests for a path without a route"
+)
+def step_pipeline(context, count, each):
+    request = encode_request("GET", "/nowhere", 6000).replace(
+        b"Connection: close\r\n", b""
+    )
+    context.others = (count, request * each)
+
+
+@behave.when(
+    "deposits are requested {per_s:d} times a second for {duration_s:d} s"
+)
+def step_load_beside(context, per_s, duration_s):
+    port = context.fleet.gateways["g1"].caller_port
+    context.load = steady_load.Load(
+        port, encode_request("POST", "/deposits/1", 6000), per_s, 6.0
+    )
+    count, data = context.others
+
+    async def play():
+        others = [
+            steady_load.repeat(port, data, duration_s, 6.0)
+            for _ in range(count)
+        ]
+        await asyncio.gather(context.load.run(duration_s), *others)
+
+    asyncio.run(play())
+
+
 @behave.when(
     "presses are requested {presses:d} times and deposits {deposits:d} times a"
     " second for {duration_s:d} s"
@@ -385,3 +438,131 @@
     held.scheduler.play_all()
     assert not held.listener.responses
     assert not held.listener.ended_count
+
+
+class HeldCaller:
+    """A caller's connection whose received bytes wait for their turn."""
+
+    def __init__(self, data):
+        self.listener = edges.Answerer()
+        self.scheduler = immediate_input.HeldScheduler()
+        self.transport = connection_machine.FakeTransport()
+        self.connection = h11_frontend.H11Connection(
+            self.listener,
+            caller_codec.CallerCodec(),
+            frontend.Limits(16384, 65536, 1.0, 3.0, max_pipelined=32),
+            traffic.TrafficCounter(),
+            connection_guard.ConnectionGuard(),
+            self.scheduler,
+        )
+        self.connection.connection_made(self.transport)
+        self.connection.data_received(data)
+
+
+def encode_held(deadline_ms, framing):
+    """Encodes the head of a request on a kept connection."""
+    return (
+        "POST /deposits/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+        f"Deadline-Ms: {deadline_ms}\r\n{framing}\r\n\r\n"
+    ).encode()
+
+
+@behave.given("a caller whose {count:d} pipelined requests wait for their turn")
+def step_held_requests(context, count):
+    request = encode_held(5000, "Content-Length: 0")
+    context.held = HeldCaller(request * count)
+
+
+@behave.when("the drain of its connection begins")
+def step_drain(context):
+    context.held.connection.drain()
+
+
+@behave.then(
+    "all {count:d} requests are answered, and the last answer ends the"
+    " connection"
+)
+def step_all_answered(context, count):
+    held = context.held
+    held.scheduler.play_all()
+    assert held.listener.taken_count == count, held.listener.taken_count
+    answers = held.transport.written.split(b"HTTP/1.1 200 ")[1:]
+    assert len(answers) == count, len(answers)
+    closing = [b"connection: close" in a.lower() for a in answers]
+    assert closing == [False] * (count - 1) + [True], closing
+    assert held.transport.is_ended
+
+
+@behave.given("a caller whose upload of {count:d} chunks waits for its turn")
+@behave.given(
+    "a caller whose upload of {count:d} chunks and {budget_s:d} s waits for its"
+    " turn"
+)
+def step_held_upload(context, count, budget_s=600):
+    head = encode_held(1000 * budget_s, "Transfer-Encoding: chunked")
+    body = b"1\r\nx\r\n" * count + b"0\r\n\r\n"
+    context.held = HeldCaller(head + body)
+    context.held.scheduler.play_turn()
+    assert context.held.scheduler.waiting
+
+
+@behave.when("the time-outs are checked after {elapsed_s:d} s")
+def step_check_timeouts(context, elapsed_s):
+    now_s = time.monotonic() + elapsed_s
+    context.held.connection.check_timeouts(now_s)
+
+
+@behave.then("the upload is complete once its turn comes")
+def step_upload_complete(context):
+    held = context.held
+    assert not held.transport.written, held.transport.written
+    held.scheduler.play_all()
+    assert held.transport.written.startswith(b"HTTP/1.1 200 ")
+
+
+@behave.then("the upload is refused as too slow")
+def step_upload_refused(context):
+    assert context.held.transport.written.startswith(b"HTTP/1.1 408 ")
+    context.held.scheduler.play_all()
+    assert not context.held.listener.taken_count - 1
+
+
+class InputOwner:
+    """A connection that takes all requests."""
+
+    is_open = True
+    takes_requests = True
+    open_count = 1
+
+    def __init__(self):
+        self.taken_count = 0
+
+    def on_complete(self, cycle):
+        self.taken_count += 1
+
+
+@behave.when(
+    "{count:d} pipelined requests are parsed in pieces of {parts:d} parts"
+)
+def step_parse_in_pieces(context, count, parts):
+    owner = context.owner = InputOwner()
+    received = caller_input.CallerInput(
+        caller_codec.CallerCodec(),
+        frontend.Limits(16384, 65536),
+        connection_guard.CallerRegistry(),
+    )
+    received.append(encode_held(5000, "Content-Length: 0") * count)
+    context.held_bytes = 0
+    received.read(owner, parts)
+    while received.is_interrupted:
+        left, _ = received.cycle.conn.trailing_data
+        context.held_bytes = max(context.held_bytes, len(left))
+        received.read(owner, parts)
+
+
+@behave.then(
+    "all are taken, and the parser never held more than {size:d} bytes"
+)
+def step_parser_bounded(context, size):
+    assert context.owner.taken_count == 2000, context.owner.taken_count
+    assert 0 < context.held_bytes <= size, context.held_bytes
--- a/features/support/connection_machine.py
+++ b/features/support/connection_machine.py
@@ -16,6 +16,7 @@
 from dotterelpath.adapters import traffic
 from dotterelpath.domain import exchange
 from dotterelpath.ports import frontend
+from features.support import immediate_input
 
 MAX_PIPELINED = 3
 # A request that the codec refuses, among the kinds of request.
@@ -99,6 +100,7 @@
             frontend.Limits(16384, 65536, max_pipelined=MAX_PIPELINED),
             traffic.TrafficCounter(),
             connection_guard.ConnectionGuard(),
+            immediate_input.ImmediateScheduler(),
         )
         self.connection.connection_made(self.transport)
         self.methods = []
--- a/features/support/edges.py
+++ b/features/support/edges.py
@@ -194,6 +194,7 @@
         frontend.Limits(16384, 65536, max_pipelined=3),
         traffic.TrafficCounter(),
         connection_guard.ConnectionGuard(),
+        immediate_input.ImmediateScheduler(),
     )
     connection.connection_made(transport)
     edges = sorted({min(cut, len(data)) for cut in cuts} | {0, len(data)})
@@ -240,6 +241,7 @@
         frontend.Limits(16384, 65536),
         traffic.TrafficCounter(),
         connection_guard.ConnectionGuard(),
+        immediate_input.ImmediateScheduler(),
     )
     connection.connection_made(connection_machine.FakeTransport())
     connection.data_received(
--- a/features/support/steady_load.py
+++ b/features/support/steady_load.py
@@ -1,4 +1,4 @@
-"""Callers that send requests at a steady rate, each on a new connection."""
+"""Callers that send requests at a steady rate, and others without a pause."""
 
 from __future__ import annotations
 
@@ -64,3 +64,32 @@
             return
         if received.startswith(b"HTTP/1.1 200 "):
             self.served_s.append(time.monotonic() - began_s)
+
+
+async def repeat(port, data, duration_s, patience_s):
+    """Sends the same bytes again and again, each time on a new connection.
+
+    Args:
+        port: The port of the daemon.
+        data: The bytes.
+        duration_s: For how long, in seconds.
+        patience_s: The longest time for one connection, in seconds.
+    """
+    end_s = time.monotonic() + duration_s
+    while time.monotonic() < end_s:
+        try:
+            async with asyncio.timeout(patience_s):
+                await _send_all(port, data)
+        except (OSError, TimeoutError):
+            await asyncio.sleep(0.1)
+
+
+async def _send_all(port, data):
+    """Sends bytes while it reads responses, until the daemon closes."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    try:
+        while await reader.read(READ_BYTES):
+            pass
+    finally:
+        writer.close()
--- a/src/dotterelpath/adapters/caller_input.py
+++ b/src/dotterelpath/adapters/caller_input.py
@@ -13,8 +13,12 @@
 from dotterelpath.adapters import request_cycle
 from dotterelpath.adapters import unread_input
 from dotterelpath.domain import exchange
+from dotterelpath.domain import work_sharing
 from dotterelpath.ports import frontend
 
+# The work of passing on a complete request, in parts of messages.
+REQUEST_WORK = 16
+
 
 class InputOwner(typing.Protocol):
     """The connection whose input is parsed."""
@@ -54,11 +58,12 @@
     __slots__ = (
         "_budget",
         "_codec",
-        "_event_count",
         "_is_reading",
         "_limits",
         "_unread",
+        "_work_left",
         "cycle",
+        "is_interrupted",
     )
 
     def __init__(
@@ -79,7 +84,9 @@
         self._budget = budget
         self._unread = unread_input.UnreadInput()
         self._is_reading = False
-        self._event_count = 0
+        self._work_left = 0
+        # Whether the last piece ended before all that was received.
+        self.is_interrupted = False
         # The request that is being received, or was received last.
         self.cycle = self._new_cycle()
 
@@ -123,11 +130,6 @@
             timeout_s = self._limits.idle_timeout_s
         return bool(timeout_s) and idle_s > (timeout_s or 0.0)
 
-    def take_event_count(self) -> int:
-        """Returns how many events were parsed since the last call."""
-        count, self._event_count = self._event_count, 0
-        return count
-
     def append(self, data: bytes) -> None:
         """Adds received bytes, which read parses.
 
@@ -139,27 +141,34 @@
     def clear(self) -> None:
         """Drops the bytes that the parser did not get yet."""
         self._unread.clear()
+        self.is_interrupted = False
 
-    def read(self, owner: InputOwner) -> None:
+    def read(self, owner: InputOwner, max_work: int) -> int:
         """Parses requests as long as the connection takes them.
 
         Args:
             owner: Gets the requests. It is not kept, since a cycle of
                 references would keep a closed connection's memory for a while.
+            max_work: The parts of messages after which to stop.
+
+        Returns:
+            The parts that were parsed.
         """
         if self._is_reading:
             # A listener that responds synchronously re-enters this method;
             # the outer loop continues with the next request.
-            return
+            return 0
         self._is_reading = True
+        self._work_left = max_work
         try:
             while owner.is_open and self._prepare_cycle(owner):
                 if not self._read_available(owner):
-                    return
+                    break
         except h11.RemoteProtocolError as error:
             owner.on_protocol_error(error)
         finally:
             self._is_reading = False
+        return max_work - self._work_left
 
     def _prepare_cycle(self, owner: InputOwner) -> bool:
         """Starts the cycle of the next request if it may be parsed now.
@@ -168,8 +177,11 @@
             Whether the current cycle accepts bytes.
         """
         cycle = self.cycle
+        was_interrupted, self.is_interrupted = self.is_interrupted, False
         if not cycle.is_received:
-            self._feed(cycle)
+            if not was_interrupted:
+                self._feed(cycle)
+            # Otherwise the parser has not used up the piece before.
             return True
         unparsed, _ = cycle.conn.trailing_data
         if not unparsed and not self._unread:
@@ -210,8 +222,11 @@
         """
         cycle = self.cycle
         while owner.is_open and not cycle.is_refused:
+            if self._work_left <= 0:
+                self.is_interrupted = True
+                return False
             event = cycle.conn.next_event()
-            self._event_count += 1
+            self._work_left -= 1
             if event is h11.NEED_DATA:
                 if self._feed(cycle):
                     continue
@@ -219,11 +234,14 @@
                     owner.on_continue_expected(cycle)
                 return False
             if isinstance(event, h11.Request):
+                self._work_left -= work_sharing.field_work(event.headers)
                 self._on_head(owner, cycle, event)
             elif isinstance(event, h11.Data):
                 _refuse_if(owner, cycle.body.add(bytes(event.data)))
             elif isinstance(event, h11.EndOfMessage):
                 cycle.is_received = True
+                self._work_left -= REQUEST_WORK
+                self._work_left -= work_sharing.field_work(event.headers)
                 owner.on_complete(cycle)
                 return True
             else:
--- a/src/dotterelpath/adapters/h11_binder.py
+++ b/src/dotterelpath/adapters/h11_binder.py
@@ -10,8 +10,8 @@
 from dotterelpath.adapters import caller_codec
 from dotterelpath.adapters import connection_guard
 from dotterelpath.adapters import h11_frontend
+from dotterelpath.adapters import input_scheduler
 from dotterelpath.adapters import traffic
-from dotterelpath.domain import input_usage
 from dotterelpath.ports import frontend
 
 MAX_HEAD_BYTES = 32 * 1024
@@ -23,7 +23,13 @@
 class H11Binder:
     """Opens sockets that serve callers over HTTP/1.1."""
 
-    __slots__ = ("_codec", "_guard", "_limits", "_traffic_counter", "_usage")
+    __slots__ = (
+        "_codec",
+        "_guard",
+        "_limits",
+        "_scheduler",
+        "_traffic_counter",
+    )
 
     def __init__(
         self,
@@ -31,7 +37,7 @@
         limits: frontend.Limits,
         traffic_counter: traffic.TrafficCounter | None = None,
         guard: connection_guard.ConnectionGuard | None = None,
-        usage: input_usage.InputUsage | None = None,
+        scheduler: input_scheduler.Scheduler | None = None,
     ) -> None:
         """Creates a binder.
 
@@ -42,9 +48,10 @@
             traffic_counter: Counts the bytes written.
             guard: Limits the connections and the memory that they hold;
                 without limits by default.
-            usage: Counts what the processing of received bytes costs.
+            scheduler: Decides when received bytes are processed; by default
+                one for the connections of this binder.
         """
-        self._usage = usage or input_usage.InputUsage()
+        self._scheduler = scheduler or input_scheduler.InputScheduler()
         self._codec = codec
         self._limits = limits
         self._traffic_counter = traffic_counter or traffic.TrafficCounter()
@@ -63,7 +70,7 @@
                     self._limits,
                     self._traffic_counter,
                     self._guard,
-                    self._usage,
+                    self._scheduler,
                 ),
                 host,
                 port,
@@ -85,7 +92,7 @@
     guard: connection_guard.ConnectionGuard | None = None,
     head_timeout_s: float | None = None,
     idle_timeout_s: float | None = None,
-    usage: input_usage.InputUsage | None = None,
+    scheduler: input_scheduler.Scheduler | None = None,
 ) -> H11Binder:
     """Creates a binder that speaks the fleet's own protocol.
 
@@ -95,7 +102,7 @@
         guard: Limits the connections and the memory that they hold.
         head_timeout_s: See frontend.Limits.
         idle_timeout_s: See frontend.Limits.
-        usage: Counts what the processing of received bytes costs.
+        scheduler: Decides when received bytes are processed.
 
     Returns:
         The binder.
@@ -106,5 +113,5 @@
             MAX_HEAD_BYTES, max_body_bytes, head_timeout_s, idle_timeout_s
         ),
         guard=guard,
-        usage=usage,
+        scheduler=scheduler,
     )
--- a/src/dotterelpath/adapters/h11_frontend.py
+++ b/src/dotterelpath/adapters/h11_frontend.py
@@ -14,12 +14,13 @@
 from dotterelpath.adapters import caller_input
 from dotterelpath.adapters import caller_output
 from dotterelpath.adapters import connection_guard
+from dotterelpath.adapters import input_scheduler
 from dotterelpath.adapters import request_cycle
 from dotterelpath.adapters import response_queue
 from dotterelpath.adapters import traffic
 from dotterelpath.domain import exchange
-from dotterelpath.domain import input_usage
 from dotterelpath.domain import output_progress
+from dotterelpath.domain import work_sharing
 from dotterelpath.ports import frontend
 
 # Reading pauses while more received bytes than this wait to be parsed. One read
@@ -31,6 +32,9 @@
 # How long bytes that are no request any more are read and discarded, in
 # seconds.
 LINGER_S = 1.0
+# The work for the input that waits for its turn when a drain begins, in parts
+# of messages: as many requests as may be pipelined.
+DRAIN_WORK = 1024
 # How long a draining connection waits for the rest of a request, in seconds.
 DRAIN_READ_S = 1.0
 
@@ -55,13 +59,17 @@
         "_listener",
         "_open_cycles",
         "_output",
+        "_scheduler",
         "_share_bytes",
         "_transport",
-        "_usage",
+        "account",
         "address",
+        "has_completed",
         "held_bytes",
+        "is_scheduled",
         "is_stalled",
         "is_used",
+        "peer",
     )
 
     def __init__(
@@ -71,7 +79,7 @@
         limits: frontend.Limits,
         traffic_counter: traffic.TrafficCounter,
         guard: connection_guard.ConnectionGuard,
-        usage: input_usage.InputUsage | None = None,
+        scheduler: input_scheduler.Scheduler,
     ) -> None:
         """Creates a connection that is not yet open.
 
@@ -82,9 +90,9 @@
                 to this connection too.
             traffic_counter: Counts the bytes written.
             guard: Limits the connections and the memory that they hold.
-            usage: Counts what the processing of received bytes costs.
+            scheduler: Decides when received bytes are processed.
         """
-        self._usage = usage or input_usage.InputUsage()
+        self._scheduler = scheduler
         self._listener = listener
         self._codec = codec
         self._limits = limits
@@ -101,7 +109,11 @@
         self._drain_began_s = math.inf
         self._is_lingering = False
         self._last_activity_s = time.monotonic()
+        self.account = work_sharing.Account()
         self.address = ""
+        self.peer = "caller"
+        self.is_scheduled = False
+        self.has_completed = False
         self.held_bytes = 0
         self.is_stalled = False
         self.is_used = False
@@ -110,6 +122,7 @@
         """Reports the new connection to the listener if it is admitted."""
         self._transport = typing.cast(asyncio.Transport, transport)
         self.address = connection_guard.address_of(transport)
+        self.peer = f"caller {self.address}"
         if not self._guard.admit(self):
             self.discard()
             return
@@ -129,22 +142,16 @@
             self._listener.on_disconnected(self)
 
     def data_received(self, data: bytes) -> None:
-        """Parses the caller's bytes, up to the limit of pipelined requests."""
+        """Takes the caller's bytes, which process_input parses."""
         if self._is_lingering:
             return
         if self._input.is_reading_body or not self._input.has_partial_request:
             # The timeout of a head runs from its first byte, so that a caller
             # cannot extend it by sending the head byte by byte.
             self._last_activity_s = time.monotonic()
-        began_s = time.perf_counter()
+        self._scheduler.record_received(self, len(data))
         self._input.append(data)
         self._read()
-        self._usage.record(
-            f"caller {self.address}",
-            len(data),
-            self._input.take_event_count(),
-            time.perf_counter() - began_s,
-        )
         self._settle()
 
     def eof_received(self) -> bool:
@@ -211,6 +218,10 @@
     def drain(self) -> None:
         """Closes once no response is outstanding; see frontend.Connection."""
         self._is_closing = True
+        if self.is_scheduled and self._can_read:
+            # Requests that arrived before the drain are taken, though they
+            # wait for their turn.
+            self._input.read(self, DRAIN_WORK)
         self._is_draining = True
         self._drain_began_s = time.monotonic()
         if self._is_drained and not self._is_lingering:
@@ -225,6 +236,9 @@
         self._check_output(now_s)
         if self._transport is None:
             return
+        if self.is_scheduled:
+            # The caller may have sent more than was read.
+            self._last_activity_s = now_s
         idle_s = now_s - self._last_activity_s
         if self._is_lingering:
             self._check_linger(now_s, idle_s)
@@ -295,11 +309,36 @@
             self._settle()
 
     def _read(self) -> None:
-        """Parses what was received, unless the connection is ending."""
-        if self._transport is None or self._transport.is_closing():
-            return
-        if not self._is_lingering:
-            self._input.read(self)
+        """Parses what was received, at once or in turn."""
+        if self._can_read:
+            self._scheduler.process(self)
+
+    @property
+    def _can_read(self) -> bool:
+        """Whether requests are taken, since the connection is not ending."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return False
+        return not self._is_lingering
+
+    @property
+    def has_input(self) -> bool:
+        """Whether to go on; see input_scheduler.InputConnection."""
+        return self._input.is_interrupted and self._can_read
+
+    def process_input(self, max_work: int) -> int:
+        """Parses a piece; see input_scheduler.InputConnection."""
+        self.has_completed = False
+        if not self._can_read:
+            return 0
+        work = self._input.read(self, max_work)
+        self._settle()
+        return work
+
+    def fail_input(self) -> None:
+        """Closes at once; see input_scheduler.InputConnection."""
+        if self._transport is not None:
+            self._transport.abort()
 
     def _settle(self) -> None:
         """Adjusts reading and the accounts to what the connection holds."""
@@ -452,6 +491,7 @@
         """Passes a request on; see caller_input.InputOwner."""
         assert cycle.head is not None
         self.is_used = True
+        self.has_completed = True
         self._open_cycles.append(cycle)
         try:
             cycle.request = self._codec.decode_request(
--- a/src/dotterelpath/daemon.py
+++ b/src/dotterelpath/daemon.py
@@ -309,7 +309,7 @@
             max_body_bytes,
             connection_guard.ConnectionGuard(self._callers, max_connections),
             HEAD_TIMEOUT_S,
-            usage=self._input_usage,
+            scheduler=self._scheduler,
         )
 
     def _start_tasks(self) -> None:
