Say what bounded input costs, and play calls beside it

Peers of the connections to servers are named "server" in the log, since the store and other daemons are among them.

--- a/features/input_work.feature
+++ b/features/input_work.feature
@@ -35,6 +35,13 @@
     When deposits are requested 8 times a second for 6 s
     Then each deposit is served within its time-out of 3 s
 
+  # The store, the VM list and other daemons are called in this way.
+  @fixture.lone_gateway
+  Scenario: An answer to a call in small chunks without end delays no other call
+    Given i-presses-2 answers without end in chunks of 1 bytes
+    When 8 calls of i-presses-2 are open
+    Then 20 calls of i-deposits-1 are answered within 0.5 s each
+
   Scenario Outline: A short message does not wait for those without end
     Given <peers> peers that send without end, for 5 s so far
     When another peer sends a message of <parts> parts
--- a/features/steps/input_work_steps.py
+++ b/features/steps/input_work_steps.py
@@ -9,12 +9,14 @@
 
 import behave
 import structlog.testing
+import uvloop
 
 from dotterelpath.adapters import caller_input
 from dotterelpath.adapters import clock as clock_adapter
 from dotterelpath.adapters import connection_guard
 from dotterelpath.adapters import h11_backend
 from dotterelpath.adapters import h11_frontend
+from dotterelpath.adapters import http_client
 from dotterelpath.adapters import input_scheduler
 from dotterelpath.adapters import logs
 from dotterelpath.adapters import metrics as metrics_adapter
@@ -173,6 +175,45 @@
     assert slowest_s <= timeout_s + SLACK_S, slowest_s
 
 
+@behave.when("{count:d} calls of {instance} are open")
+def step_open_calls(context, count, instance):
+    context.open_calls = (count, context.fleet.instances[instance])
+
+
+@behave.then(
+    "{count:d} calls of {instance} are answered within {most_s:f} s each"
+)
+def step_calls_answered(context, count, instance, most_s):
+    port = context.fleet.instances[instance]
+    open_count, open_port = context.open_calls
+
+    async def play():
+        client = http_client.HttpClient(clock_adapter.SystemClock())
+
+        async def call(called_port):
+            request = http_client.build_get("/called")
+            return await client.call("127.0.0.1", called_port, request, 5.0)
+
+        open_calls = [
+            asyncio.create_task(call(open_port)) for _ in range(open_count)
+        ]
+        # Until their answers arrive at the full rate.
+        await asyncio.sleep(1.0)
+        durations_s = []
+        for _ in range(count):
+            began_s = time.monotonic()
+            assert (await call(port)).status == 200
+            durations_s.append(time.monotonic() - began_s)
+        for open_call in open_calls:
+            open_call.cancel()
+        await asyncio.gather(*open_calls, return_exceptions=True)
+        return durations_s
+
+    # The daemons run on uvloop, too.
+    durations_s = uvloop.run(play())
+    assert max(durations_s) <= most_s, max(durations_s)
+
+
 class Peer:
     """A peer with input, whose work takes simulated time."""
 
--- a/src/dotterelpath/adapters/caller_input.py
+++ b/src/dotterelpath/adapters/caller_input.py
@@ -179,9 +179,10 @@
         cycle = self.cycle
         was_interrupted, self.is_interrupted = self.is_interrupted, False
         if not cycle.is_received:
+            # After an interruption, the parser still has bytes of the last
+            # piece.
             if not was_interrupted:
                 self._feed(cycle)
-            # Otherwise the parser has not used up the piece before.
             return True
         unparsed, _ = cycle.conn.trailing_data
         if not unparsed and not self._unread:
--- a/src/dotterelpath/adapters/h11_backend.py
+++ b/src/dotterelpath/adapters/h11_backend.py
@@ -106,7 +106,7 @@
         """
         self._scheduler = scheduler
         self.account = account
-        self.peer = f"instance {address}"
+        self.peer = f"server {address}"
         self.is_scheduled = False
         self.has_completed = False
         # Whether received bytes are left to process.
--- a/src/dotterelpath/adapters/input_scheduler.py
+++ b/src/dotterelpath/adapters/input_scheduler.py
@@ -52,7 +52,12 @@
     """Decides when the input of connections is processed."""
 
     def record_received(self, connection: InputConnection, size: int) -> None:
-        """Counts received bytes."""
+        """Counts received bytes.
+
+        Args:
+            connection: The connection.
+            size: The number of bytes.
+        """
 
     def process(self, connection: InputConnection) -> None:
         """Processes the input of a connection, now or later.
@@ -70,7 +75,7 @@
     be read from, so that its peer waits as well.
     """
 
-    __slots__ = ("_is_waiting", "_sharing", "_turn", "_usage")
+    __slots__ = ("_is_turn_delayed", "_sharing", "_turn", "_usage")
 
     def __init__(self, usage: input_usage.InputUsage | None = None) -> None:
         """Creates a scheduler of which nothing is asked.
@@ -82,26 +87,17 @@
         self._sharing: work_sharing.WorkSharing[InputConnection] = (
             work_sharing.WorkSharing()
         )
-        # The scheduled turn, and whether it is later than the next one of the
-        # event loop.
+        # The next turn, and whether it is not that of the event loop, since
+        # the share for input that waits is used up.
         self._turn: asyncio.Handle | None = None
-        self._is_waiting = False
+        self._is_turn_delayed = False
 
     def record_received(self, connection: InputConnection, size: int) -> None:
-        """Counts received bytes; see Scheduler.
-
-        Args:
-            connection: The connection.
-            size: The number of bytes.
-        """
+        """Counts received bytes; see Scheduler."""
         self._usage.record(connection.peer, size, 0, 0.0)
 
     def process(self, connection: InputConnection) -> None:
-        """Processes the input of a connection; see Scheduler.
-
-        Args:
-            connection: A connection that may have input.
-        """
+        """Processes the input of a connection; see Scheduler."""
         if connection.is_scheduled:
             return
         began_s = time.monotonic()
@@ -135,12 +131,12 @@
         if delay_s is None:
             return
         if self._turn is not None:
-            if not self._is_waiting or delay_s:
+            if not self._is_turn_delayed or delay_s:
                 return
             self._turn.cancel()
         loop = asyncio.get_running_loop()
-        self._is_waiting = delay_s > 0.0
-        if self._is_waiting:
+        self._is_turn_delayed = delay_s > 0.0
+        if self._is_turn_delayed:
             self._turn = loop.call_later(delay_s, self._on_turn)
         else:
             self._turn = loop.call_soon(self._on_turn)
