--- a/features/input_work.feature
+++ b/features/input_work.feature
@@ -17,6 +17,7 @@
       | 1    |
       | 4    |
 
+  # The input of a caller was parsed until nothing that had been read was left.
   @fixture.lone_gateway
   Scenario Outline: Uploads in small chunks delay no other answer
     Given 3 callers upload bodies of 1000000 bytes in chunks of <size> bytes
@@ -28,7 +29,7 @@
       | 1    |
       | 4    |
 
-  # Each such request costs a hundred times as much as a chunk.
+  # A request costs many times as much as a chunk.
   @fixture.lone_gateway
   Scenario: Pipelined requests without a pause delay no other answer
     Given 24 callers pipeline 20000 requests for a path without a route
