--- a/features/input_work.feature
+++ b/features/input_work.feature
@@ -17,6 +17,13 @@
       | 1    |
       | 4    |
 
+  @fixture.lone_gateway
+  Scenario: Small chunks without end of all instances of a service, beside uploads
+    Given 3 callers upload bodies of 1000000 bytes in chunks of 1 bytes
+    And all instances of presses answer without end in chunks of 1 bytes
+    When presses are requested 20 times and deposits 8 times a second for 6 s
+    Then each deposit is served within its time-out of 3 s
+
   # The input of a caller was parsed until nothing that had been read was left.
   @fixture.lone_gateway
   Scenario Outline: Uploads in small chunks delay no other answer
@@ -76,6 +83,11 @@
     When 100 peers send 1000 parts each at the same moment
     Then no turn of the event loop processes more than 1400 parts
 
+  Scenario: A stream with a small chunk now and then is passed on at once
+    Given 20 connections of one peer whose input never ends
+    When another peer sends a chunk each 0.1 s for 2 s
+    Then each chunk is processed when it arrives
+
   Scenario Outline: An answer that waits for its turn outlives its connection
     Given a server whose answer of 200 chunks waits for its turn
     When the connection <end>
--- a/features/steps/input_work_steps.py
+++ b/features/steps/input_work_steps.py
@@ -88,6 +88,15 @@
     context.fleet.set_mode(instance, endless=True, chunk_bytes=size)
 
 
+@behave.given(
+    "all instances of {service} answer without end in chunks of {size:d} bytes"
+)
+def step_all_endless(context, service, size):
+    for instance in context.fleet.instances:
+        if instance.startswith(f"i-{service}-"):
+            step_hose(context, instance, size)
+
+
 def encode_request(method, path, deadline_ms):
     """Encodes a request that is the only one of its connection."""
     return (
@@ -155,10 +164,15 @@
     other = steady_load.Load(
         port, encode_request("GET", "/presses/1", 2500), presses, 2.5
     )
+    count, data = getattr(context, "others", (0, b""))
 
     async def play():
+        uploads = [
+            steady_load.repeat(port, data, duration_s, 6.0)
+            for _ in range(count)
+        ]
         await asyncio.gather(
-            context.load.run(duration_s), other.run(duration_s)
+            context.load.run(duration_s), other.run(duration_s), *uploads
         )
 
     asyncio.run(play())
@@ -355,6 +369,10 @@
     def has_input(self):
         return self._parts > 0
 
+    def receive(self, parts):
+        """Adds parts that have arrived."""
+        self._parts += parts
+
     def process_input(self, max_work):
         parts = min(self._parts, max_work)
         self._parts -= parts
@@ -382,6 +400,40 @@
     assert max(context.turn_parts) <= most, max(context.turn_parts)
 
 
+@behave.given("{count:d} connections of one peer whose input never ends")
+def step_endless_inputs(context, count):
+    context.endless_count = count
+
+
+@behave.when(
+    "another peer sends a chunk each {pause_s:f} s for {duration_s:d} s"
+)
+def step_stream(context, pause_s, duration_s):
+    context.left_parts = []
+
+    async def play():
+        scheduler = input_scheduler.InputScheduler()
+        account = work_sharing.Account()
+        for _ in range(context.endless_count):
+            endless = CountingInput(10**9, [0])
+            endless.account = account
+            scheduler.process(endless)
+        stream = CountingInput(0, [0])
+        for _ in range(round(duration_s / pause_s)):
+            await asyncio.sleep(pause_s)
+            stream.receive(2)
+            scheduler.process(stream)
+            context.left_parts.append(stream.has_input or stream.is_scheduled)
+
+    asyncio.run(play())
+
+
+@behave.then("each chunk is processed when it arrives")
+def step_on_arrival(context):
+    assert len(context.left_parts) == 20, context.left_parts
+    assert not any(context.left_parts), context.left_parts
+
+
 class HeldAnswer:
     """A connection to a server whose received answer waits for its turn."""
 
